--- /dev/null
+++ b/crates/oriole_admission/src/lib.rs
@@ -0,0 +1,2 @@
+//! Admission at one upstream: cold start, drain, poison quarantine and fencing.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_agent/src/lib.rs
@@ -0,0 +1,2 @@
+//! Agent daemon: the only sender of work and orders to one upstream.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_bench/src/lib.rs
@@ -0,0 +1,2 @@
+//! Load and experiment tool: figures as JSON lines and plots.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_catalog/src/lib.rs
@@ -0,0 +1,2 @@
+//! Catalog documents: parsing, validation, versioned change and spread to every process.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_claims/src/lib.rs
@@ -0,0 +1,2 @@
+//! At-most-once execution of non-idempotent requests.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_ctl/src/lib.rs
@@ -0,0 +1,2 @@
+//! Operators' command line: oriolectl.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_entry/src/lib.rs
@@ -0,0 +1,2 @@
+//! Entry daemon: accepts callers' requests and steers them to agents.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_kernel/src/lib.rs
@@ -0,0 +1,43 @@
+//! Micro-kernel of every oriole process.
+//!
+//! The tour:
+//!
+//! - [`registry`]: where services find each other by name.
+//! - [`app`]: plugins register services into an [`app::App`]; starting it starts the services in
+//!   order of their dependencies and yields a [`app::RunningApp`] that stops them in reverse.
+//! - [`logging`]: JSON lines through `slog`.
+//! - [`telemetry`]: the process-wide metrics recorder.
+//! - [`settings`]: reading and checking a daemon's TOML settings.
+//!
+//! ```
+//! use oriole_kernel::prelude::*;
+//!
+//! struct GreetingPlugin;
+//! impl Plugin for GreetingPlugin {
+//!     fn name(&self) -> &'static str {
+//!         "greeting"
+//!     }
+//!     fn build(&self, app: &mut App) -> Result<(), KernelError> {
+//!         app.registry().insert("greeting.text", std::sync::Arc::new(String::from("hello")))
+//!     }
+//! }
+//!
+//! let mut app = App::new();
+//! app.add_plugin(&GreetingPlugin).unwrap();
+//! assert_eq!(*app.registry().get::<String>("greeting.text").unwrap(), "hello");
+//! ```
+#![forbid(unsafe_code)]
+
+pub mod app;
+pub mod error;
+pub mod logging;
+pub mod registry;
+pub mod settings;
+pub mod telemetry;
+
+/// Everything that daemons usually need from this crate.
+pub mod prelude {
+    pub use crate::app::{App, Plugin, RunningApp, Service};
+    pub use crate::error::KernelError;
+    pub use crate::registry::Registry;
+}
--- /dev/null
+++ b/crates/oriole_kernel/src/logging.rs
@@ -0,0 +1,33 @@
+//! Logs as JSON lines.
+//!
+//! Records carry request id, account name, upstream and step where they apply. Keys and bodies are
+//! never logged.
+
+use std::io::Write;
+use std::sync::Mutex;
+
+use slog::{Drain, Level, LevelFilter, Logger, o};
+
+/// Records that may wait for the writer before newer ones are dropped and counted.
+const LOG_QUEUE_RECORDS: usize = 4096;
+
+/// A logger that writes JSON lines to standard error.
+pub fn open(process: &str, level: Level) -> Logger {
+    open_to(process, level, std::io::stderr())
+}
+
+/// A logger that writes JSON lines to a writer.
+pub fn open_to<W: Write + Send + 'static>(process: &str, level: Level, w: W) -> Logger {
+    let json = Mutex::new(slog_json::Json::default(w)).map(slog::Fuse);
+    let queue = slog_async::Async::new(json)
+        .chan_size(LOG_QUEUE_RECORDS)
+        .build()
+        .fuse();
+    let drain = LevelFilter::new(queue, level).fuse();
+    Logger::root(drain, o!("process" => process.to_owned()))
+}
+
+/// A logger that drops everything, for tests and embedded use.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- /dev/null
+++ b/crates/oriole_kernel/src/settings.rs
@@ -0,0 +1,49 @@
+//! Reading and checking a daemon's TOML settings.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::error::KernelError;
+
+/// Settings that can check themselves beyond their types.
+pub trait Settings: DeserializeOwned {
+    /// Checks values against each other.
+    ///
+    /// # Errors
+    ///
+    /// Returns a message that names the key and the allowed values.
+    fn check(&self) -> Result<(), String>;
+}
+
+/// Reads settings from a TOML file and checks them.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read, names an unknown key, or holds a value that is not allowed;
+/// the message names line and key.
+pub fn read<S: Settings>(path: &Path) -> Result<S, KernelError> {
+    let text = std::fs::read_to_string(path).map_err(|e| settings_error(path, e.to_string()))?;
+    parse(path, &text)
+}
+
+/// Parses settings from TOML text and checks them.
+///
+/// # Errors
+///
+/// As [`read`].
+pub fn parse<S: Settings>(path: &Path, text: &str) -> Result<S, KernelError> {
+    let settings: S =
+        toml::from_str(text).map_err(|e| settings_error(path, e.to_string().trim().to_owned()))?;
+    settings
+        .check()
+        .map_err(|message| settings_error(path, message))?;
+    Ok(settings)
+}
+
+fn settings_error(path: &Path, message: String) -> KernelError {
+    KernelError::Settings {
+        path: path.display().to_string(),
+        message,
+    }
+}
--- /dev/null
+++ b/crates/oriole_local/src/lib.rs
@@ -0,0 +1,2 @@
+//! Whole deployment in one process on loopback.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_placement/src/lib.rs
@@ -0,0 +1,2 @@
+//! Expert replica placement that follows drifting demand.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_rollout/src/lib.rs
@@ -0,0 +1,2 @@
+//! Expert map switch that never mixes maps within one step.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_routing/src/lib.rs
@@ -0,0 +1,2 @@
+//! Entry-side decisions: endpoint answers, limits, queues, picking and retries.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_standins/src/lib.rs
@@ -0,0 +1,2 @@
+//! Small stand-ins for the platform, the model engines and the plain services.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/oriole_types/src/digest.rs
@@ -0,0 +1,106 @@
+//! Content digests.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+/// Length of a digest in bytes.
+pub const DIGEST_LEN: usize = 32;
+
+/// A SHA-256 digest, written as 64 hexadecimal characters.
+///
+/// Use it to recognise bodies, keys and documents without keeping them.
+///
+/// ```
+/// use oriole_types::digest::Digest;
+/// let d = Digest::of(b"body");
+/// assert_eq!(d.to_string().parse::<Digest>().unwrap(), d);
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest(pub [u8; DIGEST_LEN]);
+
+/// The text is not a digest of 64 hexadecimal characters.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected 64 hexadecimal characters")]
+pub struct ParseDigestError;
+
+impl Digest {
+    /// The digest of some bytes.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// The digest of several fields, each preceded by its length so that no two lists collide.
+    #[must_use]
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hasher = Sha256::new();
+        for field in fields {
+            hasher.update((field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.finalize().into())
+    }
+
+    /// Compares in constant time; use it wherever a digest stands for a secret.
+    #[must_use]
+    pub fn secret_eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// The first eight bytes as a number, for tables and hashing.
+    #[must_use]
+    pub fn short(&self) -> u64 {
+        let mut buf = [0; 8];
+        buf.copy_from_slice(&self.0[..8]);
+        u64::from_be_bytes(buf)
+    }
+
+    /// Reads a digest from raw bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless there are exactly [`DIGEST_LEN`] bytes.
+    pub fn from_slice(bytes: &[u8]) -> Result<Self, ParseDigestError> {
+        bytes.try_into().map(Self).map_err(|_| ParseDigestError)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({:016x})", self.short())
+    }
+}
+
+impl std::str::FromStr for Digest {
+    type Err = ParseDigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut buf = [0; DIGEST_LEN];
+        hex::decode_to_slice(text, &mut buf).map_err(|_| ParseDigestError)?;
+        Ok(Self(buf))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(d: Digest) -> Self {
+        d.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = ParseDigestError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- /dev/null
+++ b/crates/oriole_types/src/outcome.rs
@@ -0,0 +1,135 @@
+//! The three ends of a request and the reasons of the two that are not an answer.
+
+use std::fmt;
+
+value_type! {
+    /// How a request ended, as its caller sees it.
+    pub enum Outcome {
+        /// The whole answer was given.
+        Complete,
+        /// The request did not run and never will under this attempt; it is safe to resend.
+        NotRun,
+        /// The request may have run; oriole does not resend it.
+        Unknown,
+    }
+}
+
+macro_rules! reasons {
+    ($(#[$meta:meta])* $name:ident { $($(#[$doc:meta])* $variant:ident = $code:literal, $text:literal;)* }) => {
+        value_type! {
+            $(#[$meta])*
+            pub enum $name { $($(#[$doc])* $variant,)* }
+        }
+
+        impl $name {
+            /// All reasons, in order of their codes.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
+
+            /// Number of the reason in frames.
+            #[must_use]
+            pub fn code(self) -> u32 {
+                match self { $(Self::$variant => $code,)* }
+            }
+
+            /// Reads the number of a reason from a frame.
+            #[must_use]
+            pub fn from_code(code: u32) -> Option<Self> {
+                Self::ALL.iter().copied().find(|r| r.code() == code)
+            }
+
+            /// The name of the reason in errors, metrics and logs.
+            #[must_use]
+            pub fn as_str(self) -> &'static str {
+                match self { $(Self::$variant => $text,)* }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Why a request was refused without having run.
+    RefusalReason {
+        /// The account key is missing or unknown.
+        AccountUnknown = 1, "account_unknown";
+        /// No such catalog entry.
+        EntryUnknown = 2, "entry_unknown";
+        /// The body is larger than the entry allows.
+        BodyTooLarge = 3, "body_too_large";
+        /// The body is not valid JSON, or a header is malformed.
+        RequestInvalid = 4, "request_invalid";
+        /// The entry is not idempotent and the request has no idempotency key.
+        KeyRequired = 5, "key_required";
+        /// The idempotency key was used before with another body.
+        KeyReused = 6, "key_reused";
+        /// The idempotency key is older than the retention horizon.
+        KeyExpired = 7, "key_expired";
+        /// The account is over its limit.
+        AccountLimit = 8, "account_limit";
+        /// The entry is over its limit.
+        EntryLimit = 9, "entry_limit";
+        /// An operator blocked the account, entry or key.
+        Blocked = 10, "blocked";
+        /// The queue is full.
+        QueueFull = 11, "queue_full";
+        /// The deadline cannot be met, or has passed.
+        Deadline = 12, "deadline";
+        /// No upstream of the pool is in service.
+        NoUpstream = 13, "no_upstream";
+        /// Every upstream of the pool is full.
+        NoCapacity = 14, "no_capacity";
+        /// The upstream is cold and bears no more now.
+        UpstreamCold = 15, "upstream_cold";
+        /// The upstream is full.
+        UpstreamFull = 16, "upstream_full";
+        /// The upstream, its VM or its failure domain takes no new work.
+        Draining = 17, "draining";
+        /// The content crashed upstreams and is quarantined.
+        Quarantined = 18, "quarantined";
+        /// The content is suspect and another suspect runs.
+        SuspectBusy = 19, "suspect_busy";
+        /// The entry daemon is shutting down.
+        EntryLeaving = 20, "entry_leaving";
+        /// The process holds no configuration yet, or one that is too old to act on.
+        NoConfiguration = 21, "no_configuration";
+        /// The claim cannot be made durable while the store is out.
+        StoreUnavailable = 22, "store_unavailable";
+        /// The agent is not the home of the key's partition.
+        NotHome = 23, "not_home";
+        /// The agent cannot reach its upstream, and sent nothing.
+        UpstreamUnreachable = 24, "upstream_unreachable";
+        /// The agent could not be reached, and the request was not sent.
+        AgentUnreachable = 25, "agent_unreachable";
+        /// The retry budget is spent.
+        RetryBudget = 26, "retry_budget";
+        /// The request was cancelled before it ran.
+        Cancelled = 27, "cancelled";
+        /// The agent has not yet learned what it must know before it may run work.
+        AgentStarting = 28, "agent_starting";
+        /// Another request with the same key is running; ask again later for its answer.
+        KeyInProgress = 29, "key_in_progress";
+    }
+}
+
+reasons! {
+    /// Why nobody can say whether a request ran.
+    UnknownReason {
+        /// The upstream failed while it ran the request.
+        UpstreamFailed = 1, "upstream_failed";
+        /// The connection to the agent was lost after the request was sent.
+        AgentLost = 2, "agent_lost";
+        /// The deadline passed while the request ran.
+        Deadline = 3, "deadline";
+        /// The process that ran the key's first request is gone.
+        HomeLost = 4, "home_lost";
+        /// The claim is durable but its first run's answer is not known.
+        AnswerLost = 5, "answer_lost";
+        /// The answer arrived incomplete.
+        Incomplete = 6, "incomplete";
+    }
+}
