Add the experiment tool's frame: experiments, figures, bounds and plots

Cause: every subsystem needs one way to state figures and hold them to targets. Change: oriole-bench with list and run, a JSON line per run, SVG plots. Conclusion: experiments register by name; none is registered.

--- /dev/null
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -0,0 +1,15 @@
+//! All experiments by name. Each has a module of its own.
+
+use crate::experiment::Experiment;
+
+/// Every experiment, in the order `oriole-bench list` shows them.
+#[must_use]
+pub fn all() -> Vec<Box<dyn Experiment>> {
+    vec![]
+}
+
+/// The experiment of some name.
+#[must_use]
+pub fn find(name: &str) -> Option<Box<dyn Experiment>> {
+    all().into_iter().find(|e| e.name() == name)
+}
--- a/crates/oriole_bench/src/lib.rs
+++ b/crates/oriole_bench/src/lib.rs
@@ -1,2 +1,20 @@
 //! Load and experiment tool: figures as JSON lines and plots.
+//!
+//! The tour:
+//!
+//! - [`experiment`]: what an experiment is and the options of a run.
+//! - [`report`]: its figures, the bounds they are held to, and the series that are plotted.
+//! - [`plot`]: drawing series as SVG.
+//! - [`experiments`]: all experiments by name.
 #![forbid(unsafe_code)]
+
+pub mod experiment;
+pub mod experiments;
+pub mod plot;
+pub mod report;
+
+/// Everything an experiment needs.
+pub mod prelude {
+    pub use crate::experiment::{Experiment, RunOptions};
+    pub use crate::report::{Limit, Report, Series};
+}
