--- /dev/null
+++ b/crates/oriole_wire/src/channel.rs
@@ -0,0 +1,391 @@
+//! The connecting side of a connection.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use oriole_types::ids::Attempt;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::sync::CancellationToken;
+
+use crate::codec::{FrameCodec, FrameError};
+use crate::error::WireError;
+use crate::exchange::{Exchange, WINDOW_CHUNKS};
+use crate::frame::{Body, Call, CallReply, Frame, Open};
+use crate::handshake::{self, HANDSHAKE_TIMEOUT, Identity};
+use crate::secret::FleetSecrets;
+
+/// Frames that may wait for the connection's writer.
+pub(crate) const OUT_QUEUE_FRAMES: usize = 1024;
+
+/// Frames that are written before the connection is flushed.
+const FLUSH_BATCH_FRAMES: usize = 128;
+
+/// Longest time that queued frames are still written after the connection is closed.
+const CLOSE_GRACE: Duration = Duration::from_millis(500);
+
+/// Slots of an exchange's queue beyond its credit, for the frame that ends it.
+const EXTRA_EXCHANGE_SLOTS: usize = 4;
+
+/// How a process connects to others.
+#[derive(Clone, Debug)]
+pub struct ChannelConfig {
+    /// What the process says of itself.
+    pub identity: Identity,
+    /// The fleet secrets.
+    pub secrets: FleetSecrets,
+    /// Longest time to connect, without the handshake.
+    pub connect_timeout: Duration,
+}
+
+impl ChannelConfig {
+    /// A configuration with the default timeout.
+    #[must_use]
+    pub fn new(identity: Identity, secrets: FleetSecrets) -> Self {
+        Self {
+            identity,
+            secrets,
+            connect_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A connection to another process that carries many exchanges and calls.
+///
+/// Clones share the connection. It is closed when the last clone and exchange are dropped.
+#[derive(Clone)]
+pub struct Channel {
+    shared: Arc<Shared>,
+    _guard: Arc<tokio_util::sync::DropGuard>,
+}
+
+/// State shared between a channel, its exchanges and its tasks.
+pub(crate) struct Shared {
+    peer: Identity,
+    out: mpsc::Sender<Frame>,
+    exchanges: Mutex<HashMap<(u64, Attempt), mpsc::Sender<Body>>>,
+    calls: Mutex<HashMap<u64, oneshot::Sender<Result<Bytes, WireError>>>>,
+    next_call: AtomicU64,
+    closed: CancellationToken,
+}
+
+impl Channel {
+    /// Connects to a process and proves the fleet secret to it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached in time or does not prove the secret.
+    pub async fn connect(addr: SocketAddr, cfg: &ChannelConfig) -> Result<Self, WireError> {
+        let stream = timeout(cfg.connect_timeout, TcpStream::connect(addr))
+            .await
+            .map_err(|_| WireError::Unreachable("no connection in time".into()))?
+            .map_err(|e| WireError::Unreachable(e.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|e| WireError::Unreachable(e.to_string()))?;
+        Self::over(stream, cfg).await
+    }
+
+    /// Runs the protocol over a stream that is connected already.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not prove the secret in time.
+    pub async fn over<S>(stream: S, cfg: &ChannelConfig) -> Result<Self, WireError>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let mut io = Framed::new(stream, FrameCodec::new());
+        let greeting = handshake::connect(&mut io, &cfg.identity, &cfg.secrets);
+        let peer = timeout(HANDSHAKE_TIMEOUT, greeting)
+            .await
+            .map_err(|_| WireError::Timeout)??;
+        Ok(Self::spawn(io, peer))
+    }
+
+    fn spawn<S>(io: Framed<S, FrameCodec>, peer: Identity) -> Self
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
+        let (out, out_rx) = mpsc::channel(OUT_QUEUE_FRAMES);
+        let closed = CancellationToken::new();
+        let shared = Arc::new(Shared {
+            peer,
+            out,
+            exchanges: Mutex::default(),
+            calls: Mutex::default(),
+            next_call: AtomicU64::new(1),
+            closed: closed.clone(),
+        });
+        let (sink, stream) = io.split();
+        tokio::spawn(write_frames(sink, out_rx, closed.clone()));
+        tokio::spawn(read_frames(stream, Arc::clone(&shared)));
+        let guard = Arc::new(closed.drop_guard());
+        Self {
+            shared,
+            _guard: guard,
+        }
+    }
+
+    /// Who is on the other side.
+    #[must_use]
+    pub fn peer(&self) -> &Identity {
+        &self.shared.peer
+    }
+
+    /// Whether the connection has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.is_cancelled()
+    }
+
+    /// Opens an exchange.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if nothing of the request was handed to the connection, so that the request
+    /// cannot have run.
+    pub async fn open(&self, open: Open) -> Result<Exchange, WireError> {
+        let (request, attempt) = (open.request, open.attempt);
+        let resume_from = open.resume_from;
+        let permit = self
+            .shared
+            .out
+            .reserve()
+            .await
+            .map_err(|_| WireError::Closed)?;
+        if self.is_closed() {
+            return Err(WireError::Closed);
+        }
+        let (tx, rx) = mpsc::channel(WINDOW_CHUNKS as usize + EXTRA_EXCHANGE_SLOTS);
+        lock(&self.shared.exchanges).insert((request, attempt), tx);
+        permit.send(Body::Open(open).into());
+        let shared = Arc::clone(&self.shared);
+        let exchange = Exchange::new(shared, request, attempt, rx, resume_from);
+        if self.is_closed() {
+            // The reader may have cleared the table just before the insertion.
+            self.shared.forget(request, attempt);
+        }
+        Ok(exchange)
+    }
+
+    /// Sends a message to a service of the peer and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends, the peer refuses the call, or no answer comes in time.
+    pub async fn call(
+        &self,
+        service: &str,
+        payload: Bytes,
+        wait: Duration,
+    ) -> Result<Bytes, WireError> {
+        let call = self.shared.next_call.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        lock(&self.shared.calls).insert(call, tx);
+        let _forget = ForgetCall {
+            shared: &self.shared,
+            call,
+        };
+        let frame = Body::Call(Call {
+            call,
+            service: service.to_owned(),
+            payload,
+        });
+        let answer = async {
+            self.shared
+                .out
+                .send(frame.into())
+                .await
+                .map_err(|_| WireError::Closed)?;
+            tokio::select! {
+                biased;
+                answer = rx => answer.map_err(|_| WireError::Closed)?,
+                () = self.shared.closed.cancelled() => Err(WireError::Closed),
+            }
+        };
+        timeout(wait, answer)
+            .await
+            .unwrap_or(Err(WireError::Timeout))
+    }
+}
+
+/// Removes a call from the table when its caller stops waiting.
+struct ForgetCall<'a> {
+    shared: &'a Shared,
+    call: u64,
+}
+
+impl Drop for ForgetCall<'_> {
+    fn drop(&mut self) {
+        lock(&self.shared.calls).remove(&self.call);
+    }
+}
+
+impl Shared {
+    pub(crate) fn try_send(&self, body: Body) -> bool {
+        self.out.try_send(body.into()).is_ok()
+    }
+
+    /// Sends a frame from a place that cannot wait.
+    pub(crate) fn send_later(&self, body: Body) {
+        if let Err(mpsc::error::TrySendError::Full(frame)) = self.out.try_send(body.into()) {
+            let out = self.out.clone();
+            if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                runtime.spawn(async move { out.send(frame).await });
+            }
+        }
+    }
+
+    pub(crate) fn forget(&self, request: u64, attempt: Attempt) {
+        lock(&self.exchanges).remove(&(request, attempt));
+    }
+
+    fn close(&self) {
+        self.closed.cancel();
+        lock(&self.exchanges).clear();
+        lock(&self.calls).clear();
+    }
+
+    fn dispatch(&self, frame: Frame) -> Result<(), WireError> {
+        let body = frame.body.ok_or(WireError::Malformed("empty frame"))?;
+        let id = match &body {
+            Body::Chunk(f) => (f.request, f.attempt),
+            Body::End(f) => (f.request, f.attempt),
+            Body::Refused(f) => (f.request, f.attempt),
+            Body::Failed(f) => (f.request, f.attempt),
+            Body::CallReply(_) => return self.dispatch_reply(body),
+            _ => return Err(WireError::Malformed("frame of the other direction")),
+        };
+        self.dispatch_exchange(id, body)
+    }
+
+    fn dispatch_exchange(&self, id: (u64, Attempt), body: Body) -> Result<(), WireError> {
+        let exchanges = lock(&self.exchanges);
+        let Some(tx) = exchanges.get(&id) else {
+            metrics::counter!("oriole_wire_late_frames_total").increment(1);
+            return Ok(());
+        };
+        match tx.try_send(body) {
+            Ok(()) | Err(mpsc::error::TrySendError::Closed(_)) => Ok(()),
+            Err(mpsc::error::TrySendError::Full(_)) => Err(WireError::CreditExceeded),
+        }
+    }
+
+    fn dispatch_reply(&self, body: Body) -> Result<(), WireError> {
+        let Body::CallReply(CallReply {
+            call,
+            error,
+            payload,
+        }) = body
+        else {
+            return Err(WireError::Malformed("expected a reply"));
+        };
+        let Some(tx) = lock(&self.calls).remove(&call) else {
+            metrics::counter!("oriole_wire_late_frames_total").increment(1);
+            return Ok(());
+        };
+        let answer = if error.is_empty() {
+            Ok(payload)
+        } else {
+            Err(WireError::CallRefused(error))
+        };
+        // The caller may have stopped waiting.
+        let _ = tx.send(answer);
+        Ok(())
+    }
+}
+
+async fn read_frames<S>(mut stream: S, shared: Arc<Shared>)
+where
+    S: StreamExt<Item = Result<Frame, FrameError>> + Unpin,
+{
+    let end = loop {
+        let next = tokio::select! {
+            () = shared.closed.cancelled() => break WireError::Closed,
+            next = stream.next() => next,
+        };
+        let handled = match next {
+            None => Err(WireError::Closed),
+            Some(Err(e)) => Err(e.into()),
+            Some(Ok(frame)) => shared.dispatch(frame),
+        };
+        if let Err(e) = handled {
+            break e;
+        }
+    };
+    count_closed(&end);
+    shared.close();
+}
+
+/// Writes queued frames, flushing once per batch; ends when the connection or the queue ends.
+///
+/// When the connection is closed on this side, the frames that are queued already are written
+/// first, for at most [`CLOSE_GRACE`].
+pub(crate) async fn write_frames<S>(
+    mut sink: S,
+    mut rx: mpsc::Receiver<Frame>,
+    closed: CancellationToken,
+) where
+    S: SinkExt<Frame, Error = FrameError> + Unpin,
+{
+    let writing = async {
+        while let Some(first) = next_frame(&mut rx, &closed).await {
+            if write_batch(&mut sink, first, &mut rx).await.is_err() {
+                break;
+            }
+        }
+        // The peer sees the end of the connection either way.
+        let _ = sink.close().await;
+    };
+    let grace_over = async {
+        closed.cancelled().await;
+        tokio::time::sleep(CLOSE_GRACE).await;
+    };
+    tokio::select! {
+        () = writing => {}
+        () = grace_over => {}
+    }
+    closed.cancel();
+}
+
+/// The next queued frame; once the connection is closed, only what is queued already.
+async fn next_frame(rx: &mut mpsc::Receiver<Frame>, closed: &CancellationToken) -> Option<Frame> {
+    tokio::select! {
+        biased;
+        frame = rx.recv() => frame,
+        () = closed.cancelled() => None,
+    }
+}
+
+async fn write_batch<S>(
+    sink: &mut S,
+    first: Frame,
+    rx: &mut mpsc::Receiver<Frame>,
+) -> Result<(), FrameError>
+where
+    S: SinkExt<Frame, Error = FrameError> + Unpin,
+{
+    sink.feed(first).await?;
+    for _ in 1..FLUSH_BATCH_FRAMES {
+        let Ok(frame) = rx.try_recv() else { break };
+        sink.feed(frame).await?;
+    }
+    sink.flush().await
+}
+
+pub(crate) fn count_closed(e: &WireError) {
+    metrics::counter!("oriole_wire_closed_total", "reason" => e.reason()).increment(1);
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/oriole_wire/src/frame.rs
@@ -0,0 +1,410 @@
+//! The messages between processes.
+//!
+//! Numbers of fields are part of the protocol: a field is never reused for something else.
+
+use bytes::Bytes;
+use oriole_types::catalog::Priority;
+use oriole_types::digest::{Digest, ParseDigestError};
+use oriole_types::fleet::LoadReport;
+use oriole_types::request::RequestHead;
+
+/// Version of the protocol; peers of another version are refused.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// One frame.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// What the frame says.
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    pub body: Option<Body>,
+}
+
+/// What a frame says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First frame of the connecting side.
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    /// Answer to a hello, with a proof.
+    #[prost(message, tag = "2")]
+    Challenge(Challenge),
+    /// Proof of the connecting side.
+    #[prost(message, tag = "3")]
+    Proof(Proof),
+    /// Opens an exchange.
+    #[prost(message, tag = "4")]
+    Open(Open),
+    /// Part of an answer.
+    #[prost(message, tag = "5")]
+    Chunk(Chunk),
+    /// End of a whole answer.
+    #[prost(message, tag = "6")]
+    End(End),
+    /// The request did not run and will not run under this attempt.
+    #[prost(message, tag = "7")]
+    Refused(Refused),
+    /// The request may have run.
+    #[prost(message, tag = "8")]
+    Failed(Failed),
+    /// The reader of the answer is gone.
+    #[prost(message, tag = "9")]
+    Cancel(Cancel),
+    /// The reader of the answer takes more chunks.
+    #[prost(message, tag = "10")]
+    Credit(Credit),
+    /// A call.
+    #[prost(message, tag = "11")]
+    Call(Call),
+    /// The answer to a call.
+    #[prost(message, tag = "12")]
+    CallReply(CallReply),
+}
+
+/// First frame of the connecting side.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`].
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the VM.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Failure domain of the VM.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// Incarnation of the process.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Random bytes that the accepting side proves itself with.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub nonce: Bytes,
+    /// Identifier of the secret that the connecting side will prove.
+    #[prost(uint64, tag = "6")]
+    pub secret_id: u64,
+}
+
+/// Answer to a hello.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Challenge {
+    /// Random bytes that the connecting side proves itself with.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub nonce: Bytes,
+    /// Proof of the accepting side.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub proof: Bytes,
+    /// Name of the accepting VM.
+    #[prost(string, tag = "3")]
+    pub name: String,
+    /// Incarnation of the accepting process.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+}
+
+/// Proof of the connecting side.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Proof {
+    /// The proof.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub proof: Bytes,
+}
+
+/// Opens an exchange: head and body of a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Open {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Catalog entry.
+    #[prost(string, tag = "3")]
+    pub entry: String,
+    /// Client account.
+    #[prost(string, tag = "4")]
+    pub account: String,
+    /// Whether the request may run more than once.
+    #[prost(bool, tag = "5")]
+    pub idempotent: bool,
+    /// Urgency, 0 the most urgent.
+    #[prost(uint32, tag = "6")]
+    pub priority: u32,
+    /// Whether the answer is streamed.
+    #[prost(bool, tag = "7")]
+    pub stream: bool,
+    /// The caller's idempotency key; empty if there is none.
+    #[prost(string, tag = "8")]
+    pub key: String,
+    /// Digest of entry name and body.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub content: Bytes,
+    /// Time left until the caller's deadline, in milliseconds.
+    #[prost(uint32, tag = "10")]
+    pub timeout_ms: u32,
+    /// Position from which a stream is resumed.
+    #[prost(uint64, tag = "11")]
+    pub resume_from: u64,
+    /// The request's body.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub body: Bytes,
+    /// Revision of the configuration that the sender holds.
+    #[prost(uint64, tag = "13")]
+    pub revision: u64,
+}
+
+/// Part of an answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Chunk {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Position of the first item, counted over the whole answer.
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
+    /// Number of items in `data`: tokens of a stream, or 1 for a plain answer.
+    #[prost(uint32, tag = "4")]
+    pub items: u32,
+    /// The items, one a line.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub data: Bytes,
+}
+
+/// End of a whole answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct End {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Position after the last item.
+    #[prost(uint64, tag = "3")]
+    pub position: u64,
+    /// Checksum over the attempt's chunks.
+    #[prost(fixed64, tag = "4")]
+    pub checksum: u64,
+    /// Load of the upstream.
+    #[prost(message, optional, tag = "5")]
+    pub load: Option<Load>,
+    /// Whether the answer is that of an earlier request with the same key.
+    #[prost(bool, tag = "6")]
+    pub replayed: bool,
+    /// Revision of the configuration that the sender holds.
+    #[prost(uint64, tag = "7")]
+    pub revision: u64,
+}
+
+/// The request did not run and will not run under this attempt.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Refused {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Code of the [`RefusalReason`](oriole_types::outcome::RefusalReason).
+    #[prost(uint32, tag = "3")]
+    pub reason: u32,
+    /// Time after which another try makes sense, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub retry_after_ms: u32,
+    /// VM to ask instead; empty if there is none.
+    #[prost(string, tag = "5")]
+    pub try_instead: String,
+    /// Load of the upstream.
+    #[prost(message, optional, tag = "6")]
+    pub load: Option<Load>,
+    /// Revision of the configuration that the sender holds.
+    #[prost(uint64, tag = "7")]
+    pub revision: u64,
+}
+
+/// The request may have run.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Failed {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Code of the [`UnknownReason`](oriole_types::outcome::UnknownReason).
+    #[prost(uint32, tag = "3")]
+    pub reason: u32,
+    /// Load of the upstream.
+    #[prost(message, optional, tag = "4")]
+    pub load: Option<Load>,
+    /// Revision of the configuration that the sender holds.
+    #[prost(uint64, tag = "5")]
+    pub revision: u64,
+}
+
+/// The reader of the answer is gone.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Cancel {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+}
+
+/// The reader of the answer takes more chunks.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Credit {
+    /// Number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// Ordinal of the attempt.
+    #[prost(uint32, tag = "2")]
+    pub attempt: u32,
+    /// Number of further chunks.
+    #[prost(uint32, tag = "3")]
+    pub chunks: u32,
+}
+
+/// A call: one message each way.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Call {
+    /// Number of the call on its connection.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// Name of the service that answers.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The message, in the service's own encoding.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub payload: Bytes,
+}
+
+/// The answer to a call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CallReply {
+    /// Number of the call.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// Why the call was refused; empty if it was answered.
+    #[prost(string, tag = "2")]
+    pub error: String,
+    /// The answer, in the service's own encoding.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub payload: Bytes,
+}
+
+/// Load of an upstream; see [`LoadReport`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Load {
+    /// Requests running at the upstream.
+    #[prost(uint32, tag = "1")]
+    pub in_flight: u32,
+    /// Requests that wait at the agent.
+    #[prost(uint32, tag = "2")]
+    pub queued: u32,
+    /// Most requests in flight that the agent admits now.
+    #[prost(uint32, tag = "3")]
+    pub limit: u32,
+    /// Smoothed service time, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub service_ms: u32,
+    /// Whether the upstream is in cold start.
+    #[prost(bool, tag = "5")]
+    pub cold: bool,
+    /// Whether the upstream takes no new work.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// Milliseconds since the report was made.
+    #[prost(uint32, tag = "7")]
+    pub age_ms: u32,
+}
+
+impl From<LoadReport> for Load {
+    fn from(r: LoadReport) -> Self {
+        Self {
+            in_flight: r.in_flight,
+            queued: r.queued,
+            limit: r.limit,
+            service_ms: r.service_ms,
+            cold: r.cold,
+            leaving: r.leaving,
+            age_ms: r.age_ms,
+        }
+    }
+}
+
+impl From<Load> for LoadReport {
+    fn from(l: Load) -> Self {
+        Self {
+            in_flight: l.in_flight,
+            queued: l.queued,
+            limit: l.limit,
+            service_ms: l.service_ms,
+            cold: l.cold,
+            leaving: l.leaving,
+            age_ms: l.age_ms,
+        }
+    }
+}
+
+impl Open {
+    /// The frame that opens an attempt.
+    #[must_use]
+    pub fn new(request: u64, attempt: u32, head: &RequestHead, body: Bytes, revision: u64) -> Self {
+        Self {
+            request,
+            attempt,
+            entry: head.entry.to_string(),
+            account: head.account.to_string(),
+            idempotent: head.idempotent,
+            priority: head.priority as u32,
+            stream: head.stream,
+            key: head
+                .key
+                .as_ref()
+                .map_or_else(String::new, ToString::to_string),
+            content: Bytes::copy_from_slice(&head.content.0),
+            timeout_ms: head.timeout_ms,
+            resume_from: head.resume_from,
+            body,
+            revision,
+        }
+    }
+
+    /// The head of the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the content digest is malformed.
+    pub fn head(&self) -> Result<RequestHead, ParseDigestError> {
+        Ok(RequestHead {
+            entry: self.entry.as_str().into(),
+            account: self.account.as_str().into(),
+            idempotent: self.idempotent,
+            priority: priority(self.priority),
+            stream: self.stream,
+            key: (!self.key.is_empty()).then(|| self.key.as_str().into()),
+            content: Digest::from_slice(&self.content)?,
+            timeout_ms: self.timeout_ms,
+            resume_from: self.resume_from,
+        })
+    }
+}
+
+fn priority(code: u32) -> Priority {
+    match code {
+        0 => Priority::High,
+        1 => Priority::Normal,
+        _ => Priority::Low,
+    }
+}
+
+impl From<Body> for Frame {
+    fn from(body: Body) -> Self {
+        Self { body: Some(body) }
+    }
+}
--- /dev/null
+++ b/crates/oriole_wire/src/reply.rs
@@ -0,0 +1,193 @@
+//! The answer to a request, as the accepting side gives it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oriole_types::fleet::LoadReport;
+use oriole_types::ids::{Revision, VmName};
+use oriole_types::outcome::{RefusalReason, UnknownReason};
+use tokio::sync::{Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
+
+use crate::checksum::Checksum;
+use crate::frame::{Body, Chunk, End, Failed, Frame, Refused};
+
+/// Why a part of an answer could not be handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReplyError {
+    /// The reader is gone, or its connection has ended.
+    #[error("the reader of the answer is gone")]
+    ReaderGone,
+}
+
+/// What the accepting side adds to the frame that ends an exchange.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trailer {
+    /// Load of the upstream.
+    pub load: Option<LoadReport>,
+    /// Revision of the configuration in force.
+    pub revision: Revision,
+}
+
+/// The way back to the reader of one attempt.
+///
+/// End it with [`Reply::end`], [`Reply::refuse`] or [`Reply::fail`]. Dropping it otherwise tells
+/// the reader that nobody knows whether the request ran.
+pub struct Reply {
+    request: u64,
+    attempt: u32,
+    out: mpsc::Sender<Frame>,
+    credit: Arc<Semaphore>,
+    cancel: CancellationToken,
+    checksum: Checksum,
+    position: u64,
+    ended: bool,
+}
+
+impl Reply {
+    pub(crate) fn new(
+        request: u64,
+        attempt: u32,
+        resume_from: u64,
+        out: mpsc::Sender<Frame>,
+        credit: Arc<Semaphore>,
+        cancel: CancellationToken,
+    ) -> Self {
+        Self {
+            request,
+            attempt,
+            out,
+            credit,
+            cancel,
+            checksum: Checksum::new(),
+            position: resume_from,
+            ended: false,
+        }
+    }
+
+    /// Number of the request.
+    #[must_use]
+    pub fn request(&self) -> u64 {
+        self.request
+    }
+
+    /// Token that is cancelled when the reader is gone.
+    #[must_use]
+    pub fn reader_gone(&self) -> &CancellationToken {
+        &self.cancel
+    }
+
+    /// Position after the last item sent.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Sends the next items, waiting for credit.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the reader is gone.
+    pub async fn chunk(&mut self, items: u32, data: Bytes) -> Result<(), ReplyError> {
+        let chunk = Chunk {
+            request: self.request,
+            attempt: self.attempt,
+            position: self.position,
+            items,
+            data: data.clone(),
+        };
+        let credit = tokio::select! {
+            credit = self.credit.acquire() => credit.map_err(|_| ReplyError::ReaderGone)?,
+            () = self.cancel.cancelled() => return Err(ReplyError::ReaderGone),
+        };
+        credit.forget();
+        self.position += u64::from(items);
+        self.checksum.update(&data);
+        self.send(Body::Chunk(chunk)).await
+    }
+
+    /// Says that the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn end(mut self, replayed: bool, trailer: Trailer) -> Result<(), ReplyError> {
+        self.ended = true;
+        let end = End {
+            request: self.request,
+            attempt: self.attempt,
+            position: self.position,
+            checksum: self.checksum.value(),
+            load: trailer.load.map(Into::into),
+            replayed,
+            revision: trailer.revision.0,
+        };
+        self.send(Body::End(end)).await
+    }
+
+    /// Says that the request did not run and will not run under this attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn refuse(
+        mut self,
+        reason: RefusalReason,
+        retry_after_ms: u32,
+        try_instead: Option<&VmName>,
+        trailer: Trailer,
+    ) -> Result<(), ReplyError> {
+        self.ended = true;
+        let refused = Refused {
+            request: self.request,
+            attempt: self.attempt,
+            reason: reason.code(),
+            retry_after_ms,
+            try_instead: try_instead.map_or_else(String::new, ToString::to_string),
+            load: trailer.load.map(Into::into),
+            revision: trailer.revision.0,
+        };
+        self.send(Body::Refused(refused)).await
+    }
+
+    /// Says that the request may have run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has ended.
+    pub async fn fail(mut self, reason: UnknownReason, trailer: Trailer) -> Result<(), ReplyError> {
+        self.ended = true;
+        let failed = self.failed(reason, trailer);
+        self.send(failed).await
+    }
+
+    fn failed(&self, reason: UnknownReason, trailer: Trailer) -> Body {
+        Body::Failed(Failed {
+            request: self.request,
+            attempt: self.attempt,
+            reason: reason.code(),
+            load: trailer.load.map(Into::into),
+            revision: trailer.revision.0,
+        })
+    }
+
+    async fn send(&self, body: Body) -> Result<(), ReplyError> {
+        self.out
+            .send(body.into())
+            .await
+            .map_err(|_| ReplyError::ReaderGone)
+    }
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let failed = self.failed(UnknownReason::UpstreamFailed, Trailer::default());
+        let out = self.out.clone();
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { out.send(failed.into()).await });
+        }
+    }
+}
