--- /dev/null
+++ b/crates/oriole_agent/src/upstream/answer.rs
@@ -0,0 +1,175 @@
+//! An upstream's answer, part by part.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::UpstreamError;
+
+/// Longest line of a streamed answer, in bytes.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+
+/// Largest answer of a plain service, in bytes.
+const MAX_PLAIN_BYTES: usize = 1024 * 1024;
+
+/// Some items of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Items {
+    /// Number of items.
+    pub count: u32,
+    /// The items, one a line; each line ends with a line feed.
+    pub data: Bytes,
+}
+
+/// An upstream's answer, part by part.
+///
+/// Read it with [`Answer::next`]; `None` means that the answer is whole.
+pub struct Answer {
+    body: Incoming,
+    kind: Kind,
+}
+
+enum Kind {
+    Plain { done: bool },
+    Lines(Lines),
+}
+
+/// State of an answer that comes as one JSON line per token.
+struct Lines {
+    buf: BytesMut,
+    next_position: u64,
+    done: bool,
+}
+
+#[derive(serde::Deserialize)]
+struct TokenLine {
+    position: Option<u64>,
+    done: Option<bool>,
+    count: Option<u64>,
+}
+
+impl Answer {
+    /// An answer that is one document.
+    #[must_use]
+    pub fn plain(body: Incoming) -> Self {
+        let kind = Kind::Plain { done: false };
+        Self { body, kind }
+    }
+
+    /// An answer of one JSON line per token, closed by a line with the count.
+    #[must_use]
+    pub fn lines(body: Incoming, resume_from: u64) -> Self {
+        let kind = Kind::Lines(Lines {
+            buf: BytesMut::new(),
+            next_position: resume_from,
+            done: false,
+        });
+        Self { body, kind }
+    }
+
+    /// The next items; `None` if the answer is whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream fails or the answer is not whole.
+    pub async fn next(&mut self) -> Result<Option<Items>, UpstreamError> {
+        match &mut self.kind {
+            Kind::Plain { done: true } => Ok(None),
+            Kind::Plain { done } => {
+                *done = true;
+                let data = collect(&mut self.body).await?;
+                Ok(Some(Items { count: 1, data }))
+            }
+            Kind::Lines(lines) => lines.next(&mut self.body).await,
+        }
+    }
+}
+
+async fn collect(body: &mut Incoming) -> Result<Bytes, UpstreamError> {
+    let mut buf = BytesMut::new();
+    while let Some(data) = next_data(body).await? {
+        if buf.len() + data.len() > MAX_PLAIN_BYTES {
+            return Err(UpstreamError::Incomplete);
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, UpstreamError> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| UpstreamError::Failed(e.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads a body to its end, so that its connection can be used again.
+async fn read_out(body: &mut Incoming) -> Result<Option<Items>, UpstreamError> {
+    match next_data(body).await? {
+        None => Ok(None),
+        Some(_) => Err(UpstreamError::Incomplete),
+    }
+}
+
+impl Lines {
+    async fn next(&mut self, body: &mut Incoming) -> Result<Option<Items>, UpstreamError> {
+        loop {
+            if let Some(items) = self.take_whole_lines()? {
+                return Ok(Some(items));
+            }
+            if self.done {
+                return read_out(body).await;
+            }
+            match next_data(body).await? {
+                Some(data) => self.buf.extend_from_slice(&data),
+                None => return Err(UpstreamError::Incomplete),
+            }
+        }
+    }
+
+    /// Takes all token lines that have arrived whole, up to the closing line.
+    fn take_whole_lines(&mut self) -> Result<Option<Items>, UpstreamError> {
+        if self.done {
+            return Ok(None);
+        }
+        let mut count = 0;
+        let mut taken = 0;
+        while let Some(len) = self.buf[taken..].iter().position(|b| *b == b'\n') {
+            let line = &self.buf[taken..taken + len];
+            if is_closing(line, self.next_position)? {
+                self.done = true;
+                break;
+            }
+            self.next_position += 1;
+            count += 1;
+            taken += len + 1;
+        }
+        if self.buf.len() - taken > MAX_LINE_BYTES {
+            return Err(UpstreamError::Incomplete);
+        }
+        if count == 0 {
+            return Ok(None);
+        }
+        let data = self.buf.split_to(taken).freeze();
+        Ok(Some(Items { count, data }))
+    }
+}
+
+/// Whether a line closes the answer at this position; fails if it is out of order.
+fn is_closing(line: &[u8], next_position: u64) -> Result<bool, UpstreamError> {
+    let line: TokenLine = serde_json::from_slice(line).map_err(|_| UpstreamError::Incomplete)?;
+    if line.done == Some(true) {
+        return match line.count {
+            Some(count) if count == next_position => Ok(true),
+            _ => Err(UpstreamError::Incomplete),
+        };
+    }
+    if line.position == Some(next_position) {
+        Ok(false)
+    } else {
+        Err(UpstreamError::Incomplete)
+    }
+}
