--- /dev/null
+++ b/crates/oriole_standins/src/store/server.rs
@@ -0,0 +1,216 @@
+//! Connections and calls of the store's stand-in.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use oriole_store::error::StoreError;
+use oriole_store::memory::MemoryStore;
+use oriole_store::protocol;
+use oriole_store::store::{Expect, LeaseId, MAX_VALUE_BYTES, Store as _, StoreVersion, Versioned};
+use percent_encoding::percent_decode_str;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(300);
+
+/// The answer of a call is lost: the connection closes without one.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer is lost")]
+struct AnswerLost;
+
+type Reply = Response<Full<Bytes>>;
+
+/// Accepts connections until told to stop.
+pub(super) async fn accept(
+    listener: TcpListener,
+    store: MemoryStore,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) {
+    loop {
+        let stream = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                // Out of descriptors, say; others may close meanwhile.
+                Err(_) => {
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            },
+        };
+        let serve = serve(stream, store.clone());
+        let stop = stop.clone();
+        tasks.spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = serve => {}
+            }
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, store: MemoryStore) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let store = store.clone();
+        // A task of its own: what arrived takes effect even if its caller has gone.
+        let answer = tokio::spawn(answer(req, store));
+        async move { answer.await.unwrap_or(Err(AnswerLost)) }
+    });
+    // A connection that breaks is its caller's affair.
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(req: Request<Incoming>, store: MemoryStore) -> Result<Reply, AnswerLost> {
+    let (head, body) = req.into_parts();
+    let body = match Limited::new(body, MAX_VALUE_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<LengthLimitError>() => return Ok(failure(&StoreError::TooLarge)),
+        Err(_) => return Err(AnswerLost),
+    };
+    let call = CallRequest { head, body };
+    match call.run(&store).await {
+        Ok(reply) => Ok(reply),
+        Err(StoreError::Ambiguous) => Err(AnswerLost),
+        Err(e) => Ok(failure(&e)),
+    }
+}
+
+struct CallRequest {
+    head: http::request::Parts,
+    body: Bytes,
+}
+
+impl CallRequest {
+    async fn run(self, store: &MemoryStore) -> Result<Reply, StoreError> {
+        let path = self.head.uri.path();
+        if let Some(key) = path.strip_prefix(protocol::KV_PREFIX) {
+            let key = percent_decode_str(key)
+                .decode_utf8()
+                .map_err(|_| malformed("key"))?;
+            return self.run_on_key(&key, store).await;
+        }
+        let Some(lease) = path.strip_prefix(protocol::LEASES) else {
+            return Err(malformed("path"));
+        };
+        match self.head.method {
+            Method::POST if lease.is_empty() => {
+                let ttl = Duration::from_millis(self.query(protocol::TTL_MS)?);
+                let lease = store.grant_lease(ttl).await?;
+                Ok(reply(
+                    StatusCode::OK,
+                    Some((protocol::LEASE, lease.0)),
+                    Bytes::new(),
+                ))
+            }
+            Method::PUT => {
+                let id = lease.trim_start_matches('/').parse();
+                let id = id.map_err(|_| malformed("lease"))?;
+                store.renew_lease(LeaseId(id)).await?;
+                Ok(reply(StatusCode::OK, None, Bytes::new()))
+            }
+            _ => Err(malformed("method")),
+        }
+    }
+
+    async fn run_on_key(&self, key: &str, store: &MemoryStore) -> Result<Reply, StoreError> {
+        match self.head.method {
+            Method::GET if self.head.uri.query().is_some() => {
+                let after = StoreVersion(self.query(protocol::AFTER)?);
+                let wait = Duration::from_millis(self.query(protocol::WAIT_MS)?);
+                let found = store.watch(key, after, wait.min(MAX_WAIT)).await?;
+                Ok(found.map_or_else(|| empty(StatusCode::NO_CONTENT), value))
+            }
+            Method::GET => {
+                let found = store.get(key).await?;
+                Ok(found.map_or_else(|| empty(StatusCode::NOT_FOUND), value))
+            }
+            Method::PUT => self.put(key, store).await,
+            Method::DELETE => {
+                store.delete(key, self.expect()?).await?;
+                Ok(empty(StatusCode::OK))
+            }
+            _ => Err(malformed("method")),
+        }
+    }
+
+    async fn put(&self, key: &str, store: &MemoryStore) -> Result<Reply, StoreError> {
+        let expect = self.expect()?;
+        let value = self.body.clone();
+        let version = match self.header(protocol::LEASE) {
+            None => store.put(key, value, expect).await?,
+            Some(lease) => {
+                let lease = lease.parse().map_err(|_| malformed(protocol::LEASE))?;
+                store.put_leased(key, value, expect, LeaseId(lease)).await?
+            }
+        };
+        let version = Some((protocol::VERSION, version.0));
+        Ok(reply(StatusCode::OK, version, Bytes::new()))
+    }
+
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name).and_then(|v| v.to_str().ok())
+    }
+
+    fn expect(&self) -> Result<Expect, StoreError> {
+        self.header(protocol::EXPECT)
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| malformed(protocol::EXPECT))
+    }
+
+    fn query(&self, name: &str) -> Result<u64, StoreError> {
+        let query = self.head.uri.query().unwrap_or_default();
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .and_then(|(_, value)| value.parse().ok())
+            .ok_or_else(|| malformed(name))
+    }
+}
+
+fn malformed(what: &str) -> StoreError {
+    StoreError::Malformed(what.to_owned())
+}
+
+fn value(found: Versioned) -> Reply {
+    let version = Some((protocol::VERSION, found.version.0));
+    reply(StatusCode::OK, version, found.value)
+}
+
+fn empty(status: StatusCode) -> Reply {
+    reply(status, None, Bytes::new())
+}
+
+fn failure(e: &StoreError) -> Reply {
+    let status = match e {
+        StoreError::Conflict => StatusCode::CONFLICT,
+        StoreError::LeaseLapsed => StatusCode::GONE,
+        StoreError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        StoreError::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+        StoreError::Malformed(_) => StatusCode::BAD_REQUEST,
+        StoreError::Unavailable | StoreError::BudgetSpent | StoreError::Ambiguous => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+    };
+    reply(status, None, Bytes::from(e.to_string()))
+}
+
+fn reply(status: StatusCode, number: Option<(&'static str, u64)>, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = status;
+    if let Some((name, value)) = number {
+        reply.headers_mut().insert(name, value.into());
+    }
+    reply
+}
--- /dev/null
+++ b/crates/oriole_store/src/http.rs
@@ -0,0 +1,356 @@
+//! HTTP client of the store.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use metrics::counter;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::backoff::Backoff;
+use crate::counters::{CallCounters, CallCounts, CallKind};
+use crate::error::StoreError;
+use crate::protocol;
+use crate::rate::TokenBucket;
+use crate::store::{Expect, LeaseId, MAX_VALUE_BYTES, Store, StoreVersion, Versioned};
+
+/// Settings of a [`HttpStore`].
+#[derive(Clone, Debug)]
+pub struct StoreClientConfig {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time for one try of a call, beyond the wait of a watch.
+    pub timeout: Duration,
+    /// Most tries of a call that certainly wrote nothing.
+    pub tries: u32,
+    /// Pauses between the tries.
+    pub backoff: Backoff,
+    /// Most calls a second of this process; each try counts.
+    pub calls_per_s: u32,
+    /// Most calls at once after a pause.
+    pub call_burst: u32,
+}
+
+impl Default for StoreClientConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            timeout: Duration::from_secs(2),
+            tries: 3,
+            backoff: Backoff {
+                first: Duration::from_millis(50),
+                max: Duration::from_secs(1),
+            },
+            calls_per_s: 100,
+            call_burst: 200,
+        }
+    }
+}
+
+/// The store behind an address.
+///
+/// Calls that certainly wrote nothing are tried again after a jittered pause, within a budget of
+/// calls. A write whose answer is lost ends in [`StoreError::Ambiguous`] and is never tried again
+/// here. A watch names the version it has seen, so a broken one resumes without a gap.
+#[derive(Debug)]
+pub struct HttpStore {
+    addr: SocketAddr,
+    cfg: StoreClientConfig,
+    client: Client<HttpConnector, Full<Bytes>>,
+    opened_at: Instant,
+    budget: Mutex<TokenBucket>,
+    counters: CallCounters,
+}
+
+/// One call, as often as it is tried.
+struct Call {
+    kind: CallKind,
+    method: Method,
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+struct Answer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl HttpStore {
+    /// A client of the store at an address. It connects when first used. Must be called within a
+    /// tokio runtime.
+    #[must_use]
+    pub fn open(addr: SocketAddr, cfg: StoreClientConfig) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(cfg.connect_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        let budget = TokenBucket::new(f64::from(cfg.calls_per_s), f64::from(cfg.call_burst));
+        Self {
+            addr,
+            cfg,
+            client,
+            opened_at: Instant::now(),
+            budget: Mutex::new(budget),
+            counters: CallCounters::default(),
+        }
+    }
+
+    /// Calls sent so far, each try counted.
+    #[must_use]
+    pub fn counts(&self) -> CallCounts {
+        self.counters.counts()
+    }
+
+    async fn call(&self, call: Call, deadline: Option<Instant>) -> Result<Answer, StoreError> {
+        let mut tries = 0;
+        loop {
+            let wait = deadline.map_or(Duration::ZERO, |d| d - Instant::now());
+            let end = self.try_call(&call, self.cfg.timeout + wait).await;
+            tries += 1;
+            count(call.kind, &end);
+            let retryable = matches!(end, Err(StoreError::Unavailable | StoreError::RateLimited));
+            if !retryable || tries >= self.cfg.tries {
+                return end;
+            }
+            let pause = self.cfg.backoff.pause(tries, &mut rand::rng());
+            sleep(pause).await;
+        }
+    }
+
+    async fn try_call(&self, call: &Call, longest: Duration) -> Result<Answer, StoreError> {
+        self.spend()?;
+        self.counters.count(call.kind);
+        match timeout(longest, self.send(call)).await {
+            Ok(end) => end,
+            Err(_) => Err(call.lost()),
+        }
+    }
+
+    fn spend(&self) -> Result<(), StoreError> {
+        let now = self.opened_at.elapsed();
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        if budget.take(now) {
+            Ok(())
+        } else {
+            Err(StoreError::BudgetSpent)
+        }
+    }
+
+    async fn send(&self, call: &Call) -> Result<Answer, StoreError> {
+        let req = call.request(self.addr)?;
+        let answer = self.client.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                StoreError::Unavailable
+            } else {
+                call.lost()
+            }
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, MAX_VALUE_BYTES)
+            .collect()
+            .await
+            .map_err(|_| call.lost())?
+            .to_bytes();
+        let answer = Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        };
+        answer.checked(call.kind)
+    }
+}
+
+impl Call {
+    fn new(kind: CallKind, method: Method, path: String) -> Self {
+        Self {
+            kind,
+            method,
+            path,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    fn on_key(kind: CallKind, method: Method, key: &str) -> Self {
+        let key = utf8_percent_encode(key, NON_ALPHANUMERIC);
+        Self::new(kind, method, format!("{}{key}", protocol::KV_PREFIX))
+    }
+
+    fn header(mut self, name: &'static str, value: impl ToString) -> Self {
+        if let Ok(value) = value.to_string().parse() {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    fn request(&self, addr: SocketAddr) -> Result<Request<Full<Bytes>>, StoreError> {
+        let mut req = Request::builder()
+            .method(&self.method)
+            .uri(format!("http://{addr}{}", self.path))
+            .body(Full::new(self.body.clone()))
+            .map_err(|e| StoreError::Malformed(e.to_string()))?;
+        *req.headers_mut() = self.headers.clone();
+        Ok(req)
+    }
+
+    /// How the call ends when no answer came.
+    fn lost(&self) -> StoreError {
+        match self.kind {
+            CallKind::Write => StoreError::Ambiguous,
+            CallKind::Read | CallKind::Watch => StoreError::Unavailable,
+        }
+    }
+}
+
+impl Answer {
+    fn checked(self, kind: CallKind) -> Result<Self, StoreError> {
+        match self.status {
+            StatusCode::OK | StatusCode::NO_CONTENT => Ok(self),
+            StatusCode::NOT_FOUND if kind == CallKind::Read => Ok(self),
+            StatusCode::CONFLICT => Err(StoreError::Conflict),
+            StatusCode::GONE => Err(StoreError::LeaseLapsed),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+            status => Err(StoreError::Malformed(format!("status {status}"))),
+        }
+    }
+
+    fn number(&self, header: &str) -> Result<u64, StoreError> {
+        self.headers
+            .get(header)
+            .and_then(|v| v.to_str().ok())
+            .and_then(|v| v.parse().ok())
+            .ok_or_else(|| StoreError::Malformed(format!("no {header}")))
+    }
+
+    fn version(&self) -> Result<StoreVersion, StoreError> {
+        self.number(protocol::VERSION).map(StoreVersion)
+    }
+
+    fn versioned(self) -> Result<Versioned, StoreError> {
+        let version = self.version()?;
+        let value = self.body;
+        Ok(Versioned { value, version })
+    }
+}
+
+#[async_trait]
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let call = Call::on_key(CallKind::Read, Method::GET, key);
+        let answer = self.call(call, None).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => answer.versioned().map(Some),
+        }
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<StoreVersion, StoreError> {
+        check_size(&value)?;
+        let mut call =
+            Call::on_key(CallKind::Write, Method::PUT, key).header(protocol::EXPECT, expect);
+        call.body = value;
+        self.call(call, None).await?.version()
+    }
+
+    async fn put_leased(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: LeaseId,
+    ) -> Result<StoreVersion, StoreError> {
+        check_size(&value)?;
+        let mut call = Call::on_key(CallKind::Write, Method::PUT, key)
+            .header(protocol::EXPECT, expect)
+            .header(protocol::LEASE, lease);
+        call.body = value;
+        self.call(call, None).await?.version()
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), StoreError> {
+        let call =
+            Call::on_key(CallKind::Write, Method::DELETE, key).header(protocol::EXPECT, expect);
+        self.call(call, None).await.map(drop)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        let mut call = Call::on_key(CallKind::Watch, Method::GET, key);
+        call.path += &format!(
+            "?{}={after}&{}={}",
+            protocol::AFTER,
+            protocol::WAIT_MS,
+            wait.as_millis()
+        );
+        let answer = self.call(call, Some(Instant::now() + wait)).await?;
+        match answer.status {
+            StatusCode::NO_CONTENT => Ok(None),
+            _ => answer.versioned().map(Some),
+        }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let path = format!(
+            "{}?{}={}",
+            protocol::LEASES,
+            protocol::TTL_MS,
+            ttl.as_millis()
+        );
+        let call = Call::new(CallKind::Write, Method::POST, path);
+        self.call(call, None)
+            .await?
+            .number(protocol::LEASE)
+            .map(LeaseId)
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let path = format!("{}/{lease}", protocol::LEASES);
+        let call = Call::new(CallKind::Write, Method::PUT, path);
+        self.call(call, None).await.map(drop)
+    }
+}
+
+fn check_size(value: &Bytes) -> Result<(), StoreError> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(StoreError::TooLarge);
+    }
+    Ok(())
+}
+
+fn count(kind: CallKind, end: &Result<Answer, StoreError>) {
+    let reason = match end {
+        Ok(_) => "ok",
+        Err(StoreError::Conflict) => "conflict",
+        Err(StoreError::Unavailable) => "unavailable",
+        Err(StoreError::RateLimited) => "rate_limited",
+        Err(StoreError::BudgetSpent) => "budget_spent",
+        Err(StoreError::Ambiguous) => "ambiguous",
+        Err(StoreError::TooLarge) => "too_large",
+        Err(StoreError::LeaseLapsed) => "lease_lapsed",
+        Err(StoreError::Malformed(_)) => "malformed",
+    };
+    counter!("oriole_store_calls_total", "kind" => kind.as_str(), "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/oriole_store/src/protocol.rs
@@ -0,0 +1,65 @@
+//! HTTP protocol of the store: paths, headers and statuses.
+//!
+//! | call | request | answers |
+//! |---|---|---|
+//! | read | `GET /kv/KEY` | 200 with [`VERSION`], 404 |
+//! | watch | `GET /kv/KEY?after=N&wait_ms=N` | 200 with [`VERSION`], 204 unchanged |
+//! | write | `PUT /kv/KEY` with [`EXPECT`], [`LEASE`] | 200 with [`VERSION`], 409, 410, 413 |
+//! | delete | `DELETE /kv/KEY` with [`EXPECT`] | 200, 409 |
+//! | grant | `POST /leases?ttl_ms=N` | 200 with [`LEASE`] |
+//! | renew | `PUT /leases/N` | 200, 410 |
+//!
+//! Any call may end in 429 (beyond the rate) or 503 (down); then nothing was written. Keys are
+//! percent-encoded.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::store::{Expect, StoreVersion};
+
+/// Path prefix of values.
+pub const KV_PREFIX: &str = "/kv/";
+/// Path of leases.
+pub const LEASES: &str = "/leases";
+/// Header with the version of a value.
+pub const VERSION: &str = "store-version";
+/// Header with what a write expects: `absent`, `any` or a version.
+pub const EXPECT: &str = "store-expect";
+/// Header with the number of a lease.
+pub const LEASE: &str = "store-lease";
+/// Query parameter: the version a watch waits to pass.
+pub const AFTER: &str = "after";
+/// Query parameter: longest wait of a watch in milliseconds.
+pub const WAIT_MS: &str = "wait_ms";
+/// Query parameter: duration of a lease in milliseconds.
+pub const TTL_MS: &str = "ttl_ms";
+
+/// The header's text is not an expectation.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("expected absent, any or a version")]
+pub struct ParseExpectError;
+
+impl fmt::Display for Expect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("absent"),
+            Self::Version(v) => write!(f, "{v}"),
+            Self::Any => f.write_str("any"),
+        }
+    }
+}
+
+impl FromStr for Expect {
+    type Err = ParseExpectError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "absent" => Ok(Self::Absent),
+            "any" => Ok(Self::Any),
+            number => number
+                .parse()
+                .map(|v| Self::Version(StoreVersion(v)))
+                .map_err(|_| ParseExpectError),
+        }
+    }
+}
