Draft the entry's caller interface and its use of the routing machines

Cause: the entry is written beside the machines it embeds. Change: HTTP handlers, intake checks, server-sent events, waiting for upstreams.

--- /dev/null
+++ b/crates/oriole_entry/src/api/errors.rs
@@ -0,0 +1,124 @@
+//! Errors as callers read them.
+
+use dropshot::Body;
+use http::{HeaderValue, Response, StatusCode, header};
+use oriole_types::ids::RequestId;
+use oriole_types::outcome::{Outcome, RefusalReason, UnknownReason};
+use serde::Serialize;
+
+use crate::answer::{Refusal, unknown_message};
+
+/// Body of every answer that is not the upstream's.
+#[derive(Debug, Serialize, schemars::JsonSchema)]
+pub struct ErrorBody {
+    /// `not_run` or `unknown`.
+    pub outcome: String,
+    /// Short name of the reason.
+    pub reason: String,
+    /// Time after which another try makes sense, in milliseconds; 0 if none does.
+    pub retry_after_ms: u32,
+    /// Number of the request, to be quoted to operators.
+    pub request_id: String,
+    /// What happened, in a sentence.
+    pub message: String,
+}
+
+impl ErrorBody {
+    /// The body for a refusal.
+    #[must_use]
+    pub fn not_run(request: RequestId, refusal: &Refusal) -> Self {
+        Self {
+            outcome: outcome_name(Outcome::NotRun).into(),
+            reason: refusal.reason.to_string(),
+            retry_after_ms: refusal.retry_after_ms,
+            request_id: request_text(request),
+            message: refusal.message.clone(),
+        }
+    }
+
+    /// The body for an unknown end.
+    #[must_use]
+    pub fn unknown(request: RequestId, reason: UnknownReason) -> Self {
+        Self {
+            outcome: outcome_name(Outcome::Unknown).into(),
+            reason: reason.to_string(),
+            retry_after_ms: 0,
+            request_id: request_text(request),
+            message: unknown_message(reason).into(),
+        }
+    }
+}
+
+/// The name of an end in headers and bodies.
+#[must_use]
+pub fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Complete => "complete",
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+/// The text of a request's number.
+#[must_use]
+pub fn request_text(request: RequestId) -> String {
+    format!("{:016x}", request.0)
+}
+
+/// The response for a refusal.
+pub fn refused(request: RequestId, refusal: &Refusal) -> Response<Body> {
+    let mut response = json(
+        refusal_status(refusal.reason),
+        request,
+        Outcome::NotRun,
+        &ErrorBody::not_run(request, refusal),
+    );
+    if refusal.retry_after_ms > 0 {
+        let seconds = refusal.retry_after_ms.div_ceil(1000);
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// The response for an unknown end.
+pub fn unknown(request: RequestId, reason: UnknownReason) -> Response<Body> {
+    let status = match reason {
+        UnknownReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let body = ErrorBody::unknown(request, reason);
+    json(status, request, Outcome::Unknown, &body)
+}
+
+fn json(
+    status: StatusCode,
+    request: RequestId,
+    outcome: Outcome,
+    body: &ErrorBody,
+) -> Response<Body> {
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    super::headers::mark(response.headers_mut(), request, outcome);
+    response
+}
+
+/// The HTTP status that fits a refusal.
+#[must_use]
+pub fn refusal_status(reason: RefusalReason) -> StatusCode {
+    use RefusalReason as R;
+    match reason {
+        R::AccountUnknown => StatusCode::UNAUTHORIZED,
+        R::EntryUnknown => StatusCode::NOT_FOUND,
+        R::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        R::RequestInvalid | R::KeyRequired => StatusCode::BAD_REQUEST,
+        R::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        R::KeyExpired | R::KeyInProgress => StatusCode::CONFLICT,
+        R::AccountLimit | R::EntryLimit => StatusCode::TOO_MANY_REQUESTS,
+        R::Blocked | R::Quarantined => StatusCode::FORBIDDEN,
+        R::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/oriole_entry/src/api/mod.rs
@@ -0,0 +1,75 @@
+//! The HTTP interface towards callers.
+
+pub mod endpoints;
+pub mod errors;
+pub mod headers;
+pub mod requests;
+pub mod status;
+pub mod whole;
+
+mod events;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use slog::Logger;
+
+use crate::state::EntryState;
+
+/// Largest request body that is read at all, in bytes; entries state smaller limits.
+const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+
+/// The context of every handler.
+pub(crate) type Context = Arc<EntryState>;
+
+/// A running HTTP server.
+pub type Server = HttpServer<Context>;
+
+/// The description of the interface.
+///
+/// # Errors
+///
+/// Fails if two handlers share a path, which a test excludes.
+pub(crate) fn description() -> eyre::Result<ApiDescription<Context>> {
+    let mut api = ApiDescription::new();
+    let registered = [
+        api.register(endpoints::get_endpoints),
+        api.register(requests::post_request),
+        api.register(status::get_status),
+        api.register(status::get_metrics),
+        api.register(status::get_openapi),
+    ];
+    for result in registered {
+        result.map_err(|e| eyre::eyre!("cannot register a handler: {e}"))?;
+    }
+    Ok(api)
+}
+
+/// The interface as an OpenAPI document.
+///
+/// # Errors
+///
+/// Fails if the description cannot be written as JSON.
+pub fn openapi() -> eyre::Result<serde_json::Value> {
+    let version = env!("CARGO_PKG_VERSION").parse()?;
+    Ok(description()?.openapi("oriolefield", version).json()?)
+}
+
+/// Binds the server.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub(crate) fn bind(addr: SocketAddr, state: Context, log: &Logger) -> eyre::Result<Server> {
+    let config = ConfigDropshot {
+        bind_address: addr,
+        default_request_body_max_bytes: MAX_BODY_BYTES,
+        default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
+        ..ConfigDropshot::default()
+    };
+    ServerBuilder::new(description()?, state, log.clone())
+        .config(config)
+        .start()
+        .map_err(|e| eyre::eyre!("cannot bind {addr}: {e}"))
+}
--- /dev/null
+++ b/crates/oriole_entry/src/api/requests.rs
@@ -0,0 +1,154 @@
+//! Callers' requests.
+
+use bytes::{Bytes, BytesMut};
+use dropshot::{Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
+use futures::{StreamExt, pin_mut};
+use http::{HeaderValue, Response, header};
+use oriole_types::catalog::PoolKind;
+use oriole_types::ids::RequestId;
+use oriole_types::outcome::{Outcome, RefusalReason, UnknownReason};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+
+use super::events::EventBody;
+use super::whole::WholeAnswer;
+use super::{Context, errors, headers};
+use crate::answer::{AnswerEvent, Refusal};
+use crate::intake::Intake;
+
+/// Longest pause between parts of a request's body.
+const BODY_PAUSE: std::time::Duration = std::time::Duration::from_secs(10);
+
+/// Path of a request.
+#[derive(Deserialize, schemars::JsonSchema)]
+pub struct RequestPath {
+    /// Name of the catalog entry.
+    pub entry: String,
+}
+
+/// Run a request of a catalog entry.
+///
+/// Ends in exactly one of three ways: the complete answer; `not_run`, which is safe to resend; or
+/// `unknown`, which may have run. With `Accept: text/event-stream` the answer is streamed and its
+/// last event says whether it is whole.
+#[endpoint { method = POST, path = "/v1/entries/{entry}/requests" }]
+pub(crate) async fn post_request(
+    cx: RequestContext<Context>,
+    path: Path<RequestPath>,
+    body: StreamingBody,
+) -> Result<Response<Body>, HttpError> {
+    let state = cx.context();
+    let request = state.next_request_id();
+    let path = path.into_inner();
+    let req_headers = cx.request.headers();
+    let intake = match Intake::open(state, request, &path.entry, req_headers) {
+        Ok(intake) => intake,
+        Err(refusal) => return Ok(state.refused(request, &refusal)),
+    };
+    let body = match read_body(body, intake.max_body_bytes()).await {
+        Ok(body) => body,
+        Err(refusal) => return Ok(state.refused(request, &refusal)),
+    };
+    let accepted = match intake.accept(body) {
+        Ok(accepted) => accepted,
+        Err(refusal) => return Ok(state.refused(request, &refusal)),
+    };
+    let (stream, kind) = (accepted.head.stream, accepted.kind);
+    let rx = state.dispatch(accepted);
+    Ok(if stream {
+        streamed(request, rx).await
+    } else {
+        whole(request, kind, rx).await
+    })
+}
+
+async fn read_body(body: StreamingBody, max: usize) -> Result<Bytes, Refusal> {
+    let too_large = || {
+        let message = format!("the body is larger than {max} bytes");
+        Refusal::new(RefusalReason::BodyTooLarge, message)
+    };
+    let stream = body.into_stream();
+    pin_mut!(stream);
+    let mut buf = BytesMut::new();
+    loop {
+        let part = tokio::time::timeout(BODY_PAUSE, stream.next())
+            .await
+            .map_err(|_| {
+                metrics::counter!("oriole_slow_senders_total").increment(1);
+                Refusal::new(RefusalReason::RequestInvalid, "the body came too slowly")
+            })?;
+        let Some(part) = part else {
+            return Ok(buf.freeze());
+        };
+        let part = part.map_err(|e| {
+            if e.external_message.contains("exceeded maximum size") {
+                too_large()
+            } else {
+                Refusal::new(RefusalReason::RequestInvalid, "the body broke off")
+            }
+        })?;
+        if buf.len() + part.len() > max {
+            return Err(too_large());
+        }
+        buf.extend_from_slice(&part);
+    }
+}
+
+/// The answer as a stream; an end before the first item is an ordinary response.
+async fn streamed(request: RequestId, mut rx: mpsc::Receiver<AnswerEvent>) -> Response<Body> {
+    let first = rx.recv().await.unwrap_or(lost());
+    match first {
+        AnswerEvent::NotRun(refusal) => errors::refused(request, &refusal),
+        AnswerEvent::Unknown { reason } => errors::unknown(request, reason),
+        first => {
+            let body = EventBody::new(request, first, rx);
+            let mut response = Response::new(Body::wrap(body));
+            let headers = response.headers_mut();
+            headers::mark(headers, request, Outcome::Complete);
+            // The end of a stream stands in its last event.
+            headers.remove(headers::OUTCOME);
+            headers.insert(
+                header::CONTENT_TYPE,
+                HeaderValue::from_static("text/event-stream"),
+            );
+            response
+        }
+    }
+}
+
+/// The answer as one document.
+async fn whole(
+    request: RequestId,
+    kind: PoolKind,
+    mut rx: mpsc::Receiver<AnswerEvent>,
+) -> Response<Body> {
+    let mut answer = WholeAnswer::new(kind);
+    loop {
+        match rx.recv().await.unwrap_or(lost()) {
+            AnswerEvent::Items { data, .. } => {
+                if !answer.add(&data) {
+                    return errors::unknown(request, UnknownReason::Incomplete);
+                }
+            }
+            AnswerEvent::Complete { .. } => return complete(request, answer),
+            AnswerEvent::NotRun(refusal) => return errors::refused(request, &refusal),
+            AnswerEvent::Unknown { reason } => return errors::unknown(request, reason),
+        }
+    }
+}
+
+fn complete(request: RequestId, answer: WholeAnswer) -> Response<Body> {
+    let Some(document) = answer.document() else {
+        return errors::unknown(request, UnknownReason::Incomplete);
+    };
+    let mut response = Response::new(Body::from(document));
+    headers::mark(response.headers_mut(), request, Outcome::Complete);
+    response
+}
+
+/// The end of a request whose task ended without a word.
+fn lost() -> AnswerEvent {
+    AnswerEvent::Unknown {
+        reason: UnknownReason::Incomplete,
+    }
+}
--- /dev/null
+++ b/crates/oriole_entry/src/intake.rs
@@ -0,0 +1,173 @@
+//! From an HTTP request to a request that was accepted: who asks, for what, and by when.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use oriole_types::prelude::*;
+use serde::de::IgnoredAny;
+
+use crate::answer::Refusal;
+use crate::api::headers;
+use crate::state::EntryState;
+use crate::traffic::PermitGuard;
+
+/// A request that passed every check and counts against its limits.
+pub struct Accepted {
+    /// Number of the request.
+    pub request: RequestId,
+    /// Head as agents get it; the timeout is that of the whole request.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Bytes,
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// Kind of the pool's upstreams.
+    pub kind: PoolKind,
+    /// Weight of the account.
+    pub weight: u32,
+    /// Time by which the whole answer must be given, since the start of the process.
+    pub deadline: Duration,
+    /// Place in the limits, given back when the request ends.
+    pub permit: PermitGuard,
+}
+
+/// A request whose head was checked and whose body is still to come.
+pub struct Intake<'a> {
+    state: &'a Arc<EntryState>,
+    request: RequestId,
+    catalog: Arc<Catalog>,
+    account: AccountName,
+    entry_name: EntryName,
+    entry: CatalogEntry,
+    kind: PoolKind,
+    key: Option<IdempotencyKey>,
+    timeout_ms: u32,
+    stream: bool,
+}
+
+impl<'a> Intake<'a> {
+    /// Checks the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request whose account, entry, key or timeout is not right, and every request
+    /// while the process holds no configuration or is shutting down.
+    pub fn open(
+        state: &'a Arc<EntryState>,
+        request: RequestId,
+        entry_name: &str,
+        req_headers: &HeaderMap,
+    ) -> Result<Self, Refusal> {
+        state.check_serving()?;
+        let catalog = state.catalog()?;
+        let account = authenticate(&catalog, req_headers)?;
+        let (entry_name, entry) = find_entry(&catalog, entry_name)?;
+        let key = headers::idempotency_key(req_headers)?;
+        if !entry.class.idempotent && key.is_none() {
+            let message = format!("entry {entry_name} requires an Idempotency-Key header");
+            return Err(Refusal::new(RefusalReason::KeyRequired, message));
+        }
+        let default = entry.default_timeout_ms;
+        let timeout_ms = headers::timeout_ms(req_headers, default, entry.max_timeout_ms)?;
+        let pool = catalog.pools.get(&entry.pool).ok_or_else(|| {
+            let message = format!("no upstream serves entry {entry_name}");
+            Refusal::new(RefusalReason::NoUpstream, message)
+        })?;
+        Ok(Self {
+            state,
+            request,
+            account,
+            stream: entry.class.stream && headers::wants_stream(req_headers),
+            kind: pool.kind,
+            entry_name,
+            entry,
+            key,
+            timeout_ms,
+            catalog,
+        })
+    }
+
+    /// Largest body of the request, in bytes.
+    #[must_use]
+    pub fn max_body_bytes(&self) -> usize {
+        self.entry.max_body_bytes as usize
+    }
+
+    /// Checks the body and counts the request against its limits.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a body that is not JSON, and a request that is blocked, quarantined or over a
+    /// limit.
+    pub fn accept(self, body: Bytes) -> Result<Accepted, Refusal> {
+        check_json(&body)?;
+        let entry = self.entry_name.as_str().as_bytes();
+        let content = Digest::of_fields(&[entry, &body]);
+        self.state.check_content(&content)?;
+        let permit = self.state.traffic.admit(
+            &self.catalog,
+            &self.account,
+            &self.entry_name,
+            self.key.as_ref(),
+        )?;
+        let account = self.catalog.accounts.get(&self.account);
+        let timeout = Duration::from_millis(u64::from(self.timeout_ms));
+        let head = RequestHead {
+            entry: self.entry_name,
+            account: self.account.clone(),
+            idempotent: self.entry.class.idempotent,
+            priority: self.entry.class.priority,
+            stream: self.stream,
+            key: self.key,
+            content,
+            timeout_ms: self.timeout_ms,
+            resume_from: 0,
+        };
+        Ok(Accepted {
+            request: self.request,
+            head,
+            body,
+            pool: self.entry.pool,
+            kind: self.kind,
+            weight: account.map_or(1, |a| a.weight),
+            deadline: self.state.clock.now() + timeout,
+            permit,
+        })
+    }
+}
+
+/// The account whose key the caller shows.
+///
+/// # Errors
+///
+/// Refuses a caller without a key of an account.
+pub fn authenticate(catalog: &Catalog, req_headers: &HeaderMap) -> Result<AccountName, Refusal> {
+    headers::account_key(req_headers)
+        .and_then(|key| catalog.account_by_key(&key))
+        .map(|(name, _)| name.clone())
+        .ok_or_else(|| {
+            let message = "show the key of a client account as 'Authorization: Bearer KEY'";
+            Refusal::new(RefusalReason::AccountUnknown, message)
+        })
+}
+
+fn find_entry(catalog: &Catalog, name: &str) -> Result<(EntryName, CatalogEntry), Refusal> {
+    catalog
+        .entries
+        .get_key_value(name)
+        .map(|(name, entry)| (name.clone(), entry.clone()))
+        .ok_or_else(|| {
+            let message = format!("the catalog has no entry {name:?}");
+            Refusal::new(RefusalReason::EntryUnknown, message)
+        })
+}
+
+fn check_json(body: &[u8]) -> Result<(), Refusal> {
+    let parsed: Result<IgnoredAny, _> = serde_json::from_slice(body);
+    parsed.map(|_| ()).map_err(|e| {
+        let message = format!("the body is not valid JSON: {e}");
+        Refusal::new(RefusalReason::RequestInvalid, message)
+    })
+}
--- /dev/null
+++ b/crates/oriole_entry/src/traffic.rs
@@ -0,0 +1,472 @@
+//! The entry's routing machines behind one lock, and the tasks that wait on them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use oriole_kernel::clock::Clock;
+use oriole_routing::capacity::{CapacityView, PoolCapacity};
+use oriole_routing::limits::{LimitDigest, Limiter, LimiterConfig, Permit};
+use oriole_routing::picking::{PickRequest, Router, RouterConfig};
+use oriole_routing::queue::{Offer, QueueConfig, Ticket, WaitQueue, Waiting};
+use oriole_routing::retry::{RetryAsk, RetryBudget, RetryConfig, RetryDecision};
+use oriole_types::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::answer::Refusal;
+
+/// What a request needs to get an upstream.
+#[derive(Clone, Debug)]
+pub struct PickAsk {
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// Hash of the prompt prefix.
+    pub prefix: Option<u64>,
+    /// Upstreams that refused or failed the request already.
+    pub exclude: Vec<VmName>,
+    /// What the queue needs to know.
+    pub waiting: Waiting,
+}
+
+/// A request in the queue; dropped senders belong to callers that are gone.
+struct Waiter {
+    pool: PoolName,
+    prefix: Option<u64>,
+    exclude: Vec<VmName>,
+    tx: oneshot::Sender<Result<VmName, Refusal>>,
+}
+
+struct Machines {
+    router: Router,
+    limiter: Limiter,
+    retries: RetryBudget,
+    queues: BTreeMap<PoolName, WaitQueue<Waiter>>,
+}
+
+/// The entry's routing machines.
+///
+/// Clones share them. Every method takes the lock for a short computation and never waits in it.
+#[derive(Clone)]
+pub struct Traffic {
+    clock: Clock,
+    machines: Arc<Mutex<Machines>>,
+}
+
+/// A request's place in the limits, given back when dropped.
+pub struct PermitGuard {
+    traffic: Traffic,
+    permit: Option<Permit>,
+}
+
+impl Drop for PermitGuard {
+    fn drop(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            self.traffic.lock().limiter.release(permit);
+        }
+    }
+}
+
+/// One attempt that counts as in flight at an upstream; say how it ended.
+///
+/// Dropping it otherwise counts the attempt as cancelled.
+pub struct AttemptGuard {
+    traffic: Traffic,
+    vm: VmName,
+    started: Duration,
+    open: bool,
+}
+
+impl Traffic {
+    /// Machines of an entry in a failure domain.
+    #[must_use]
+    pub fn open(clock: Clock, domain: DomainName) -> Self {
+        let machines = Machines {
+            router: Router::new(RouterConfig::default(), domain),
+            limiter: Limiter::new(LimiterConfig::default()),
+            retries: RetryBudget::new(RetryConfig::default()),
+            queues: BTreeMap::new(),
+        };
+        Self {
+            clock,
+            machines: Arc::new(Mutex::new(machines)),
+        }
+    }
+
+    /// Admits a request by block, account and entry.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what is blocked or over a limit.
+    pub fn admit(
+        &self,
+        catalog: &Catalog,
+        account: &AccountName,
+        entry: &EntryName,
+        key: Option<&IdempotencyKey>,
+    ) -> Result<PermitGuard, Refusal> {
+        let key = key.map(|k| Digest::of(k.as_str().as_bytes()));
+        let now = self.clock.now();
+        let admitted = self
+            .lock()
+            .limiter
+            .admit(now, catalog, account, entry, key.as_ref());
+        match admitted {
+            Ok(permit) => Ok(PermitGuard {
+                traffic: self.clone(),
+                permit: Some(permit),
+            }),
+            Err(refusal) => {
+                let message = refusal.detail.unwrap_or_else(|| limit_message(refusal.reason));
+                Err(Refusal::new(refusal.reason, message).retry_after(millis(refusal.retry_after)))
+            }
+        }
+    }
+
+    /// Takes in a new VM list or catalog.
+    pub fn fleet_changed(&self, list: &VmList, catalog: &Catalog) {
+        let now = self.clock.now();
+        let mut machines = self.lock();
+        machines.router.fleet_changed(now, list, catalog);
+        machines.limiter.prune(now, catalog);
+        machines.pump_all(now);
+    }
+
+    /// Sets between how many entries the limits are shared.
+    pub fn set_holders(&self, accounts: &[(AccountName, usize)], entries: usize) {
+        let now = self.clock.now();
+        let mut machines = self.lock();
+        for (account, holders) in accounts {
+            machines.limiter.set_holders(now, account, *holders);
+        }
+        machines.limiter.set_entry_holders(entries);
+    }
+
+    /// What to tell the other entries about use of the limits.
+    #[must_use]
+    pub fn limit_digest(&self) -> LimitDigest {
+        let now = self.clock.now();
+        self.lock().limiter.digest(now)
+    }
+
+    /// Takes in what another entry told about its use of the limits.
+    pub fn peer_limits(&self, peer: &VmName, digest: &LimitDigest) {
+        let now = self.clock.now();
+        self.lock().limiter.peer_digest(now, peer, digest);
+    }
+
+    /// Takes in a load report that came by itself.
+    pub fn report(&self, vm: &VmName, load: &LoadReport) {
+        let now = self.clock.now();
+        let mut machines = self.lock();
+        machines.router.report(now, vm, load);
+        machines.pump_all(now);
+    }
+
+    /// Notes a new request, for the retry budget.
+    pub fn request_opened(&self) {
+        self.lock().retries.request();
+    }
+
+    /// Decides whether a failed attempt is followed by another.
+    #[must_use]
+    pub fn decide_retry(&self, ask: &RetryAsk) -> RetryDecision {
+        let now = self.clock.now();
+        self.lock().retries.decide(now, ask, &mut rand::rng())
+    }
+
+    /// Waits for an upstream that has room.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if no upstream is in service, the queue is full, or the deadline cannot be met.
+    pub async fn acquire(&self, ask: PickAsk) -> Result<AttemptGuard, Refusal> {
+        let pool = ask.pool.clone();
+        let (ticket, rx) = match self.pick_or_queue(ask)? {
+            Acquired::Now(guard) => return Ok(guard),
+            Acquired::Queued(ticket, rx) => (ticket, rx),
+        };
+        let mut queued = Queued {
+            traffic: self,
+            pool,
+            ticket,
+            rx,
+        };
+        match (&mut queued.rx).await {
+            Ok(Ok(vm)) => Ok(self.guard(vm)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::new(
+                RefusalReason::QueueFull,
+                "the request gave way to more urgent ones",
+            )),
+        }
+    }
+
+    /// Takes an upstream that the request is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Refuses if it takes no new work.
+    pub fn acquire_bound(&self, vm: &VmName) -> Result<AttemptGuard, Refusal> {
+        let now = self.clock.now();
+        let mut machines = self.lock();
+        machines
+            .router
+            .check(now, vm)
+            .map_err(|reason| Refusal::new(reason, format!("upstream {vm} takes no new work")))?;
+        machines.router.started(now, vm, None);
+        drop(machines);
+        Ok(self.guard(vm.clone()))
+    }
+
+    /// Capacity of all pools as this entry believes it.
+    #[must_use]
+    pub fn capacity(&self) -> CapacityView {
+        let now = self.clock.now();
+        let machines = self.lock();
+        let mut view = CapacityView::default();
+        for pool in machines.router.pools() {
+            view.set(pool.clone(), machines.router.capacity(now, pool));
+        }
+        view
+    }
+
+    /// Requests that wait for an upstream.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lock().queues.values().map(WaitQueue::len).sum()
+    }
+
+    /// Lets waiting requests go where room appeared, and refuses those that are too late.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.lock().pump_all(now);
+    }
+
+    fn pick_or_queue(&self, ask: PickAsk) -> Result<Acquired, Refusal> {
+        let now = self.clock.now();
+        let mut machines = self.lock();
+        let capacity = machines.router.capacity(now, &ask.pool);
+        if let Err(reason) = capacity.admit(ask.waiting.priority) {
+            return Err(capacity_refusal(reason, &ask.pool, capacity));
+        }
+        if machines.queue_is_empty(&ask.pool) {
+            match machines.pick(now, &ask.pool, ask.prefix, &ask.exclude) {
+                Ok(vm) => {
+                    drop(machines);
+                    return Ok(Acquired::Now(self.guard(vm)));
+                }
+                Err(RefusalReason::NoCapacity) => {}
+                Err(reason) => return Err(capacity_refusal(reason, &ask.pool, capacity)),
+            }
+        }
+        let (tx, rx) = oneshot::channel();
+        let ticket = machines.enqueue(now, ask, tx)?;
+        Ok(Acquired::Queued(ticket, rx))
+    }
+
+    fn guard(&self, vm: VmName) -> AttemptGuard {
+        AttemptGuard {
+            traffic: self.clone(),
+            vm,
+            started: self.clock.now(),
+            open: true,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Machines> {
+        self.machines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+enum Acquired {
+    Now(AttemptGuard),
+    Queued(Ticket, oneshot::Receiver<Result<VmName, Refusal>>),
+}
+
+/// A waiting request; leaves the queue when its caller stops waiting.
+struct Queued<'a> {
+    traffic: &'a Traffic,
+    pool: PoolName,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Result<VmName, Refusal>>,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let now = self.traffic.clock.now();
+        let mut machines = self.traffic.lock();
+        if let Some(queue) = machines.queues.get_mut(&self.pool) {
+            queue.cancel(now, self.ticket);
+        }
+        // The upstream may have been given just before the caller left.
+        if let Ok(Ok(vm)) = self.rx.try_recv() {
+            machines.router.cancelled(&vm);
+        }
+    }
+}
+
+impl Machines {
+    fn queue_is_empty(&self, pool: &PoolName) -> bool {
+        self.queues.get(pool).is_none_or(WaitQueue::is_empty)
+    }
+
+    fn pick(
+        &mut self,
+        now: Duration,
+        pool: &PoolName,
+        prefix: Option<u64>,
+        exclude: &[VmName],
+    ) -> Result<VmName, RefusalReason> {
+        let req = PickRequest {
+            pool,
+            prefix,
+            exclude,
+        };
+        let vm = self.router.pick(now, &req, &mut rand::rng())?;
+        self.router.started(now, &vm, prefix);
+        Ok(vm)
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Duration,
+        ask: PickAsk,
+        tx: oneshot::Sender<Result<VmName, Refusal>>,
+    ) -> Result<Ticket, Refusal> {
+        let waiter = Waiter {
+            pool: ask.pool.clone(),
+            prefix: ask.prefix,
+            exclude: ask.exclude,
+            tx,
+        };
+        let queue = self
+            .queues
+            .entry(ask.pool)
+            .or_insert_with(|| WaitQueue::new(QueueConfig::default()));
+        match queue.push(now, ask.waiting, waiter) {
+            Ok((ticket, displaced)) => {
+                // The displaced waiter's sender is dropped here, which tells its task.
+                drop(displaced);
+                Ok(ticket)
+            }
+            Err(refusal) => Err(Refusal::new(refusal.reason, queue_message(refusal.reason))
+                .retry_after(millis(refusal.retry_after))),
+        }
+    }
+
+    fn pump_all(&mut self, now: Duration) {
+        let pools: Vec<PoolName> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            self.pump(now, &pool);
+        }
+    }
+
+    /// Sends waiting requests of a pool to upstreams that have room.
+    fn pump(&mut self, now: Duration, pool: &PoolName) {
+        let Some(mut queue) = self.queues.remove(pool) else {
+            return;
+        };
+        while let Some(late) = queue.pop_expired(now) {
+            let message = queue_message(RefusalReason::Deadline);
+            // The caller may be gone.
+            let _ = late
+                .value
+                .tx
+                .send(Err(Refusal::new(RefusalReason::Deadline, message)));
+        }
+        while let Some((popped, vm)) = queue.pop_with(now, |w| self.offer(now, w)) {
+            if popped.value.tx.send(Ok(vm.clone())).is_err() {
+                self.router.cancelled(&vm);
+            }
+        }
+        self.queues.insert(pool.clone(), queue);
+    }
+
+    fn offer(&mut self, now: Duration, waiter: &Waiter) -> Offer<VmName> {
+        match self.pick(now, &waiter.pool, waiter.prefix, &waiter.exclude) {
+            Ok(vm) => Offer::Take(vm),
+            Err(_) if !waiter.exclude.is_empty() => Offer::Skip,
+            Err(_) => Offer::Stop,
+        }
+    }
+}
+
+impl AttemptGuard {
+    /// The upstream of the attempt.
+    #[must_use]
+    pub fn vm(&self) -> &VmName {
+        &self.vm
+    }
+
+    /// The attempt gave a whole answer.
+    pub fn finished(mut self, load: Option<&LoadReport>) {
+        let started = self.started;
+        self.end(|machines, now, vm| {
+            machines.router.finished(now, vm, now - started, load);
+        });
+    }
+
+    /// The attempt was refused.
+    pub fn refused(
+        mut self,
+        reason: RefusalReason,
+        retry_after_ms: u32,
+        load: Option<&LoadReport>,
+    ) {
+        let retry_after = Duration::from_millis(u64::from(retry_after_ms));
+        let retry_after = (!retry_after.is_zero()).then_some(retry_after);
+        self.end(|machines, now, vm| {
+            machines.router.refused(now, vm, reason, retry_after, load);
+        });
+    }
+
+    /// The attempt failed; it may have run.
+    pub fn failed(mut self, load: Option<&LoadReport>) {
+        self.end(|machines, now, vm| machines.router.failed(now, vm, load));
+    }
+
+    fn end(&mut self, tell: impl FnOnce(&mut Machines, Duration, &VmName)) {
+        self.open = false;
+        let now = self.traffic.clock.now();
+        let mut machines = self.traffic.lock();
+        tell(&mut machines, now, &self.vm);
+        machines.pump_all(now);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if self.open {
+            self.end(|machines, _, vm| machines.router.cancelled(vm));
+        }
+    }
+}
+
+fn capacity_refusal(reason: RefusalReason, pool: &PoolName, capacity: PoolCapacity) -> Refusal {
+    let mut view = CapacityView::default();
+    view.set(pool.clone(), capacity);
+    let message = format!("pool {pool}: {}", view.describe(pool));
+    Refusal::new(reason, message).retry_after(CAPACITY_RETRY_MS)
+}
+
+/// Advice to a caller that found no capacity, in milliseconds.
+const CAPACITY_RETRY_MS: u32 = 1_000;
+
+fn limit_message(reason: RefusalReason) -> String {
+    match reason {
+        RefusalReason::AccountLimit => "the account is over its limit".into(),
+        RefusalReason::EntryLimit => "the entry is over its limit".into(),
+        reason => format!("refused: {reason}"),
+    }
+}
+
+fn queue_message(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Deadline => "no upstream can answer before the deadline",
+        _ => "too many requests wait already",
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`registry`]: where services find each other by name.
 //! - [`app`]: plugins register services into an [`app::App`]; starting it starts the services in
 //!   order of their dependencies and yields a [`app::RunningApp`] that stops them in reverse.
+//! - [`clock`]: time since the process started.
 //! - [`logging`]: JSON lines through `slog`.
 //! - [`telemetry`]: the process-wide metrics recorder.
 //! - [`settings`]: reading and checking a daemon's TOML settings.
@@ -29,6 +30,7 @@
 #![forbid(unsafe_code)]
 
 pub mod app;
+pub mod clock;
 pub mod error;
 pub mod logging;
 pub mod registry;
@@ -38,6 +40,7 @@
 /// Everything that daemons usually need from this crate.
 pub mod prelude {
     pub use crate::app::{App, Plugin, RunningApp, Service};
+    pub use crate::clock::Clock;
     pub use crate::error::KernelError;
     pub use crate::registry::Registry;
 }
