Add the entry's routing machines: picking, limits, queues, retries, endpoint answers

Cause: an entry needs decisions that hold up with stale views of loads and of the fleet. Change: oriole_routing holds Router (two choices by expected finish, slow start, ejection with a floor, prefix guesses), Limiter (fleet-wide shares traded by digests), WaitQueue (bounded, weighted fair, deadline order, early refusal), RetryBudget, EndpointAnswers and PoolCapacity. All are plain machines without clock or I/O. Conclusion: ready to be driven by the entry daemon.

--- /dev/null
+++ b/crates/oriole_routing/src/picking/config.rs
@@ -0,0 +1,58 @@
+//! Settings of the [`Router`](super::Router).
+
+use std::time::Duration;
+
+/// Settings of a [`Router`](super::Router); the defaults suit requests of tens of milliseconds to
+/// minutes.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// Round trip to another failure domain whose distance was never measured.
+    pub cross_domain_rtt: Duration,
+    /// Service time assumed of an upstream that nothing is known of.
+    pub assumed_service: Duration,
+    /// Age at which a load report is believed half.
+    pub load_half_life: Duration,
+    /// Age of a load report after which a full upstream without work of ours may be tried.
+    pub probe_after: Duration,
+    /// Time over which an upstream that returned regains its full share.
+    pub slow_start: Duration,
+    /// Time for which an upstream is left alone after it refused without saying how long.
+    pub hold_after_refusal: Duration,
+    /// Time after which an agent's word that it is leaving is checked again.
+    pub leaving_ttl: Duration,
+    /// Part of the service time that a held prefix saves.
+    pub prefix_saving: f64,
+    /// Age at which a prefix guess is believed half.
+    pub prefix_half_life: Duration,
+    /// Most prefixes remembered for a pool.
+    pub prefixes_per_pool: usize,
+    /// Failures in a row that eject an upstream.
+    pub eject_after_failures: u32,
+    /// Time for which an upstream is ejected at first; doubles with each ejection in a row.
+    pub eject_for: Duration,
+    /// Longest ejection.
+    pub eject_for_max: Duration,
+    /// Largest part of a pool's upstreams that may be ejected at once.
+    pub max_ejected_share: f64,
+}
+
+impl Default for RouterConfig {
+    fn default() -> Self {
+        Self {
+            cross_domain_rtt: Duration::from_millis(2),
+            assumed_service: Duration::from_millis(500),
+            load_half_life: Duration::from_millis(500),
+            probe_after: Duration::from_millis(500),
+            slow_start: Duration::from_secs(10),
+            hold_after_refusal: Duration::from_millis(50),
+            leaving_ttl: Duration::from_secs(10),
+            prefix_saving: 0.3,
+            prefix_half_life: Duration::from_secs(60),
+            prefixes_per_pool: 4096,
+            eject_after_failures: 3,
+            eject_for: Duration::from_secs(3),
+            eject_for_max: Duration::from_secs(60),
+            max_ejected_share: 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -0,0 +1,535 @@
+//! The machine that picks an upstream.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use metrics::counter;
+use oriole_types::prelude::*;
+use rand::{Rng, RngExt};
+
+use super::config::RouterConfig;
+use super::prefix::PrefixTable;
+use super::upstream::{StatedCapacity, Upstream};
+use crate::capacity::PoolCapacity;
+
+/// Smallest weight of a candidate in the draw.
+const MIN_DRAW_WEIGHT: f64 = 0.01;
+
+/// Weight of the newest report in the pool's average load by other entries.
+const OTHERS_SMOOTHING: f64 = 0.1;
+
+/// How much longer an answer takes at a full upstream than at an idle one, as a part of its
+/// service time: engines batch, so that each request slows the others.
+const CROWDING: f64 = 1.0;
+
+/// How much the nearest upstreams are preferred in the draw when distance is all that counts.
+const NEAR_BIAS: f64 = 4.0;
+
+/// What a request asks of the [`Router`].
+#[derive(Clone, Copy, Debug)]
+pub struct PickRequest<'a> {
+    /// Pool that serves the request.
+    pub pool: &'a PoolName,
+    /// Hash of the prompt prefix, if the request has one.
+    pub prefix: Option<u64>,
+    /// Upstreams that already refused or failed this request.
+    pub exclude: &'a [VmName],
+}
+
+/// Picks an upstream for each request of one entry.
+///
+/// Feed it the VM list and the catalog with [`Router::fleet_changed`], every load report with
+/// [`Router::report`], and the course of each attempt: [`Router::started`], then exactly one of
+/// [`Router::finished`], [`Router::refused`], [`Router::failed`] and [`Router::cancelled`].
+#[derive(Debug)]
+pub struct Router {
+    cfg: RouterConfig,
+    domain: DomainName,
+    distances: BTreeMap<DomainName, Duration>,
+    pools: BTreeMap<PoolName, PoolState>,
+    pool_of: BTreeMap<VmName, PoolName>,
+    synced: bool,
+}
+
+#[derive(Debug)]
+struct PoolState {
+    upstreams: BTreeMap<VmName, Upstream>,
+    others: Option<f64>,
+    prefixes: PrefixTable,
+}
+
+impl PoolState {
+    /// Average load by other entries, as a part of an upstream's limit.
+    fn average_others(&self) -> f64 {
+        self.others.unwrap_or(0.0)
+    }
+}
+
+/// An upstream that may get the request, with its weight in the draw.
+struct Candidate<'a> {
+    vm: &'a VmName,
+    upstream: &'a Upstream,
+    weight: f64,
+}
+
+impl Router {
+    /// A router for an entry in some failure domain; it knows no upstream yet.
+    #[must_use]
+    pub fn new(cfg: RouterConfig, domain: DomainName) -> Self {
+        Self {
+            cfg,
+            domain,
+            distances: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            pool_of: BTreeMap::new(),
+            synced: false,
+        }
+    }
+
+    /// Takes in the VM list and the catalog, both whole, whenever either changed.
+    ///
+    /// Upstreams that return to service, or are new to a router that has synced before, start
+    /// slowly.
+    pub fn fleet_changed(&mut self, now: Duration, list: &VmList, catalog: &Catalog) {
+        self.drop_missing(list);
+        for record in &list.vms {
+            if let VmRole::Upstream { pool } = &record.role {
+                self.sync_upstream(now, record, pool, catalog);
+            }
+        }
+        self.synced = self.synced || !list.vms.is_empty();
+    }
+
+    /// Sets the measured round trip to a failure domain.
+    pub fn set_distance(&mut self, domain: &DomainName, rtt: Duration) {
+        self.distances.insert(domain.clone(), rtt);
+    }
+
+    /// Takes in a load report, whichever way it came; an older one than the held is ignored.
+    pub fn report(&mut self, now: Duration, vm: &VmName, load: &LoadReport) {
+        let Some(pool) = self.pool_mut(vm) else {
+            return;
+        };
+        let Some(upstream) = pool.upstreams.get_mut(vm) else {
+            return;
+        };
+        if let Some(others) = upstream.note_report(now, load) {
+            let held = pool.others.unwrap_or(others);
+            pool.others = Some(held + OTHERS_SMOOTHING * (others - held));
+        }
+    }
+
+    /// Picks an upstream of a pool.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::NoUpstream`] if none is in service, [`RefusalReason::NoCapacity`] if all
+    /// seem full, are ejected or were excluded: let the request wait until an attempt ends.
+    pub fn pick(
+        &self,
+        now: Duration,
+        req: &PickRequest<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<VmName, RefusalReason> {
+        let picked = self.try_pick(now, req, rng);
+        if let Err(reason) = picked {
+            counter!("oriole_pick_refused_total", "reason" => reason.as_str()).increment(1);
+        }
+        picked
+    }
+
+    /// Notes that an attempt was sent.
+    pub fn started(&mut self, now: Duration, vm: &VmName, prefix: Option<u64>) {
+        let cfg = self.cfg.clone();
+        let Some(pool) = self.pool_mut(vm) else {
+            return;
+        };
+        if let Some(prefix) = prefix {
+            pool.prefixes.learn(now, prefix, vm);
+        }
+        let others = pool.average_others();
+        let Some(upstream) = pool.upstreams.get_mut(vm) else {
+            return;
+        };
+        if upstream.room(now, others, &cfg) < 1.0 {
+            upstream.probed = now;
+        }
+        upstream.own += 1;
+    }
+
+    /// Notes that an attempt gave its whole answer.
+    pub fn finished(
+        &mut self,
+        now: Duration,
+        vm: &VmName,
+        elapsed: Duration,
+        load: Option<&LoadReport>,
+    ) {
+        if let Some(upstream) = self.end_attempt(vm) {
+            upstream.health.succeeded();
+            upstream.note_service(elapsed);
+        }
+        self.report_if_any(now, vm, load);
+    }
+
+    /// Notes that the agent refused an attempt without running it.
+    pub fn refused(
+        &mut self,
+        now: Duration,
+        vm: &VmName,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        load: Option<&LoadReport>,
+    ) {
+        counter!("oriole_attempt_refused_total", "reason" => reason.as_str()).increment(1);
+        if matches!(
+            reason,
+            RefusalReason::AgentUnreachable | RefusalReason::UpstreamUnreachable
+        ) {
+            self.failed(now, vm, load);
+            return;
+        }
+        let hold = retry_after.unwrap_or(self.cfg.hold_after_refusal);
+        if let Some(upstream) = self.end_attempt(vm)
+            && is_about_upstream(reason)
+        {
+            upstream.hold_until = now + hold;
+        }
+        self.report_if_any(now, vm, load);
+    }
+
+    /// Notes that an attempt failed: the upstream or the way to it is at fault.
+    pub fn failed(&mut self, now: Duration, vm: &VmName, load: Option<&LoadReport>) {
+        let cfg = self.cfg.clone();
+        let may_eject = self.may_eject_another(now, vm);
+        if let Some(upstream) = self.end_attempt(vm)
+            && upstream.health.failed(now, &cfg)
+            && may_eject
+        {
+            let until = upstream.health.eject(now, &cfg);
+            upstream.ramp_from = Some(until);
+            counter!("oriole_upstream_ejected_total").increment(1);
+        }
+        self.report_if_any(now, vm, load);
+    }
+
+    /// Notes that an attempt was cancelled, or ended in a way that says nothing of the upstream.
+    pub fn cancelled(&mut self, vm: &VmName) {
+        self.end_attempt(vm);
+    }
+
+    /// Notes a cache event: the upstream holds the prefix, or holds it no more.
+    pub fn prefix_event(&mut self, now: Duration, vm: &VmName, prefix: u64, held: bool) {
+        let Some(pool) = self.pool_mut(vm) else {
+            return;
+        };
+        if held {
+            pool.prefixes.learn(now, prefix, vm);
+        } else {
+            pool.prefixes.forget(prefix, vm);
+        }
+    }
+
+    /// Notes whether an upstream that was taken for its prefix held it, as the answer told.
+    pub fn prefix_guessed(&mut self, vm: &VmName, right: bool) {
+        if let Some(pool) = self.pool_mut(vm) {
+            pool.prefixes.note_guess(right);
+        }
+    }
+
+    /// Whether an upstream may get new work now; use it where the upstream is given, as for the
+    /// home of an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// The reason that stands against it.
+    pub fn check(&self, now: Duration, vm: &VmName) -> Result<(), RefusalReason> {
+        let upstream = self.upstream(vm).ok_or(RefusalReason::NoUpstream)?;
+        if !upstream.in_service || upstream.is_leaving(now, &self.cfg) {
+            return Err(RefusalReason::Draining);
+        }
+        Ok(())
+    }
+
+    /// Requests of this entry that run at an upstream.
+    #[must_use]
+    pub fn in_flight(&self, vm: &VmName) -> u32 {
+        self.upstream(vm).map_or(0, |u| u.own)
+    }
+
+    /// What this entry believes a pool has left.
+    #[must_use]
+    pub fn capacity(&self, now: Duration, pool: &PoolName) -> PoolCapacity {
+        let mut capacity = PoolCapacity::default();
+        let Some(pool) = self.pools.get(pool) else {
+            return capacity;
+        };
+        for u in pool.upstreams.values() {
+            capacity.stated += u64::from(u.stated.warm);
+            if !u.in_service || u.is_leaving(now, &self.cfg) || u.health.is_ejected(now) {
+                continue;
+            }
+            capacity.upstreams += 1;
+            capacity.left += u64::from(u.limit());
+            capacity.in_flight += u.load(now, pool.average_others(), &self.cfg).round() as u64;
+        }
+        capacity
+    }
+
+    /// Names of the pools that have upstreams.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.pools.keys()
+    }
+
+    fn try_pick(
+        &self,
+        now: Duration,
+        req: &PickRequest<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<VmName, RefusalReason> {
+        let pool = self.pools.get(req.pool).ok_or(RefusalReason::NoUpstream)?;
+        let candidates = self.candidates(now, pool, req);
+        if candidates.is_empty() {
+            return Err(self.why_none(now, pool));
+        }
+        let first = draw(&candidates, None, rng);
+        let second = draw(&candidates, Some(first), rng);
+        let holder = req
+            .prefix
+            .and_then(|p| best_holder(&candidates, &pool.prefixes, p));
+        let best = [Some(first), Some(second), holder]
+            .into_iter()
+            .flatten()
+            .map(|i| &candidates[i])
+            .min_by(|a, b| {
+                let a = self.expected_finish(now, pool, a, req.prefix);
+                let b = self.expected_finish(now, pool, b, req.prefix);
+                a.total_cmp(&b)
+            });
+        best.map(|c| c.vm.clone()).ok_or(RefusalReason::NoCapacity)
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now: Duration,
+        pool: &'a PoolState,
+        req: &PickRequest<'_>,
+    ) -> Vec<Candidate<'a>> {
+        pool.upstreams
+            .iter()
+            .filter(|(vm, u)| self.is_usable(now, u) && !req.exclude.contains(vm))
+            .filter_map(|(vm, upstream)| {
+                let room = upstream.room(now, pool.average_others(), &self.cfg);
+                let open = room >= 1.0 || upstream.may_probe(now, &self.cfg);
+                let weight = room.max(MIN_DRAW_WEIGHT)
+                    * upstream.ramp(now, &self.cfg).max(MIN_DRAW_WEIGHT)
+                    * self.near_bias(upstream);
+                open.then_some(Candidate {
+                    vm,
+                    upstream,
+                    weight,
+                })
+            })
+            .collect()
+    }
+
+    fn is_usable(&self, now: Duration, upstream: &Upstream) -> bool {
+        upstream.in_service
+            && !upstream.is_leaving(now, &self.cfg)
+            && !upstream.health.is_ejected(now)
+            && now >= upstream.hold_until
+    }
+
+    fn why_none(&self, now: Duration, pool: &PoolState) -> RefusalReason {
+        let any_in_service = pool
+            .upstreams
+            .values()
+            .any(|u| u.in_service && !u.is_leaving(now, &self.cfg));
+        if any_in_service {
+            RefusalReason::NoCapacity
+        } else {
+            RefusalReason::NoUpstream
+        }
+    }
+
+    /// Near upstreams are drawn more often, as far as the round trip counts beside the service
+    /// time. Room is in the weight too, so that work spills over as the near ones fill.
+    fn near_bias(&self, upstream: &Upstream) -> f64 {
+        let rtt = self.distance(&upstream.domain).as_secs_f64();
+        let service = upstream.service(&self.cfg).as_secs_f64().max(1e-6);
+        1.0 / (1.0 + NEAR_BIAS * rtt / service)
+    }
+
+    /// Seconds until the whole answer is expected. A failing upstream costs a second attempt.
+    fn expected_finish(
+        &self,
+        now: Duration,
+        pool: &PoolState,
+        candidate: &Candidate<'_>,
+        prefix: Option<u64>,
+    ) -> f64 {
+        let upstream = candidate.upstream;
+        let limit = f64::from(upstream.limit());
+        let load = upstream.load(now, pool.average_others(), &self.cfg);
+        let service = upstream.service(&self.cfg).as_secs_f64();
+        let crowding = CROWDING * (load / limit).min(1.0);
+        let waiting = (load + 1.0 - limit).max(0.0) / limit;
+        let chance = prefix.map_or(0.0, |p| pool.prefixes.chance(now, p, candidate.vm));
+        let saving = self.cfg.prefix_saving * chance;
+        let failing = upstream.health.failure_share();
+        let rtt = self.distance(&upstream.domain).as_secs_f64();
+        rtt + service * (1.0 + crowding + waiting + failing - saving)
+    }
+
+    fn distance(&self, domain: &DomainName) -> Duration {
+        if *domain == self.domain {
+            return Duration::ZERO;
+        }
+        self.distances
+            .get(domain)
+            .copied()
+            .unwrap_or(self.cfg.cross_domain_rtt)
+    }
+
+    fn drop_missing(&mut self, list: &VmList) {
+        let pool_in_list = |vm: &VmName| {
+            let record = list.vms.iter().find(|r| r.name == *vm)?;
+            match &record.role {
+                VmRole::Upstream { pool } => Some(pool),
+                VmRole::Entry => None,
+            }
+        };
+        let gone: Vec<VmName> = self
+            .pool_of
+            .iter()
+            .filter(|(vm, pool)| pool_in_list(vm) != Some(*pool))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in gone {
+            if let Some(pool) = self.pool_mut(&vm) {
+                pool.upstreams.remove(&vm);
+                pool.prefixes.forget_upstream(&vm);
+            }
+            self.pool_of.remove(&vm);
+        }
+    }
+
+    fn sync_upstream(
+        &mut self,
+        now: Duration,
+        record: &VmRecord,
+        pool_name: &PoolName,
+        catalog: &Catalog,
+    ) {
+        let Some(stated) = catalog.pools.get(pool_name) else {
+            return;
+        };
+        let stated = StatedCapacity {
+            cold: stated.cold_concurrency,
+            warm: stated.warm_concurrency,
+        };
+        let in_service =
+            record.state == VmState::Live && catalog.takes_work(&record.name, &record.domain);
+        let (cfg, synced) = (&self.cfg, self.synced);
+        let pool = self
+            .pools
+            .entry(pool_name.clone())
+            .or_insert_with(|| PoolState {
+                upstreams: BTreeMap::new(),
+                others: None,
+                prefixes: PrefixTable::new(cfg.prefixes_per_pool, cfg.prefix_half_life),
+            });
+        let upstream = pool
+            .upstreams
+            .entry(record.name.clone())
+            .or_insert_with(|| Upstream::new(record.domain.clone(), stated));
+        upstream.domain = record.domain.clone();
+        upstream.stated = stated;
+        if in_service && !upstream.in_service && synced {
+            upstream.restart(now);
+        }
+        upstream.in_service = in_service;
+        self.pool_of.insert(record.name.clone(), pool_name.clone());
+    }
+
+    fn may_eject_another(&self, now: Duration, vm: &VmName) -> bool {
+        let Some(pool) = self.pool_of.get(vm).and_then(|p| self.pools.get(p)) else {
+            return false;
+        };
+        let in_service = pool.upstreams.values().filter(|u| u.in_service).count();
+        let ejected = pool
+            .upstreams
+            .values()
+            .filter(|u| u.health.is_ejected(now))
+            .count();
+        (ejected + 1) as f64 <= in_service as f64 * self.cfg.max_ejected_share
+    }
+
+    fn end_attempt(&mut self, vm: &VmName) -> Option<&mut Upstream> {
+        let upstream = self.pool_mut(vm)?.upstreams.get_mut(vm)?;
+        upstream.own = upstream.own.saturating_sub(1);
+        Some(upstream)
+    }
+
+    fn report_if_any(&mut self, now: Duration, vm: &VmName, load: Option<&LoadReport>) {
+        if let Some(load) = load {
+            self.report(now, vm, load);
+        }
+    }
+
+    fn pool_mut(&mut self, vm: &VmName) -> Option<&mut PoolState> {
+        let pool = self.pool_of.get(vm)?;
+        self.pools.get_mut(pool)
+    }
+
+    fn upstream(&self, vm: &VmName) -> Option<&Upstream> {
+        self.pools.get(self.pool_of.get(vm)?)?.upstreams.get(vm)
+    }
+}
+
+/// Whether a refusal says something about the upstream rather than about the request.
+fn is_about_upstream(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::UpstreamFull
+            | RefusalReason::UpstreamCold
+            | RefusalReason::NoCapacity
+            | RefusalReason::QueueFull
+            | RefusalReason::Draining
+            | RefusalReason::AgentStarting
+            | RefusalReason::NoConfiguration
+    )
+}
+
+/// Draws a candidate by weight, leaving one out if there is another.
+fn draw(candidates: &[Candidate<'_>], leave_out: Option<usize>, rng: &mut impl Rng) -> usize {
+    let leave_out = leave_out.filter(|_| candidates.len() > 1);
+    let weight = |i: usize| {
+        if Some(i) == leave_out {
+            0.0
+        } else {
+            candidates[i].weight
+        }
+    };
+    let total: f64 = (0..candidates.len()).map(weight).sum();
+    let mut point = rng.random::<f64>() * total;
+    for i in 0..candidates.len() {
+        point -= weight(i);
+        if point < 0.0 {
+            return i;
+        }
+    }
+    let last = candidates.len() - 1;
+    if Some(last) == leave_out {
+        last - 1
+    } else {
+        last
+    }
+}
+
+/// The candidate that was seen last with a prefix.
+fn best_holder(candidates: &[Candidate<'_>], prefixes: &PrefixTable, prefix: u64) -> Option<usize> {
+    prefixes
+        .holders(prefix)
+        .find_map(|vm| candidates.iter().position(|c| c.vm == vm))
+}
--- /dev/null
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -0,0 +1,180 @@
+//! What an entry knows of one upstream and the estimates it draws from that.
+
+use std::time::Duration;
+
+use oriole_types::prelude::*;
+
+use super::config::RouterConfig;
+use super::health::Health;
+
+/// Weight of the newest service time measured by the entry itself.
+const SERVICE_SMOOTHING: f64 = 0.2;
+
+/// Capacity of an upstream as the catalog states it for the upstream's pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedCapacity {
+    /// Requests in flight it bears in cold start.
+    pub cold: u32,
+    /// Requests in flight it bears warm.
+    pub warm: u32,
+}
+
+/// One upstream as one entry knows it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Failure domain it lies in.
+    pub domain: DomainName,
+    /// What the catalog says it bears.
+    pub stated: StatedCapacity,
+    /// Whether list and catalog let it take new work.
+    pub in_service: bool,
+    /// Requests of this entry that run there.
+    pub own: u32,
+    /// Failures seen.
+    pub health: Health,
+    /// Time until which it gets nothing after a refusal.
+    pub hold_until: Duration,
+    /// Start of its slow start, if it has not passed.
+    pub ramp_from: Option<Duration>,
+    /// Last time it was tried although it seemed full.
+    pub probed: Duration,
+    report: Option<Report>,
+    measured_service: Option<Duration>,
+}
+
+/// The newest load report and when it was made, by this entry's clock.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: LoadReport,
+    made: Duration,
+    others: f64,
+}
+
+impl Upstream {
+    /// An upstream of which nothing is known yet.
+    #[must_use]
+    pub fn new(domain: DomainName, stated: StatedCapacity) -> Self {
+        Self {
+            domain,
+            stated,
+            in_service: false,
+            own: 0,
+            health: Health::default(),
+            hold_until: Duration::ZERO,
+            ramp_from: None,
+            probed: Duration::ZERO,
+            report: None,
+            measured_service: None,
+        }
+    }
+
+    /// Takes in a load report, unless a newer one is held; returns the load others put on the
+    /// upstream as a part of its limit.
+    pub fn note_report(&mut self, now: Duration, load: &LoadReport) -> Option<f64> {
+        let made = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
+        if self.report.is_some_and(|r| r.made > made) {
+            return None;
+        }
+        let total = f64::from(load.in_flight) + f64::from(load.queued);
+        let others = (total - f64::from(self.own)).max(0.0);
+        self.report = Some(Report {
+            load: *load,
+            made,
+            others,
+        });
+        Some(others / f64::from(load.limit.max(1)))
+    }
+
+    /// Notes how long a whole answer took.
+    pub fn note_service(&mut self, elapsed: Duration) {
+        let smoothed = self.measured_service.map_or(elapsed, |held| {
+            held.mul_f64(1.0 - SERVICE_SMOOTHING) + elapsed.mul_f64(SERVICE_SMOOTHING)
+        });
+        self.measured_service = Some(smoothed);
+    }
+
+    /// Starts over after the upstream was away: what it said before counts no more.
+    pub fn restart(&mut self, now: Duration) {
+        self.report = None;
+        self.health = Health::default();
+        self.hold_until = now;
+        self.ramp_from = Some(now);
+    }
+
+    /// Whether the agent said that it takes no new work, not too long ago.
+    #[must_use]
+    pub fn is_leaving(&self, now: Duration, cfg: &RouterConfig) -> bool {
+        self.report
+            .is_some_and(|r| r.load.leaving && now.saturating_sub(r.made) < cfg.leaving_ttl)
+    }
+
+    /// Most requests in flight that the upstream admits, as far as is known.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        let said = self.report.map(|r| r.load.limit);
+        said.unwrap_or(self.stated.cold)
+            .clamp(1, self.stated.warm.max(1))
+    }
+
+    /// Requests believed at the upstream: this entry's own and those of others, of which the
+    /// belief fades to the average over the pool as the report ages.
+    #[must_use]
+    pub fn load(&self, now: Duration, pool_others: f64, cfg: &RouterConfig) -> f64 {
+        let average = pool_others * f64::from(self.limit());
+        let others = self.report.map_or(average, |r| {
+            let age = now.saturating_sub(r.made).as_secs_f64();
+            let belief = (-age / cfg.load_half_life.as_secs_f64()).exp2();
+            r.others * belief + average * (1.0 - belief)
+        });
+        f64::from(self.own) + others
+    }
+
+    /// Requests that this entry may still send: by capacity and by slow start.
+    #[must_use]
+    pub fn room(&self, now: Duration, pool_others: f64, cfg: &RouterConfig) -> f64 {
+        let limit = f64::from(self.limit());
+        let by_load = limit - self.load(now, pool_others, cfg);
+        by_load.min(self.own_cap(now, cfg) - f64::from(self.own))
+    }
+
+    /// Whether a full-looking upstream may be tried, because nothing fresh is known of it and
+    /// nothing of this entry's runs there that would bring news.
+    #[must_use]
+    pub fn may_probe(&self, now: Duration, cfg: &RouterConfig) -> bool {
+        let news = self.report.map_or(Duration::ZERO, |r| r.made);
+        let last = news.max(self.probed);
+        self.own == 0 && now.saturating_sub(last) >= cfg.probe_after
+    }
+
+    /// Part of its full share that the upstream gets during slow start, between 0 and 1.
+    #[must_use]
+    pub fn ramp(&self, now: Duration, cfg: &RouterConfig) -> f64 {
+        self.ramp_from.map_or(1.0, |from| {
+            let elapsed = now.saturating_sub(from).as_secs_f64();
+            (elapsed / cfg.slow_start.as_secs_f64()).min(1.0)
+        })
+    }
+
+    /// Smoothed service time.
+    #[must_use]
+    pub fn service(&self, cfg: &RouterConfig) -> Duration {
+        let said = self.report.map(|r| r.load.service_ms).filter(|ms| *ms > 0);
+        let said = said.map(|ms| Duration::from_millis(ms.into()));
+        said.or(self.measured_service)
+            .unwrap_or(cfg.assumed_service)
+    }
+
+    /// Whether the upstream said that it is in cold start.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.report.is_some_and(|r| r.load.cold)
+    }
+
+    /// Most requests that this entry alone may have running there.
+    fn own_cap(&self, now: Duration, cfg: &RouterConfig) -> f64 {
+        if self.health.on_probation() {
+            return 1.0;
+        }
+        (f64::from(self.limit()) * self.ramp(now, cfg)).max(1.0)
+    }
+}
