Add stand-ins for engines, plain services, the VM list and the faults of an outside driver

Cause: the path from a caller to an upstream needs something to end at, and tests need an oracle of executions and of load while cold.

Change: engine (streams, resume, cancel, slots by priority, prefix cache, cold start, orders with or without a check of fencing numbers, lagging load), plain service with a shared ledger, lagging VM list, and the control address with ledger, upstreams and faults. Each runs on an ephemeral loopback port; a crash resets all connections and ends what the process ran.

--- /dev/null
+++ b/crates/oriole_standins/src/engine/mod.rs
@@ -0,0 +1,196 @@
+//! A model engine: streams tokens from a batch with slots, and obeys orders.
+//!
+//! - `POST /v1/generate` streams one JSON line a token and a closing line.
+//! - `POST /v1/cancel` ends a request; its slot is free when the answer arrives.
+//! - `POST /v1/order` carries an order with a fencing number.
+//! - `GET /v1/load` gives a load report that lags.
+
+mod generate;
+mod load;
+mod orders;
+mod prefix;
+mod slots;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+pub use self::generate::{CancelRequest, Generate, StreamLine, token};
+pub use self::load::EngineLoad;
+pub use self::orders::{ObeyedOrder, Order, OrderAnswer, OrderRequest};
+
+use self::generate::Run;
+use self::load::LaggingLoad;
+use self::orders::Orders;
+use self::prefix::PrefixCache;
+use self::slots::Slots;
+use crate::server::{self, Body, Cut, Handler, HttpServer};
+use crate::vitals::{UpstreamView, Vitals, VitalsConfig, VitalsState};
+
+/// How an engine works.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Name, states and warm-up.
+    pub vitals: VitalsConfig,
+    /// Requests that generate at once; more wait inside the engine, most urgent first.
+    pub slots: u32,
+    /// Time to the first token of a prompt whose prefix is not cached, while warm.
+    pub prefill_time: Duration,
+    /// Time of one token while warm.
+    pub token_time: Duration,
+    /// Tokens that are sent as one chunk.
+    pub tokens_per_chunk: u32,
+    /// Prefixes that the cache holds.
+    pub prefix_cache: usize,
+    /// Age of load reports.
+    pub report_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            vitals: VitalsConfig::default(),
+            slots: 16,
+            prefill_time: Duration::from_millis(20),
+            token_time: Duration::from_millis(5),
+            tokens_per_chunk: 1,
+            prefix_cache: 256,
+            report_lag: Duration::from_millis(200),
+            checks_fencing: true,
+        }
+    }
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    server: HttpServer,
+    core: Arc<Core>,
+}
+
+impl Engine {
+    /// Starts an engine on an ephemeral loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn bind(cfg: EngineConfig) -> io::Result<Self> {
+        let cut = Cut::default();
+        let vitals = Vitals::new(cfg.vitals.clone(), cut.clone());
+        let core = Arc::new(Core {
+            slots: Slots::new(cfg.slots),
+            prefix: Mutex::new(PrefixCache::new(cfg.prefix_cache)),
+            orders: Mutex::new(Orders::new(cfg.checks_fencing)),
+            load: Mutex::new(LaggingLoad::new(cfg.report_lag)),
+            runs: Mutex::default(),
+            vitals,
+            cfg,
+        });
+        let server = HttpServer::bind(core.clone(), cut).await?;
+        Ok(Self { server, core })
+    }
+
+    /// Address it listens at.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Puts it into a state.
+    pub fn set_state(&self, state: VitalsState) {
+        self.core.vitals.set_state(state);
+    }
+
+    /// Counters and state.
+    #[must_use]
+    pub fn view(&self) -> UpstreamView {
+        self.core.vitals.view()
+    }
+
+    /// Orders it obeyed, oldest first.
+    #[must_use]
+    pub fn orders_obeyed(&self) -> Vec<ObeyedOrder> {
+        lock(&self.core.orders).obeyed().to_vec()
+    }
+
+    /// Stops it.
+    pub async fn shutdown(&self) {
+        self.server.shutdown().await;
+    }
+}
+
+/// Parts of an engine that its requests share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    cfg: EngineConfig,
+    vitals: Vitals,
+    slots: Slots,
+    prefix: Mutex<PrefixCache>,
+    orders: Mutex<Orders>,
+    load: Mutex<LaggingLoad>,
+    runs: Mutex<HashMap<(u64, u32), Arc<Run>>>,
+}
+
+#[async_trait]
+impl Handler for Core {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        let (head, body) = req.into_parts();
+        if (&head.method, head.uri.path()) == (&Method::GET, "/v1/load") {
+            return self.load();
+        }
+        let Some(body) = server::read_body(body).await else {
+            return server::error(StatusCode::BAD_REQUEST, "the body cannot be read");
+        };
+        match (&head.method, head.uri.path()) {
+            (&Method::POST, "/v1/generate") => self.generate(&body).await,
+            (&Method::POST, "/v1/cancel") => self.cancel(&body),
+            (&Method::POST, "/v1/order") => self.order(&body),
+            _ => server::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Core {
+    fn load(&self) -> Response<Body> {
+        let view = self.vitals.view();
+        let report = lock(&self.load).report(&view, self.slots.waiting());
+        server::json(StatusCode::OK, &report)
+    }
+
+    fn cancel(&self, body: &[u8]) -> Response<Body> {
+        let Ok(req) = serde_json::from_slice::<CancelRequest>(body) else {
+            return server::error(StatusCode::BAD_REQUEST, "the body is no cancel request");
+        };
+        let run = lock(&self.runs).remove(&(req.request_id, req.attempt));
+        let found = run.is_some();
+        if let Some(run) = run {
+            run.cancel();
+        }
+        server::json(StatusCode::OK, &serde_json::json!({ "cancelled": found }))
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let Ok(req) = serde_json::from_slice::<OrderRequest>(body) else {
+            return server::error(StatusCode::BAD_REQUEST, "the body is no order");
+        };
+        let answer = lock(&self.orders).give(req);
+        let status = if answer.obeyed {
+            StatusCode::OK
+        } else {
+            StatusCode::CONFLICT
+        };
+        server::json(status, &answer)
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/oriole_standins/src/engine/slots.rs
@@ -0,0 +1,95 @@
+//! Slots of the batch: who generates, and who waits inside the engine.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use oriole_types::catalog::Priority;
+use tokio::sync::oneshot;
+
+use super::lock;
+
+/// Slots shared by the requests of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Slots {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    free: u32,
+    next: u64,
+    waiting: BTreeMap<(Priority, u64), oneshot::Sender<Slot>>,
+}
+
+/// A slot that is held; dropping it hands it to the most urgent waiter.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    inner: Option<Arc<Mutex<Inner>>>,
+}
+
+impl Slots {
+    pub(crate) fn new(slots: u32) -> Self {
+        let inner = Inner {
+            free: slots,
+            next: 0,
+            waiting: BTreeMap::new(),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// Requests that wait for a slot.
+    pub(crate) fn waiting(&self) -> u32 {
+        let mut inner = lock(&self.inner);
+        inner.waiting.retain(|_, tx| !tx.is_closed());
+        inner.waiting.len() as u32
+    }
+
+    /// Takes a slot, in order of priority and arrival.
+    pub(crate) async fn take(&self, priority: Priority) -> Option<Slot> {
+        let rx = {
+            let mut inner = lock(&self.inner);
+            if inner.free > 0 {
+                inner.free -= 1;
+                return Some(self.slot());
+            }
+            let (tx, rx) = oneshot::channel();
+            inner.next += 1;
+            let place = (priority, inner.next);
+            inner.waiting.insert(place, tx);
+            rx
+        };
+        rx.await.ok()
+    }
+
+    fn slot(&self) -> Slot {
+        Slot {
+            inner: Some(self.inner.clone()),
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let Some(inner) = self.inner.take() else {
+            return;
+        };
+        loop {
+            let mut guard = lock(&inner);
+            let Some((_, tx)) = guard.waiting.pop_first() else {
+                guard.free += 1;
+                return;
+            };
+            drop(guard);
+            let slot = Slot {
+                inner: Some(inner.clone()),
+            };
+            match tx.send(slot) {
+                Ok(()) => return,
+                // The waiter left: take the slot back without handing it on twice.
+                Err(mut slot) => slot.inner = None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_standins/src/faults.rs
@@ -0,0 +1,237 @@
+//! The control address of an outside driver: the ledger, the upstreams, and faults on demand.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriole_types::ids::VmName;
+use oriole_types::value_type;
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::Ledger;
+use crate::server::{self, Body, Cut, Handler, HttpServer};
+use crate::vitals::{UpstreamView, VitalsState};
+
+value_type! {
+    /// What the store does.
+    pub enum StoreFault {
+        /// Works.
+        Up,
+        /// Refuses every call.
+        Down,
+        /// Answers late.
+        Slow,
+        /// Carries out writes and loses their answers.
+        LoseAnswers,
+    }
+}
+
+value_type! {
+    /// What happens to an entry daemon.
+    pub enum EntryFault {
+        /// Ends at once, without a shutdown.
+        Kill,
+        /// Starts anew at the same address.
+        Restart,
+    }
+}
+
+value_type! {
+    /// What happens to an agent.
+    pub enum AgentFault {
+        /// Ends at once, without a shutdown.
+        Kill,
+        /// Starts anew at the same address.
+        Restart,
+        /// Stops for a while and goes on as if nothing had happened.
+        Pause,
+    }
+}
+
+/// One fault as the driver asks for it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Fault {
+    /// `{"store":"up|down|slow|lose_answers"}`
+    Store(StoreCommand),
+    /// `{"upstream":"NAME","state":"ok|cold|stall|crash"}`
+    Upstream(UpstreamCommand),
+    /// `{"entry":"ip:port","state":"kill|restart"}`
+    Entry(EntryCommand),
+    /// `{"agent":"NAME","state":"kill|restart|pause"}`
+    Agent(AgentCommand),
+}
+
+oriole_types::domain_type! {
+    /// Puts the store into a state.
+    pub struct StoreCommand {
+        /// What the store does from now on.
+        pub store: StoreFault,
+    }
+}
+
+oriole_types::domain_type! {
+    /// Puts an upstream into a state.
+    pub struct UpstreamCommand {
+        /// Name of the upstream.
+        pub upstream: VmName,
+        /// State it enters.
+        pub state: VitalsState,
+    }
+}
+
+oriole_types::domain_type! {
+    /// Kills or restarts an entry.
+    pub struct EntryCommand {
+        /// Callers' address of the entry.
+        pub entry: SocketAddr,
+        /// What happens to it.
+        pub state: EntryFault,
+    }
+}
+
+oriole_types::domain_type! {
+    /// Kills, restarts or pauses an agent.
+    pub struct AgentCommand {
+        /// Name of the agent's VM.
+        pub agent: VmName,
+        /// What happens to it.
+        pub state: AgentFault,
+    }
+}
+
+/// Why a fault was not carried out.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FaultError {
+    /// There is no such upstream, entry or agent.
+    #[error("no {kind} {name:?}")]
+    Unknown {
+        /// Kind of thing.
+        kind: &'static str,
+        /// Name that was asked for.
+        name: String,
+    },
+    /// The thing is not in a state that allows the fault.
+    #[error("{0}")]
+    Refused(String),
+}
+
+/// What carries out faults.
+#[async_trait]
+pub trait Faults: Send + Sync + 'static {
+    /// Puts the store into a state.
+    async fn store(&self, fault: StoreFault) -> Result<(), FaultError>;
+
+    /// Puts an upstream into a state.
+    async fn upstream(&self, name: &VmName, state: VitalsState) -> Result<(), FaultError>;
+
+    /// Kills or restarts an entry.
+    async fn entry(&self, addr: SocketAddr, fault: EntryFault) -> Result<(), FaultError>;
+
+    /// Kills, restarts or pauses an agent.
+    async fn agent(&self, name: &VmName, fault: AgentFault) -> Result<(), FaultError>;
+
+    /// All upstreams.
+    fn upstreams(&self) -> Vec<UpstreamView>;
+}
+
+/// Text of the answer to a body that is no fault.
+const USAGE: &str = "expected one of {\"store\":\"up|down|slow|lose_answers\"}, \
+    {\"upstream\":\"NAME\",\"state\":\"ok|cold|stall|crash\"}, \
+    {\"entry\":\"ip:port\",\"state\":\"kill|restart\"}, \
+    {\"agent\":\"NAME\",\"state\":\"kill|restart|pause\"}";
+
+/// The running control address.
+#[derive(Debug)]
+pub struct ControlServer {
+    server: HttpServer,
+}
+
+impl ControlServer {
+    /// Starts it on an ephemeral loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn bind(ledger: Ledger, faults: Arc<dyn Faults>) -> io::Result<Self> {
+        let core = Arc::new(Core { ledger, faults });
+        let server = HttpServer::bind(core, Cut::default()).await?;
+        Ok(Self { server })
+    }
+
+    /// Address it listens at.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Stops it.
+    pub async fn shutdown(&self) {
+        self.server.shutdown().await;
+    }
+}
+
+struct Core {
+    ledger: Ledger,
+    faults: Arc<dyn Faults>,
+}
+
+#[async_trait]
+impl Handler for Core {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/ledger") => self.ledger(),
+            (&Method::GET, "/upstreams") => self.upstreams(),
+            (&Method::POST, "/faults") => self.fault(req).await,
+            (_, "/ledger" | "/upstreams" | "/faults") => {
+                server::error(StatusCode::METHOD_NOT_ALLOWED, "wrong method")
+            }
+            _ => server::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Core {
+    fn ledger(&self) -> Response<Body> {
+        #[derive(Serialize)]
+        struct LedgerBody {
+            runs: std::collections::BTreeMap<String, u64>,
+        }
+        let runs = self.ledger.runs();
+        server::json(StatusCode::OK, &LedgerBody { runs })
+    }
+
+    fn upstreams(&self) -> Response<Body> {
+        #[derive(Serialize)]
+        struct UpstreamsBody {
+            upstreams: Vec<UpstreamView>,
+        }
+        let upstreams = self.faults.upstreams();
+        server::json(StatusCode::OK, &UpstreamsBody { upstreams })
+    }
+
+    async fn fault(&self, req: Request<Incoming>) -> Response<Body> {
+        let Some(body) = server::read_body(req.into_body()).await else {
+            return server::error(StatusCode::BAD_REQUEST, "the body cannot be read");
+        };
+        let Ok(fault) = serde_json::from_slice::<Fault>(&body) else {
+            return server::error(StatusCode::BAD_REQUEST, USAGE);
+        };
+        match self.carry_out(fault).await {
+            Ok(()) => server::json(StatusCode::OK, &serde_json::json!({"done": true})),
+            Err(e) => server::error(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+    }
+
+    async fn carry_out(&self, fault: Fault) -> Result<(), FaultError> {
+        match fault {
+            Fault::Store(cmd) => self.faults.store(cmd.store).await,
+            Fault::Upstream(cmd) => self.faults.upstream(&cmd.upstream, cmd.state).await,
+            Fault::Entry(cmd) => self.faults.entry(cmd.entry, cmd.state).await,
+            Fault::Agent(cmd) => self.faults.agent(&cmd.agent, cmd.state).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_standins/src/ledger.rs
@@ -0,0 +1,41 @@
+//! Count of executions per idempotency key, shared by all plain services: the oracle of
+//! at-most-once tests.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Shared count of executions. Clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    runs: Arc<Mutex<BTreeMap<String, u64>>>,
+}
+
+impl Ledger {
+    /// Counts one execution and returns how many the key has had.
+    pub fn record(&self, key: &str) -> u64 {
+        let mut runs = self.lock();
+        let n = runs.entry(key.to_owned()).or_default();
+        *n += 1;
+        *n
+    }
+
+    /// Executions per key.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.lock().clone()
+    }
+
+    /// Keys that were executed more than once.
+    #[must_use]
+    pub fn doubled(&self) -> Vec<String> {
+        let runs = self.lock();
+        runs.iter()
+            .filter(|(_, n)| **n > 1)
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u64>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/oriole_standins/src/service.rs
@@ -0,0 +1,180 @@
+//! A plain service: one request, one answer, and a ledger that counts each execution.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriole_types::digest::Digest;
+use oriole_types::domain_type;
+use oriole_types::fleet::LoadReport;
+
+use crate::ledger::Ledger;
+use crate::server::{self, Body, Cut, Handler, HttpServer};
+use crate::vitals::{Running, UpstreamView, Vitals, VitalsConfig, VitalsState};
+
+/// How a plain service works.
+#[derive(Clone, Debug)]
+pub struct ServiceConfig {
+    /// Name, states and warm-up.
+    pub vitals: VitalsConfig,
+    /// Time one request takes while warm.
+    pub service_time: Duration,
+}
+
+impl Default for ServiceConfig {
+    fn default() -> Self {
+        Self {
+            vitals: VitalsConfig::default(),
+            service_time: Duration::from_millis(2),
+        }
+    }
+}
+
+domain_type! {
+    /// Answer of `POST /v1/run`.
+    pub struct RunAnswer {
+        /// Idempotency key of the request; empty if it had none.
+        pub key: String,
+        /// How many executions the key has had, this one included.
+        pub run: u64,
+        /// Digest of the body that was run, so that a caller knows its own answer.
+        pub body_digest: Digest,
+    }
+}
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct Service {
+    server: HttpServer,
+    vitals: Vitals,
+}
+
+impl Service {
+    /// Starts a service on an ephemeral loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn bind(cfg: ServiceConfig, ledger: Ledger) -> io::Result<Self> {
+        let cut = Cut::default();
+        let vitals = Vitals::new(cfg.vitals, cut.clone());
+        let core = Core {
+            vitals: vitals.clone(),
+            service_time: cfg.service_time,
+            ledger,
+        };
+        let server = HttpServer::bind(Arc::new(core), cut).await?;
+        Ok(Self { server, vitals })
+    }
+
+    /// Address it listens at.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Puts it into a state.
+    pub fn set_state(&self, state: VitalsState) {
+        self.vitals.set_state(state);
+    }
+
+    /// Counters and state.
+    #[must_use]
+    pub fn view(&self) -> UpstreamView {
+        self.vitals.view()
+    }
+
+    /// Stops it.
+    pub async fn shutdown(&self) {
+        self.server.shutdown().await;
+    }
+}
+
+struct Core {
+    vitals: Vitals,
+    service_time: Duration,
+    ledger: Ledger,
+}
+
+#[async_trait]
+impl Handler for Core {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/v1/run") => self.run(req).await,
+            (&Method::GET, "/v1/load") => self.load(),
+            _ => server::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Core {
+    async fn run(&self, req: Request<Incoming>) -> Response<Body> {
+        let key = header(&req, "idempotency-key");
+        let Some(body) = server::read_body(req.into_body()).await else {
+            return server::error(StatusCode::BAD_REQUEST, "the body cannot be read");
+        };
+        if serde_json::from_slice::<serde_json::Value>(&body).is_err() {
+            return server::error(StatusCode::BAD_REQUEST, "the body is not JSON");
+        }
+        let Ok(running) = self.vitals.begin(&String::from_utf8_lossy(&body)) else {
+            return server::no_answer().await;
+        };
+        let crashed = running.crashed();
+        let answer = self.execute(running, key, Digest::of(&body));
+        // What has begun goes on even if the client leaves, but not beyond the end of the process.
+        let run = tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                () = crashed => None,
+                answer = answer => Some(answer),
+            }
+        });
+        match run.await.ok().flatten() {
+            Some(answer) => server::json(StatusCode::OK, &answer),
+            None => server::no_answer().await,
+        }
+    }
+
+    fn execute(
+        &self,
+        mut running: Running,
+        key: String,
+        body_digest: Digest,
+    ) -> impl Future<Output = RunAnswer> + Send + 'static {
+        let vitals = self.vitals.clone();
+        let ledger = self.ledger.clone();
+        let time = self.service_time;
+        async move {
+            vitals.unstalled().await;
+            let run = ledger.record(&key);
+            tokio::time::sleep(time * vitals.slowdown()).await;
+            vitals.unstalled().await;
+            running.complete();
+            RunAnswer {
+                key,
+                run,
+                body_digest,
+            }
+        }
+    }
+
+    fn load(&self) -> Response<Body> {
+        let view = self.vitals.view();
+        let report = LoadReport {
+            in_flight: view.in_flight,
+            cold: view.state == VitalsState::Cold,
+            service_ms: self.service_time.as_millis() as u32,
+            ..LoadReport::default()
+        };
+        server::json(StatusCode::OK, &report)
+    }
+}
+
+fn header(req: &Request<Incoming>, name: &str) -> String {
+    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/oriole_standins/src/vm_list.rs
@@ -0,0 +1,145 @@
+//! The platform's VM list, which shows changes with a lag.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriole_types::fleet::{VmList, VmRecord, VmState};
+use oriole_types::ids::VmName;
+use tokio::time::Instant;
+
+use crate::server::{self, Body, Cut, Handler, HttpServer};
+
+/// How the VM list behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct VmListConfig {
+    /// Time from a change to the list that shows it.
+    pub lag: Duration,
+}
+
+impl Default for VmListConfig {
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_millis(500),
+        }
+    }
+}
+
+/// A running VM list.
+#[derive(Debug)]
+pub struct VmListServer {
+    server: HttpServer,
+    core: Arc<Core>,
+}
+
+impl VmListServer {
+    /// Starts the list with some VMs, shown at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn bind(cfg: VmListConfig, vms: Vec<VmRecord>) -> io::Result<Self> {
+        let core = Arc::new(Core {
+            lag: cfg.lag,
+            versions: Mutex::new(VecDeque::from([Version {
+                since: Instant::now(),
+                list: list(1, vms),
+            }])),
+        });
+        // The first list is shown without a lag, since the fleet was there before the list was read.
+        let server = HttpServer::bind(core.clone(), Cut::default()).await?;
+        Ok(Self { server, core })
+    }
+
+    /// Address it listens at.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the VMs; readers see it after the lag.
+    pub fn set(&self, vms: Vec<VmRecord>) {
+        self.core.change(|list| *list = vms);
+    }
+
+    /// Marks a VM as live or leaving; readers see it after the lag.
+    pub fn set_vm_state(&self, name: &VmName, state: VmState) {
+        self.core.change(|list| {
+            for vm in list.iter_mut().filter(|vm| vm.name == *name) {
+                vm.state = state;
+            }
+        });
+    }
+
+    /// The newest list, without the lag.
+    #[must_use]
+    pub fn newest(&self) -> VmList {
+        self.core.newest()
+    }
+
+    /// Stops it.
+    pub async fn shutdown(&self) {
+        self.server.shutdown().await;
+    }
+}
+
+#[derive(Debug)]
+struct Core {
+    lag: Duration,
+    versions: Mutex<VecDeque<Version>>,
+}
+
+#[derive(Debug)]
+struct Version {
+    since: Instant,
+    list: VmList,
+}
+
+impl Core {
+    fn change(&self, f: impl FnOnce(&mut Vec<VmRecord>)) {
+        let newest = self.newest();
+        let mut vms = newest.vms;
+        f(&mut vms);
+        self.lock().push_back(Version {
+            since: Instant::now(),
+            list: list(newest.version + 1, vms),
+        });
+    }
+
+    fn newest(&self) -> VmList {
+        let versions = self.lock();
+        versions.back().map(|v| v.list.clone()).unwrap_or_default()
+    }
+
+    fn shown(&self) -> VmList {
+        let mut versions = self.lock();
+        while versions.len() > 1 && versions[1].since.elapsed() >= self.lag {
+            versions.pop_front();
+        }
+        versions.front().map(|v| v.list.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Version>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl Handler for Core {
+    async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/vms") => server::json(StatusCode::OK, &self.shown()),
+            _ => server::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+fn list(version: u64, mut vms: Vec<VmRecord>) -> VmList {
+    vms.sort_by(|a, b| a.name.cmp(&b.name));
+    VmList { version, vms }
+}
