Carry confirmations, recall and provenness in frames; draft the entry's tasks

Cause: admission wants to know how old a sender's configuration is, and claims name the one incarnation that remembers a key. Change: fields in Open and Refused; the entry's watchers and peer handler.

--- /dev/null
+++ b/crates/oriole_entry/src/api/status.rs
@@ -0,0 +1,162 @@
+//! What the process says of itself.
+
+use std::sync::atomic::Ordering;
+
+use dropshot::{Body, HttpError, RequestContext, endpoint};
+use http::{HeaderValue, Response, header};
+use oriole_types::prelude::*;
+use serde::Serialize;
+
+use super::Context;
+use super::endpoints::json;
+use crate::state::EntryState;
+
+/// What an entry says of itself.
+#[derive(Debug, Serialize, schemars::JsonSchema)]
+pub struct StatusBody {
+    /// Name of the VM.
+    pub name: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// `serving`, `leaving` or `no_configuration`.
+    pub state: String,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// Requests being answered.
+    pub running: usize,
+    /// Requests that wait for an upstream.
+    pub waiting: usize,
+    /// What each pool has left, as this entry believes.
+    pub pools: Vec<PoolStatus>,
+    /// Upstreams as this entry sees them.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// What a pool has left.
+#[derive(Debug, Serialize, schemars::JsonSchema)]
+pub struct PoolStatus {
+    /// Name of the pool.
+    pub name: String,
+    /// Upstreams that take new work.
+    pub upstreams: u32,
+    /// Requests in flight that all upstreams bear when warm.
+    pub stated: u64,
+    /// Requests in flight that the upstreams in service admit now.
+    pub left: u64,
+    /// Requests believed in flight.
+    pub in_flight: u64,
+}
+
+/// An upstream as an entry sees it.
+#[derive(Debug, Serialize, schemars::JsonSchema)]
+pub struct UpstreamStatus {
+    /// Name of the VM.
+    pub name: String,
+    /// Pool it serves.
+    pub pool: String,
+    /// Failure domain of the VM.
+    pub domain: String,
+    /// Whether operators and the platform let it take new work.
+    pub in_service: bool,
+    /// Whether it is in cold start.
+    pub cold: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Most requests in flight that it admits now.
+    pub limit: u32,
+    /// Requests in flight when it last said.
+    pub in_flight: u32,
+}
+
+/// State of the entry, its pools and upstreams.
+#[endpoint { method = GET, path = "/v1/status" }]
+pub(crate) async fn get_status(cx: RequestContext<Context>) -> Result<Response<Body>, HttpError> {
+    Ok(json(&status(cx.context())))
+}
+
+/// Metrics as Prometheus text.
+#[endpoint { method = GET, path = "/metrics" }]
+pub(crate) async fn get_metrics(_cx: RequestContext<Context>) -> Result<Response<Body>, HttpError> {
+    let mut response = Response::new(Body::from(oriole_kernel::telemetry::render()));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; version=0.0.4"),
+    );
+    Ok(response)
+}
+
+/// This interface as an OpenAPI document.
+#[endpoint { method = GET, path = "/v1/openapi.json" }]
+pub(crate) async fn get_openapi(_cx: RequestContext<Context>) -> Result<Response<Body>, HttpError> {
+    let document = super::openapi()
+        .map_err(|e| HttpError::for_internal_error(format!("OpenAPI document: {e}")))?;
+    Ok(json(&document))
+}
+
+fn status(state: &EntryState) -> StatusBody {
+    let catalog = state.config.borrow().clone();
+    StatusBody {
+        name: state.name.to_string(),
+        domain: state.domain.to_string(),
+        state: state_name(state, catalog.is_some()).into(),
+        revision: state.revision().0,
+        running: state.running.load(Ordering::Relaxed),
+        waiting: state.traffic.waiting(),
+        pools: pools(state),
+        upstreams: upstreams(state, catalog.as_deref()),
+    }
+}
+
+fn state_name(state: &EntryState, configured: bool) -> &'static str {
+    if state.leaving.load(Ordering::Relaxed) {
+        "leaving"
+    } else if configured {
+        "serving"
+    } else {
+        "no_configuration"
+    }
+}
+
+fn pools(state: &EntryState) -> Vec<PoolStatus> {
+    let view = state.traffic.capacity();
+    view.pools()
+        .map(|(name, c)| PoolStatus {
+            name: name.to_string(),
+            upstreams: c.upstreams,
+            stated: c.stated,
+            left: c.left,
+            in_flight: c.in_flight,
+        })
+        .collect()
+}
+
+fn upstreams(state: &EntryState, catalog: Option<&Catalog>) -> Vec<UpstreamStatus> {
+    let loads = state.fleet.loads();
+    state
+        .fleet
+        .upstreams()
+        .iter()
+        .map(|record| {
+            let load = loads.get(&record.name).copied().unwrap_or_default();
+            upstream(record, load, catalog)
+        })
+        .collect()
+}
+
+fn upstream(record: &VmRecord, load: LoadReport, catalog: Option<&Catalog>) -> UpstreamStatus {
+    let pool = match &record.role {
+        VmRole::Upstream { pool } => pool.to_string(),
+        VmRole::Entry => String::new(),
+    };
+    let allowed = catalog.is_some_and(|c| c.takes_work(&record.name, &record.domain));
+    UpstreamStatus {
+        name: record.name.to_string(),
+        pool,
+        domain: record.domain.to_string(),
+        in_service: allowed && record.state == VmState::Live,
+        cold: load.cold,
+        leaving: load.leaving,
+        limit: load.limit,
+        in_flight: load.in_flight,
+    }
+}
--- /dev/null
+++ b/crates/oriole_entry/src/dispatch.rs
@@ -0,0 +1,303 @@
+//! One request's way over agents: attempts, retries and the single end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_routing::queue::Waiting;
+use oriole_routing::retry::{AttemptEnd, RetryAsk, RetryDecision};
+use oriole_types::prelude::*;
+use oriole_wire::exchange::{Exchange, ExchangeEvent};
+use oriole_wire::frame::Open;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::{AnswerEvent, Refusal};
+use crate::api::errors::{outcome_name, request_text};
+use crate::intake::Accepted;
+use crate::state::EntryState;
+use crate::traffic::{AttemptGuard, PickAsk};
+
+/// Longest time that a reader may leave an answer untouched before it counts as gone.
+const SLOW_READER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Leading bytes of a body that tell prompts with a common prefix apart.
+const PREFIX_BYTES: usize = 256;
+
+/// Service time that is assumed while none is known.
+const ASSUMED_SERVICE: Duration = Duration::from_millis(20);
+
+/// Answers a request; sends events until one of the three ends.
+pub(crate) async fn run(
+    state: &Arc<EntryState>,
+    accepted: Accepted,
+    tx: &mpsc::Sender<AnswerEvent>,
+) {
+    state.traffic.request_opened();
+    let request = accepted.request;
+    let account = accepted.head.account.clone();
+    let idempotent = accepted.head.idempotent;
+    let mut dispatch = Dispatch::new(state, accepted, tx);
+    let end = if idempotent {
+        tokio::select! {
+            end = dispatch.run() => end,
+            () = tx.closed() => {
+                metrics::counter!("oriole_reader_gone_total").increment(1);
+                return;
+            }
+        }
+    } else {
+        // Such a request runs to its end, so that a later one with its key can be answered.
+        dispatch.run().await
+    };
+    if let AnswerEvent::NotRun(refusal) = &end {
+        state.count_refusal(request, refusal);
+    }
+    let outcome = end.outcome().map_or("none", outcome_name);
+    metrics::counter!("oriole_requests_total", "outcome" => outcome).increment(1);
+    info!(state.log, "request ended";
+        "request_id" => request_text(request),
+        "account" => account.as_str(),
+        "step" => "end",
+        "outcome" => outcome,
+    );
+    // The reader may be gone.
+    let _ = tx.send(end).await;
+}
+
+/// One request on its way.
+struct Dispatch<'a> {
+    state: &'a Arc<EntryState>,
+    accepted: Accepted,
+    tx: &'a mpsc::Sender<AnswerEvent>,
+    attempts: Attempt,
+    position: u64,
+    exclude: Vec<VmName>,
+}
+
+/// How an attempt ended.
+enum AttemptOutcome {
+    /// The request ended.
+    Ended(AnswerEvent),
+    /// The attempt did not run.
+    NotRun(Refusal),
+    /// The attempt may have run.
+    Unknown(UnknownReason),
+}
+
+impl<'a> Dispatch<'a> {
+    fn new(
+        state: &'a Arc<EntryState>,
+        accepted: Accepted,
+        tx: &'a mpsc::Sender<AnswerEvent>,
+    ) -> Self {
+        Self {
+            state,
+            accepted,
+            tx,
+            attempts: 0,
+            position: 0,
+            exclude: Vec::new(),
+        }
+    }
+
+    async fn run(&mut self) -> AnswerEvent {
+        loop {
+            let guard = match self.state.traffic.acquire(self.pick_ask()).await {
+                Ok(guard) => guard,
+                Err(refusal) => return self.not_run(refusal),
+            };
+            self.attempts += 1;
+            let outcome = self.attempt(guard).await;
+            let (end, event) = match outcome {
+                AttemptOutcome::Ended(event) => return event,
+                AttemptOutcome::NotRun(refusal) => (not_run_end(&refusal), self.not_run(refusal)),
+                AttemptOutcome::Unknown(reason) => {
+                    (AttemptEnd::Unknown(reason), AnswerEvent::Unknown { reason })
+                }
+            };
+            match self.state.traffic.decide_retry(&self.retry_ask(end)) {
+                RetryDecision::Retry { after } => tokio::time::sleep(after).await,
+                RetryDecision::GiveUp(_) => return event,
+            }
+        }
+    }
+
+    /// A refusal, unless part of the answer was given already.
+    fn not_run(&self, refusal: Refusal) -> AnswerEvent {
+        if self.position == 0 {
+            return AnswerEvent::NotRun(refusal);
+        }
+        AnswerEvent::Unknown {
+            reason: UnknownReason::Incomplete,
+        }
+    }
+
+    async fn attempt(&mut self, guard: AttemptGuard) -> AttemptOutcome {
+        let vm = guard.vm().clone();
+        let mut exchange = match self.open(&vm).await {
+            Ok(exchange) => exchange,
+            Err(refusal) => {
+                self.exclude.push(vm);
+                guard.refused(refusal.reason, refusal.retry_after_ms, None);
+                return AttemptOutcome::NotRun(refusal);
+            }
+        };
+        let deadline = self.deadline();
+        loop {
+            let Ok(event) = timeout_at(deadline, exchange.recv()).await else {
+                guard.failed(None);
+                return AttemptOutcome::Ended(AnswerEvent::Unknown {
+                    reason: UnknownReason::Deadline,
+                });
+            };
+            match event {
+                ExchangeEvent::Chunk {
+                    position,
+                    items,
+                    data,
+                } => {
+                    let event = AnswerEvent::Items {
+                        position,
+                        items,
+                        data,
+                    };
+                    if !self.deliver(event).await {
+                        return AttemptOutcome::Ended(AnswerEvent::Unknown {
+                            reason: UnknownReason::Incomplete,
+                        });
+                    }
+                    self.position = exchange.position();
+                }
+                ExchangeEvent::End {
+                    position,
+                    replayed,
+                    load,
+                    ..
+                } => {
+                    self.note_load(&vm, load);
+                    guard.finished(load.as_ref());
+                    return AttemptOutcome::Ended(AnswerEvent::Complete { position, replayed });
+                }
+                ExchangeEvent::Refused {
+                    reason,
+                    retry_after_ms,
+                    load,
+                    ..
+                } => {
+                    self.note_load(&vm, load);
+                    guard.refused(reason, retry_after_ms, load.as_ref());
+                    self.exclude.push(vm.clone());
+                    let message = format!("upstream {vm} refused: {reason}");
+                    let refusal = Refusal::new(reason, message).retry_after(retry_after_ms);
+                    return AttemptOutcome::NotRun(refusal);
+                }
+                ExchangeEvent::Failed { reason, load } => {
+                    self.note_load(&vm, load);
+                    guard.failed(load.as_ref());
+                    self.exclude.push(vm);
+                    return AttemptOutcome::Unknown(reason);
+                }
+            }
+        }
+    }
+
+    async fn open(&self, vm: &VmName) -> Result<Exchange, Refusal> {
+        let unreachable = |message: String| Refusal::new(RefusalReason::AgentUnreachable, message);
+        let addr = self
+            .state
+            .fleet
+            .peer_address(vm)
+            .ok_or_else(|| unreachable(format!("upstream {vm} has no address")))?;
+        let channel = self
+            .state
+            .channels
+            .get(addr)
+            .await
+            .map_err(|e| unreachable(format!("agent {vm}: {e}")))?;
+        let body = self.accepted.body.clone();
+        let mut open = Open::new(self.accepted.request.0, self.attempts, &self.head(), body);
+        open.revision = self.state.revision().0;
+        channel
+            .open(open)
+            .await
+            .map_err(|e| unreachable(format!("agent {vm}: {e}")))
+    }
+
+    /// Hands an event to the reader; `false` if the reader is too slow.
+    async fn deliver(&self, event: AnswerEvent) -> bool {
+        let sent = self.tx.send_timeout(event, SLOW_READER_TIMEOUT).await;
+        match sent {
+            Err(mpsc::error::SendTimeoutError::Timeout(_)) => {
+                metrics::counter!("oriole_slow_readers_total").increment(1);
+                false
+            }
+            // A reader that left is seen elsewhere.
+            Ok(()) | Err(mpsc::error::SendTimeoutError::Closed(_)) => true,
+        }
+    }
+
+    fn note_load(&self, vm: &VmName, load: Option<LoadReport>) {
+        if let Some(load) = load {
+            self.state.fleet.set_load(vm, load);
+        }
+    }
+
+    fn head(&self) -> RequestHead {
+        let mut head = self.accepted.head.clone();
+        let left = self
+            .accepted
+            .deadline
+            .saturating_sub(self.state.clock.now());
+        head.timeout_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
+        head.resume_from = self.position;
+        head
+    }
+
+    fn deadline(&self) -> Instant {
+        let left = self
+            .accepted
+            .deadline
+            .saturating_sub(self.state.clock.now());
+        Instant::now() + left
+    }
+
+    fn pick_ask(&self) -> PickAsk {
+        let head = &self.accepted.head;
+        let body = &self.accepted.body;
+        let prefix = &body[..body.len().min(PREFIX_BYTES)];
+        let is_engine = self.accepted.kind == PoolKind::Engine;
+        PickAsk {
+            pool: self.accepted.pool.clone(),
+            prefix: is_engine.then(|| xxh3_64(prefix)),
+            exclude: self.exclude.clone(),
+            waiting: Waiting {
+                account: head.account.clone(),
+                weight: self.accepted.weight,
+                priority: head.priority,
+                deadline: self.accepted.deadline,
+                service: ASSUMED_SERVICE,
+                key: Some(head.content.short()),
+            },
+        }
+    }
+
+    fn retry_ask(&self, end: AttemptEnd) -> RetryAsk {
+        RetryAsk {
+            attempts: self.attempts,
+            idempotent: self.accepted.head.idempotent,
+            end,
+            deadline: self.accepted.deadline,
+            service: ASSUMED_SERVICE,
+        }
+    }
+}
+
+fn not_run_end(refusal: &Refusal) -> AttemptEnd {
+    let retry_after = Duration::from_millis(u64::from(refusal.retry_after_ms));
+    AttemptEnd::NotRun {
+        reason: refusal.reason,
+        retry_after: (!retry_after.is_zero()).then_some(retry_after),
+    }
+}
--- /dev/null
+++ b/crates/oriole_entry/src/fleet.rs
@@ -0,0 +1,148 @@
+//! Upstreams and entries as this process sees them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use oriole_types::prelude::*;
+
+use crate::answer::Refusal;
+
+/// Upstreams and entries as this process sees them.
+#[derive(Default)]
+pub struct Fleet {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    list: Arc<VmList>,
+    by_name: BTreeMap<VmName, VmRecord>,
+    away: BTreeSet<VmName>,
+    loads: BTreeMap<VmName, LoadReport>,
+    quarantined: BTreeSet<Digest>,
+}
+
+impl Fleet {
+    /// Takes in a newer VM list.
+    pub fn set_list(&self, list: Arc<VmList>) {
+        let mut inner = self.lock();
+        inner.by_name = list
+            .vms
+            .iter()
+            .map(|vm| (vm.name.clone(), vm.clone()))
+            .collect();
+        let names: BTreeSet<VmName> = inner.by_name.keys().cloned().collect();
+        inner.loads.retain(|vm, _| names.contains(vm));
+        inner.list = list;
+    }
+
+    /// The VM list in use.
+    #[must_use]
+    pub fn list(&self) -> Arc<VmList> {
+        Arc::clone(&self.lock().list)
+    }
+
+    /// Frame address of a VM.
+    #[must_use]
+    pub fn peer_address(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.lock().by_name.get(vm).map(|r| r.peer_address)
+    }
+
+    /// All VMs with an agent.
+    #[must_use]
+    pub fn upstreams(&self) -> Vec<VmRecord> {
+        let is_upstream = |r: &&VmRecord| matches!(r.role, VmRole::Upstream { .. });
+        self.lock()
+            .by_name
+            .values()
+            .filter(is_upstream)
+            .cloned()
+            .collect()
+    }
+
+    /// All VMs with an entry daemon.
+    #[must_use]
+    pub fn entries(&self) -> Vec<VmRecord> {
+        self.lock()
+            .by_name
+            .values()
+            .filter(|r| r.role == VmRole::Entry)
+            .cloned()
+            .collect()
+    }
+
+    /// The live agents of a pool that take new work, as far as operators and the platform say.
+    #[must_use]
+    pub fn pool_members(&self, pool: &PoolName, catalog: &Catalog) -> Vec<VmName> {
+        self.lock()
+            .by_name
+            .values()
+            .filter(|r| matches!(&r.role, VmRole::Upstream { pool: p } if p == pool))
+            .filter(|r| r.state == VmState::Live && catalog.takes_work(&r.name, &r.domain))
+            .map(|r| r.name.clone())
+            .collect()
+    }
+
+    /// Callers' addresses of the other live entries.
+    #[must_use]
+    pub fn other_entries(&self, own: &VmName) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        inner
+            .by_name
+            .values()
+            .filter(|r| r.role == VmRole::Entry && r.state == VmState::Live)
+            .filter(|r| r.name != *own && !inner.away.contains(&r.name))
+            .map(|r| r.address)
+            .collect()
+    }
+
+    /// Entries that are leaving or believed dead.
+    #[must_use]
+    pub fn away(&self) -> BTreeSet<VmName> {
+        self.lock().away.clone()
+    }
+
+    /// Notes whether a VM can be reached and stays.
+    pub fn set_away(&self, vm: &VmName, away: bool) {
+        let mut inner = self.lock();
+        if away {
+            inner.away.insert(vm.clone());
+        } else {
+            inner.away.remove(vm);
+        }
+    }
+
+    /// Notes the load of an upstream.
+    pub fn set_load(&self, vm: &VmName, load: LoadReport) {
+        self.lock().loads.insert(vm.clone(), load);
+    }
+
+    /// The newest load of each upstream.
+    #[must_use]
+    pub fn loads(&self) -> BTreeMap<VmName, LoadReport> {
+        self.lock().loads.clone()
+    }
+
+    /// Replaces the content digests in quarantine.
+    pub fn set_quarantined(&self, digests: BTreeSet<Digest>) {
+        self.lock().quarantined = digests;
+    }
+
+    /// Checks that content is not in quarantine.
+    ///
+    /// # Errors
+    ///
+    /// Refuses content that is.
+    pub fn check_content(&self, content: &Digest) -> Result<(), Refusal> {
+        if !self.lock().quarantined.contains(content) {
+            return Ok(());
+        }
+        let message = "this content crashed upstreams and is quarantined";
+        Err(Refusal::new(RefusalReason::Quarantined, message))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -1,2 +1,37 @@
 //! Entry daemon: accepts callers' requests and steers them to agents.
+//!
+//! The tour, along the way of a request:
+//!
+//! - [`api`]: the HTTP interface towards callers.
+//! - [`intake`]: who asks, for what, and by when; limits.
+//! - [`traffic`]: the routing machines behind one lock, and waiting for an upstream.
+//! - [`dispatch`]: attempts, retries and the single end.
+//! - [`answer`]: the events of an answer.
+//!
+//! Around it:
+//!
+//! - [`settings`]: the daemon's TOML settings.
+//! - [`state`]: what handlers and tasks share.
+//! - [`fleet`]: upstreams and entries as this process sees them.
+//! - [`watchers`]: tasks that keep that view and the routing machines up to date.
+//! - [`peers`]: what other processes ask of this one.
+//! - [`daemon`]: start and graceful shutdown.
 #![forbid(unsafe_code)]
+
+pub mod answer;
+pub mod api;
+//pub mod daemon;
+pub mod dispatch;
+pub mod fleet;
+pub mod intake;
+pub mod peers;
+pub mod settings;
+pub mod state;
+pub mod traffic;
+pub mod watchers;
+
+/// Everything that embeds an entry daemon.
+pub mod prelude {
+    //pub use crate::daemon::EntryDaemon;
+    pub use crate::settings::EntrySettings;
+}
--- /dev/null
+++ b/crates/oriole_entry/src/peers.rs
@@ -0,0 +1,57 @@
+//! What other processes ask of this one.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use oriole_types::ids::VmName;
+use oriole_types::outcome::RefusalReason;
+use oriole_wire::frame::Open;
+use oriole_wire::reply::{Refusal, Reply, Trailer};
+use oriole_wire::server::{Handler, PeerInfo};
+
+use crate::state::EntryState;
+use crate::watchers::{LEAVING, LIMITS_SERVICE};
+
+/// Answers the frames of other entries.
+pub struct PeerHandler {
+    state: Arc<EntryState>,
+}
+
+impl PeerHandler {
+    /// A handler over the entry's state.
+    #[must_use]
+    pub fn new(state: Arc<EntryState>) -> Self {
+        Self { state }
+    }
+}
+
+#[async_trait]
+impl Handler for PeerHandler {
+    async fn exchange(&self, _peer: &PeerInfo, _open: Open, reply: Reply) {
+        let trailer = Trailer {
+            load: None,
+            revision: self.state.revision(),
+        };
+        // An entry runs nothing; the peer learns it or is gone.
+        let refusal = Refusal::new(RefusalReason::NoUpstream);
+        let _ = reply.refuse(&refusal, trailer).await;
+    }
+
+    async fn call(&self, peer: &PeerInfo, service: &str, payload: Bytes) -> Result<Bytes, String> {
+        match service {
+            LIMITS_SERVICE => {
+                let digest = serde_json::from_slice(&payload).map_err(|e| e.to_string())?;
+                let peer = VmName::new(&peer.name);
+                self.state.traffic.peer_limits(&peer, &digest);
+                Ok(if self.state.leaving.load(Ordering::Relaxed) {
+                    Bytes::from_static(LEAVING)
+                } else {
+                    Bytes::new()
+                })
+            }
+            _ => Err(format!("no service {service:?}")),
+        }
+    }
+}
--- a/crates/oriole_entry/src/traffic.rs
+++ b/crates/oriole_entry/src/traffic.rs
@@ -116,7 +116,9 @@
                 permit: Some(permit),
             }),
             Err(refusal) => {
-                let message = refusal.detail.unwrap_or_else(|| limit_message(refusal.reason));
+                let message = refusal
+                    .detail
+                    .unwrap_or_else(|| limit_message(refusal.reason));
                 Err(Refusal::new(refusal.reason, message).retry_after(millis(refusal.retry_after)))
             }
         }
--- /dev/null
+++ b/crates/oriole_entry/src/watchers.rs
@@ -0,0 +1,185 @@
+//! Tasks that keep the entry's view of the fleet and its routing machines up to date.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriole_routing::endpoints::AnswerView;
+use oriole_types::prelude::*;
+use oriole_wire::frame::Load;
+use prost::Message;
+use rand::RngExt;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::state::EntryState;
+
+/// Time between two looks at an upstream that sends no answers.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time to wait for a load report.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between two looks at the queues.
+const QUEUE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Time between two exchanges of limit digests.
+const LIMITS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Name of the agents' service that tells their load.
+pub const LOAD_SERVICE: &str = "load";
+
+/// Name of the entries' service that takes in limit digests.
+pub const LIMITS_SERVICE: &str = "limits";
+
+/// The watchers of one entry; they end when this is dropped.
+pub struct Watchers {
+    _tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+impl Watchers {
+    /// Starts all watchers.
+    #[must_use]
+    pub fn spawn(state: &Arc<EntryState>, vm_list: watch::Receiver<Arc<VmList>>) -> Self {
+        let tasks = vec![
+            tokio::spawn(follow_fleet(Arc::clone(state), vm_list)),
+            tokio::spawn(follow_loads(Arc::clone(state))),
+            tokio::spawn(tick_queues(Arc::clone(state))),
+            tokio::spawn(exchange_limits(Arc::clone(state))),
+        ];
+        Self {
+            _tasks: tasks.into_iter().map(AbortOnDropHandle::new).collect(),
+        }
+    }
+}
+
+/// Feeds each newer VM list and catalog to the routing machines.
+async fn follow_fleet(state: Arc<EntryState>, mut vm_list: watch::Receiver<Arc<VmList>>) {
+    let mut config = state.config.clone();
+    loop {
+        let list = vm_list.borrow_and_update().clone();
+        let catalog = config.borrow_and_update().clone();
+        state.fleet.set_list(Arc::clone(&list));
+        if let Some(catalog) = catalog {
+            state.traffic.fleet_changed(&list, &catalog);
+            share_limits(&state, &list, &catalog);
+        }
+        state.channels.retain(|addr| {
+            let mut vms = list.vms.iter();
+            vms.any(|vm| vm.peer_address == *addr)
+        });
+        let changed = tokio::select! {
+            changed = vm_list.changed() => changed,
+            changed = config.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the limiter between how many entries each account's limit is shared.
+fn share_limits(state: &EntryState, list: &VmList, catalog: &Catalog) {
+    let (away, room) = (state.fleet.away(), state.room());
+    let view = AnswerView {
+        list,
+        catalog,
+        away: &away,
+        room: &room,
+    };
+    let entries = list
+        .vms
+        .iter()
+        .filter(|vm| vm.role == VmRole::Entry)
+        .count();
+    let holders: Vec<(AccountName, usize)> = catalog
+        .accounts
+        .keys()
+        .map(|account| {
+            let subset = state.endpoints.subset(&view, account);
+            (account.clone(), subset.len().max(1))
+        })
+        .collect();
+    state.traffic.set_holders(&holders, entries.max(1));
+}
+
+/// Asks upstreams for their load from time to time.
+async fn follow_loads(state: Arc<EntryState>) {
+    loop {
+        let mut asks = JoinSet::new();
+        for record in state.fleet.upstreams() {
+            let state = Arc::clone(&state);
+            asks.spawn(async move { ask_load(&state, &record).await });
+        }
+        while asks.join_next().await.is_some() {}
+        let jitter = rand::rng().random_range(0.8..1.2);
+        tokio::time::sleep(LOAD_PERIOD.mul_f64(jitter)).await;
+    }
+}
+
+async fn ask_load(state: &EntryState, record: &VmRecord) {
+    let Ok(channel) = state.channels.get(record.peer_address).await else {
+        return;
+    };
+    match channel.call(LOAD_SERVICE, Bytes::new(), LOAD_TIMEOUT).await {
+        Ok(payload) => {
+            if let Ok(load) = Load::decode(payload) {
+                let load = LoadReport::from(load);
+                state.fleet.set_load(&record.name, load);
+                state.traffic.report(&record.name, &load);
+            }
+        }
+        Err(_) => {
+            metrics::counter!("oriole_load_ask_failed_total").increment(1);
+        }
+    }
+}
+
+async fn tick_queues(state: Arc<EntryState>) {
+    let mut interval = tokio::time::interval(QUEUE_PERIOD);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        state.traffic.tick();
+    }
+}
+
+/// Tells the other entries how much of the limits this one uses.
+async fn exchange_limits(state: Arc<EntryState>) {
+    loop {
+        let jitter = rand::rng().random_range(0.8..1.2);
+        tokio::time::sleep(LIMITS_PERIOD.mul_f64(jitter)).await;
+        let digest = state.traffic.limit_digest();
+        let Ok(payload) = serde_json::to_vec(&digest) else {
+            continue;
+        };
+        let payload = Bytes::from(payload);
+        let mut sends = JoinSet::new();
+        for record in state.fleet.entries() {
+            if record.name == state.name {
+                continue;
+            }
+            let (state, payload) = (Arc::clone(&state), payload.clone());
+            sends.spawn(async move { send_limits(&state, &record, payload).await });
+        }
+        while sends.join_next().await.is_some() {}
+    }
+}
+
+/// Sends a digest; an entry that cannot be reached is left out of endpoint answers.
+async fn send_limits(state: &EntryState, record: &VmRecord, payload: Bytes) {
+    let sent = async {
+        let channel = state.channels.get(record.peer_address).await?;
+        channel.call(LIMITS_SERVICE, payload, LOAD_TIMEOUT).await
+    };
+    match sent.await {
+        Ok(answer) => state
+            .fleet
+            .set_away(&record.name, answer.as_ref() == LEAVING),
+        Err(_) => state.fleet.set_away(&record.name, true),
+    }
+}
+
+/// Answer of an entry that is shutting down.
+pub const LEAVING: &[u8] = b"leaving";
--- a/crates/oriole_kernel/src/logging.rs
+++ b/crates/oriole_kernel/src/logging.rs
@@ -31,3 +31,14 @@
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
 }
+
+/// Reads the name of a level.
+///
+/// # Errors
+///
+/// Fails with the allowed names.
+pub fn parse_level(name: &str) -> Result<Level, String> {
+    name.parse().map_err(|()| {
+        format!("unknown level {name:?}: allowed are critical, error, warning, info, debug, trace")
+    })
+}
--- a/crates/oriole_wire/src/exchange.rs
+++ b/crates/oriole_wire/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use oriole_types::fleet::LoadReport;
-use oriole_types::ids::{Attempt, Revision, VmName};
+use oriole_types::ids::{Attempt, Incarnation, Revision, VmName};
 use oriole_types::outcome::{RefusalReason, UnknownReason};
 use tokio::sync::mpsc;
 
@@ -49,6 +49,8 @@
         retry_after_ms: u32,
         /// VM to ask instead.
         try_instead: Option<VmName>,
+        /// Incarnation of that VM that alone remembers the key.
+        recall: Option<Incarnation>,
         /// Load of the upstream.
         load: Option<LoadReport>,
         /// Revision the agent holds.
@@ -160,6 +162,7 @@
             retry_after_ms: refused.retry_after_ms,
             try_instead: (!refused.try_instead.is_empty())
                 .then(|| VmName::new(&refused.try_instead)),
+            recall: (refused.recall != 0).then_some(Incarnation(refused.recall)),
             load: refused.load.map(LoadReport::from),
             revision: Revision(refused.revision),
         }
--- a/crates/oriole_wire/src/frame.rs
+++ b/crates/oriole_wire/src/frame.rs
@@ -150,6 +150,16 @@
     /// Revision of the configuration that the sender holds.
     #[prost(uint64, tag = "13")]
     pub revision: u64,
+    /// Time since the store confirmed that revision to the sender, in milliseconds, plus 1; 0 if
+    /// it never did.
+    #[prost(uint64, tag = "14")]
+    pub confirmed_ms: u64,
+    /// Incarnation whose memory alone is asked for the key's answer; 0 if there is none.
+    #[prost(uint64, tag = "15")]
+    pub recall: u64,
+    /// Whether the sender knows that the content has completed before.
+    #[prost(bool, tag = "16")]
+    pub proven: bool,
 }
 
 /// Part of an answer.
@@ -222,6 +232,9 @@
     /// Revision of the configuration that the sender holds.
     #[prost(uint64, tag = "7")]
     pub revision: u64,
+    /// Incarnation of the VM to ask instead that alone remembers the key; 0 if there is none.
+    #[prost(uint64, tag = "8")]
+    pub recall: u64,
 }
 
 /// The request may have run.
@@ -352,9 +365,9 @@
 }
 
 impl Open {
-    /// The frame that opens an attempt.
+    /// The frame that opens an attempt; what the sender knows beyond the head is added after.
     #[must_use]
-    pub fn new(request: u64, attempt: u32, head: &RequestHead, body: Bytes, revision: u64) -> Self {
+    pub fn new(request: u64, attempt: u32, head: &RequestHead, body: Bytes) -> Self {
         Self {
             request,
             attempt,
@@ -371,7 +384,7 @@
             timeout_ms: head.timeout_ms,
             resume_from: head.resume_from,
             body,
-            revision,
+            ..Self::default()
         }
     }
 
--- a/crates/oriole_wire/src/reply.rs
+++ b/crates/oriole_wire/src/reply.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use oriole_types::fleet::LoadReport;
-use oriole_types::ids::{Revision, VmName};
+use oriole_types::ids::{Incarnation, Revision, VmName};
 use oriole_types::outcome::{RefusalReason, UnknownReason};
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
@@ -29,6 +29,32 @@
     pub revision: Revision,
 }
 
+/// Why an attempt did not run, and what to do instead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Time after which another try makes sense, in milliseconds; 0 if that is not known.
+    pub retry_after_ms: u32,
+    /// VM to ask instead.
+    pub try_instead: Option<VmName>,
+    /// Incarnation of that VM that alone remembers the key.
+    pub recall: Option<Incarnation>,
+}
+
+impl Refusal {
+    /// A refusal without advice.
+    #[must_use]
+    pub fn new(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after_ms: 0,
+            try_instead: None,
+            recall: None,
+        }
+    }
+}
+
 /// The way back to the reader of one attempt.
 ///
 /// End it with [`Reply::end`], [`Reply::refuse`] or [`Reply::fail`]. Dropping it otherwise tells
@@ -130,22 +156,18 @@
     /// # Errors
     ///
     /// Fails if the connection has ended.
-    pub async fn refuse(
-        mut self,
-        reason: RefusalReason,
-        retry_after_ms: u32,
-        try_instead: Option<&VmName>,
-        trailer: Trailer,
-    ) -> Result<(), ReplyError> {
+    pub async fn refuse(mut self, refusal: &Refusal, trailer: Trailer) -> Result<(), ReplyError> {
         self.ended = true;
+        let vm = refusal.try_instead.as_ref();
         let refused = Refused {
             request: self.request,
             attempt: self.attempt,
-            reason: reason.code(),
-            retry_after_ms,
-            try_instead: try_instead.map_or_else(String::new, ToString::to_string),
+            reason: refusal.reason.code(),
+            retry_after_ms: refusal.retry_after_ms,
+            try_instead: vm.map_or_else(String::new, ToString::to_string),
             load: trailer.load.map(Into::into),
             revision: trailer.revision.0,
+            recall: refusal.recall.map_or(0, |i| i.0),
         };
         self.send(Body::Refused(refused)).await
     }
