--- /dev/null
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -0,0 +1,266 @@
+//! The ledger of crashes by content, as every agent and entry holds it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use metrics::counter;
+use oriole_types::digest::Digest;
+use oriole_types::value_type;
+
+use super::record::{Crash, CrashId, CrashNote, PoisonDigest, PoisonRecord};
+
+/// Crashes that condemn a content if it was alone in one of them.
+const CRASHES_TO_QUARANTINE: usize = 2;
+/// Crashes that condemn a content whoever ran beside it: nobody may cause more.
+const CRASHES_AT_MOST: usize = 3;
+/// Time after which a crash is forgotten.
+const CRASH_RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Contents a ledger keeps; beyond it the content with the oldest news is forgotten.
+const MAX_RECORDS: usize = 2048;
+/// Crashes kept of one content.
+const MAX_CRASHES: usize = 8;
+/// Contents known to have completed; beyond it the one completed longest ago is forgotten.
+const MAX_PROVEN: usize = 4096;
+/// Records in one message.
+const MAX_RECORDS_SENT: usize = 64;
+
+value_type! {
+    /// How a content stands.
+    pub enum Standing {
+        /// It has completed before, or an operator released it; it may run anywhere.
+        Proven,
+        /// Nothing is known of it; it may run at its homes.
+        Unproven,
+        /// An upstream crashed while it ran; it may run alone, at its first home.
+        Suspect,
+        /// It crashes upstreams; it may not run.
+        Quarantined,
+    }
+}
+
+/// Crashes by content. Two ledgers merge by union, in any order and any number of times.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonLedger {
+    records: BTreeMap<Digest, Record>,
+    released: BTreeSet<Digest>,
+    proven: BTreeSet<Digest>,
+    proven_order: VecDeque<Digest>,
+    version: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    crashes: BTreeMap<CrashId, Crash>,
+    /// Version of the ledger at the last change.
+    changed: u64,
+}
+
+impl PoisonLedger {
+    /// How a content stands.
+    #[must_use]
+    pub fn standing(&self, content: &Digest) -> Standing {
+        let standing = self
+            .records
+            .get(content)
+            .map_or(Standing::Unproven, Record::standing);
+        match standing {
+            Standing::Quarantined if self.released.contains(content) => Standing::Suspect,
+            Standing::Unproven if self.proven.contains(content) => Standing::Proven,
+            standing => standing,
+        }
+    }
+
+    /// Notes that an upstream crashed while it ran some contents.
+    ///
+    /// `others` says whether something unknown ran too. Contents that have completed before are not
+    /// suspected, unless one of them was alone.
+    pub fn crashed(
+        &mut self,
+        now: Duration,
+        id: &CrashId,
+        contents: &BTreeSet<Digest>,
+        others: bool,
+    ) {
+        let alone = contents.len() == 1 && !others;
+        for content in contents {
+            if !alone && self.standing(content) == Standing::Proven {
+                continue;
+            }
+            let crash = Crash {
+                at: now,
+                alone,
+                excused: false,
+            };
+            self.insert(*content, id.clone(), crash);
+        }
+        self.trim();
+    }
+
+    /// Notes that a content completed; if it had run alone it is cleared of its crashes.
+    pub fn completed(&mut self, content: &Digest, alone: bool) {
+        if alone {
+            self.clear(content);
+        }
+        let spotless = !matches!(
+            self.standing(content),
+            Standing::Suspect | Standing::Quarantined
+        );
+        if spotless && self.proven.insert(*content) {
+            self.proven_order.push_back(*content);
+        }
+        while self.proven_order.len() > MAX_PROVEN {
+            let oldest = self.proven_order.pop_front();
+            oldest.map(|d| self.proven.remove(&d));
+        }
+    }
+
+    /// Sets the contents that operators released: they are not refused, but run alone.
+    pub fn set_released<'a>(&mut self, released: impl IntoIterator<Item = &'a Digest>) {
+        self.released = released.into_iter().copied().collect();
+    }
+
+    /// Takes in what another process knows; returns whether anything was new.
+    pub fn merge(&mut self, now: Duration, digest: &PoisonDigest) -> bool {
+        let before = self.version;
+        for record in &digest.records {
+            for note in &record.crashes {
+                self.merge_note(now, record.content, note);
+            }
+        }
+        self.trim();
+        self.version != before
+    }
+
+    /// Grows with each change; a sender remembers the version it last sent to a peer.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What changed after a version, newest first and bounded in size, with the version up to which
+    /// the receiver will know everything.
+    #[must_use]
+    pub fn digest_since(&self, now: Duration, version: u64) -> (PoisonDigest, u64) {
+        let mut changed: Vec<_> = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.changed > version)
+            .collect();
+        // Oldest changes go first, so that a bounded message leaves no gap behind its version.
+        changed.sort_by_key(|(_, r)| r.changed);
+        changed.truncate(MAX_RECORDS_SENT);
+        let upto = changed.last().map_or(self.version, |(_, r)| r.changed);
+        let records = changed
+            .into_iter()
+            .rev()
+            .map(|(content, r)| r.to_message(*content, now))
+            .collect();
+        (PoisonDigest { records }, upto)
+    }
+
+    /// Contents that are refused.
+    pub fn quarantined(&self) -> impl Iterator<Item = &Digest> {
+        let refused = |d: &&Digest| self.standing(d) == Standing::Quarantined;
+        self.records.keys().filter(refused)
+    }
+
+    /// Forgets crashes that are older than the retention.
+    pub fn tick(&mut self, now: Duration) {
+        for record in self.records.values_mut() {
+            record
+                .crashes
+                .retain(|_, c| now.saturating_sub(c.at) < CRASH_RETENTION);
+        }
+        self.records.retain(|_, r| !r.crashes.is_empty());
+    }
+
+    fn merge_note(&mut self, now: Duration, content: Digest, note: &CrashNote) {
+        let age = Duration::from_millis(note.age_ms);
+        if age >= CRASH_RETENTION {
+            return;
+        }
+        let crash = Crash {
+            at: now.saturating_sub(age),
+            alone: note.alone,
+            excused: note.excused,
+        };
+        self.insert(content, note.id.clone(), crash);
+    }
+
+    fn insert(&mut self, content: Digest, id: CrashId, crash: Crash) {
+        let was = self.standing(&content);
+        let next = self.version + 1;
+        let record = self.records.entry(content).or_default();
+        if !record.insert(id, crash) {
+            return;
+        }
+        record.changed = next;
+        self.version = next;
+        let is = self.standing(&content);
+        if was != is && is == Standing::Quarantined {
+            counter!("oriole_poison_quarantined_total").increment(1);
+        }
+    }
+
+    fn clear(&mut self, content: &Digest) {
+        let next = self.version + 1;
+        let Some(record) = self.records.get_mut(content) else {
+            return;
+        };
+        for crash in record.crashes.values_mut() {
+            crash.excused = true;
+        }
+        record.changed = next;
+        self.version = next;
+    }
+
+    fn trim(&mut self) {
+        while self.records.len() > MAX_RECORDS {
+            let oldest = self.records.iter().min_by_key(|(_, r)| r.newest());
+            let Some(content) = oldest.map(|(content, _)| *content) else {
+                return;
+            };
+            self.records.remove(&content);
+        }
+    }
+}
+
+impl Record {
+    fn standing(&self) -> Standing {
+        let held = || self.crashes.values().filter(|c| !c.excused);
+        let crashes = held().count();
+        let was_alone = held().any(|c| c.alone);
+        let condemned =
+            crashes >= CRASHES_AT_MOST || (crashes >= CRASHES_TO_QUARANTINE && was_alone);
+        match crashes {
+            0 => Standing::Unproven,
+            _ if condemned => Standing::Quarantined,
+            _ => Standing::Suspect,
+        }
+    }
+
+    /// Inserts or merges a crash; returns whether anything changed.
+    fn insert(&mut self, id: CrashId, crash: Crash) -> bool {
+        let full = self.crashes.len() >= MAX_CRASHES;
+        match self.crashes.get_mut(&id) {
+            Some(known) => {
+                let excused = known.excused || crash.excused;
+                std::mem::replace(&mut known.excused, excused) != excused
+            }
+            None if full => false,
+            None => {
+                self.crashes.insert(id, crash);
+                true
+            }
+        }
+    }
+
+    fn newest(&self) -> Option<Duration> {
+        self.crashes.values().map(|c| c.at).max()
+    }
+
+    fn to_message(&self, content: Digest, now: Duration) -> PoisonRecord {
+        let crashes = self.crashes.iter().map(|(id, c)| c.note(id, now)).collect();
+        PoisonRecord { content, crashes }
+    }
+}
--- /dev/null
+++ b/crates/oriole_admission/src/poison/mod.rs
@@ -0,0 +1,18 @@
+//! Suspects and quarantine of content that crashes upstreams.
+//!
+//! When an upstream crashes, each content it ran is suspect, unless that content has completed
+//! before. A suspect runs alone, at one place in the fleet: its first [`homes`] entry. If it
+//! completes alone it is cleared; if the upstream crashes again it is quarantined. What ran beside
+//! it is never condemned, since only a crash in solitude tells who caused it.
+//!
+//! The number of crashes is bounded by where content may run. Content that never completed runs at
+//! two homes at most, so that at most two upstreams crash before the first crash is known; the
+//! third crash is that of the suspect alone, and condemns it.
+
+mod home;
+mod ledger;
+mod record;
+
+pub use self::home::{HOMES, home_of_suspect, homes};
+pub use self::ledger::{PoisonLedger, Standing};
+pub use self::record::{CrashId, CrashNote, PoisonDigest, PoisonRecord};
--- /dev/null
+++ b/crates/oriole_admission/src/poison/record.rs
@@ -0,0 +1,72 @@
+//! What processes tell each other about crashes.
+
+use std::time::Duration;
+
+use oriole_types::digest::Digest;
+use oriole_types::domain_type;
+use oriole_types::ids::VmName;
+
+domain_type! {
+    /// Names one crash of one upstream.
+    #[derive(Eq, PartialOrd, Ord, Hash)]
+    pub struct CrashId {
+        /// VM of the upstream.
+        pub vm: VmName,
+        /// Number of the crash, unique among the crashes that this VM's agents saw.
+        pub number: u64,
+    }
+}
+
+domain_type! {
+    /// One crash in which a content had a part.
+    #[derive(Eq)]
+    pub struct CrashNote {
+        /// The crash.
+        pub id: CrashId,
+        /// Whether nothing else ran.
+        pub alone: bool,
+        /// Whether the content was cleared of it by completing alone.
+        pub excused: bool,
+        /// Time since the crash, in milliseconds.
+        pub age_ms: u64,
+    }
+}
+
+domain_type! {
+    /// All known crashes of one content.
+    #[derive(Eq)]
+    pub struct PoisonRecord {
+        /// Digest of the content.
+        pub content: Digest,
+        /// Its crashes.
+        pub crashes: Vec<CrashNote>,
+    }
+}
+
+domain_type! {
+    /// Message that spreads suspects and quarantine; empty in a quiet fleet.
+    #[derive(Default, Eq)]
+    pub struct PoisonDigest {
+        /// Records that changed, newest change first.
+        pub records: Vec<PoisonRecord>,
+    }
+}
+
+/// One crash as a ledger keeps it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Crash {
+    pub(super) at: Duration,
+    pub(super) alone: bool,
+    pub(super) excused: bool,
+}
+
+impl Crash {
+    pub(super) fn note(&self, id: &CrashId, now: Duration) -> CrashNote {
+        CrashNote {
+            id: id.clone(),
+            alone: self.alone,
+            excused: self.excused,
+            age_ms: now.saturating_sub(self.at).as_millis() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_admission/src/warmth.rs
@@ -0,0 +1,264 @@
+//! How many requests an upstream is proven to bear.
+//!
+//! Two bounds hold at every moment. The *limit* on requests in flight starts at what a cold
+//! upstream bears and grows by evidence of warm pace. The *exposure* bounds the requests that
+//! started after the last moment at which the upstream is known to have been warm: whenever it
+//! turns cold without a warning, all requests that it got since then are among those. So exposure
+//! is what a cold upstream bears, and no interleaving gives it more.
+//!
+//! Evidence is the time between two outputs of one request. An output after a warm time proves the
+//! upstream warm at the output before it. The warm time itself is learned between two of the
+//! upstream's own reports that both say warm, or, if it reports nothing of the kind, from the best
+//! time that has stopped improving.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use metrics::counter;
+use oriole_types::value_type;
+
+/// An output time up to this multiple of the warm time is evidence of warmth.
+const WARM_FACTOR: f64 = 2.0;
+/// An output time below this multiple of the warm time is none: the outputs had been made earlier
+/// and waited, for instance while this process was paused.
+const BURST_FACTOR: f64 = 0.4;
+/// An output time, or a silence, beyond this multiple of the warm time is a sign of cold.
+const COLD_FACTOR: f64 = 3.0;
+/// Silence that is never a sign of cold, however short the warm time: a scheduler's pause.
+const SILENCE_FLOOR: Duration = Duration::from_millis(30);
+/// Evidence in a row that raises the limit by one.
+const EVIDENCE_PER_STEP: u32 = 4;
+/// Outputs kept until a report tells whether they were warm.
+const MAX_SAMPLES: usize = 256;
+/// Completions without a better output time after which the best one counts as warm.
+const PLATEAU_COMPLETIONS: u32 = 16;
+/// An output time below this share of the best one is an improvement.
+const IMPROVEMENT: f64 = 0.8;
+/// Weight of a new sample in the warm time.
+const PACE_WEIGHT: f64 = 0.1;
+
+value_type! {
+    /// Why the limit fell back to what a cold upstream bears.
+    pub enum ColdSign {
+        /// Outputs came too slowly, or not at all.
+        Pace,
+        /// The upstream reported that it is cold.
+        Report,
+        /// The upstream failed or was lost.
+        Failure,
+        /// The upstream was out of service and came back.
+        Return,
+    }
+}
+
+impl ColdSign {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Pace => "pace",
+            Self::Report => "report",
+            Self::Failure => "failure",
+            Self::Return => "return",
+        }
+    }
+}
+
+/// Time from one output of a request to the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sample {
+    /// Time of the output before, or of the start.
+    pub from: Duration,
+    /// Time of the output.
+    pub to: Duration,
+    /// Tokens that the output held; 1 for a whole answer.
+    pub tokens: u32,
+}
+
+impl Sample {
+    fn pace(&self) -> f64 {
+        (self.to.saturating_sub(self.from)).as_secs_f64() / f64::from(self.tokens.max(1))
+    }
+}
+
+/// The proof of warmth of one upstream.
+#[derive(Clone, Debug)]
+pub struct Warmth {
+    cold_concurrency: u32,
+    warm_concurrency: u32,
+    limit: u32,
+    streak: u32,
+    warm_at: Option<Duration>,
+    sign_at: Option<Duration>,
+    /// Warm time of one token or answer, in seconds.
+    pace: Option<f64>,
+    best: Option<f64>,
+    completions_since_best: u32,
+    report_at: Option<Duration>,
+    report_warm: Option<bool>,
+    samples: VecDeque<Sample>,
+}
+
+impl Warmth {
+    /// An upstream of which nothing is known.
+    #[must_use]
+    pub fn new(cold_concurrency: u32, warm_concurrency: u32) -> Self {
+        Self {
+            cold_concurrency,
+            warm_concurrency,
+            limit: cold_concurrency.min(warm_concurrency),
+            streak: 0,
+            warm_at: None,
+            sign_at: None,
+            pace: None,
+            best: None,
+            completions_since_best: 0,
+            report_at: None,
+            report_warm: None,
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Takes over what the catalog says an upstream bears.
+    pub fn configure(&mut self, cold_concurrency: u32, warm_concurrency: u32) {
+        let was_cold = self.is_cold();
+        self.cold_concurrency = cold_concurrency;
+        self.warm_concurrency = warm_concurrency;
+        self.limit = self.limit.min(warm_concurrency);
+        if was_cold {
+            self.limit = cold_concurrency.min(warm_concurrency);
+        }
+    }
+
+    /// Most requests in flight.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Most requests in flight that started after [`Warmth::warm_at`].
+    #[must_use]
+    pub fn exposure(&self) -> u32 {
+        self.cold_concurrency
+    }
+
+    /// Last moment at which the upstream is known to have been warm.
+    #[must_use]
+    pub fn warm_at(&self) -> Option<Duration> {
+        self.warm_at
+    }
+
+    /// Whether nothing proves the upstream warm since the last sign of cold.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.warm_at.is_none()
+    }
+
+    /// Falls back to what a cold upstream bears.
+    pub fn collapse(&mut self, now: Duration, sign: ColdSign) {
+        if !self.is_cold() {
+            counter!("oriole_admission_collapses_total", "sign" => sign.as_str()).increment(1);
+        }
+        self.limit = self.cold_concurrency.min(self.warm_concurrency);
+        self.streak = 0;
+        self.warm_at = None;
+        self.sign_at = self.sign_at.max(Some(now));
+    }
+
+    /// Takes in one output.
+    pub fn output(&mut self, sample: Sample) {
+        self.note(sample);
+        let Some(pace) = self.pace else { return };
+        // Another request's output within that time says that the upstream is not the cause.
+        let alone = self.warm_at.is_none_or(|at| at <= sample.from);
+        let slow = alone && self.is_silence(sample.pace(), pace);
+        let warm = pace * BURST_FACTOR..=pace * WARM_FACTOR;
+        if warm.contains(&sample.pace()) {
+            self.evidence(sample.from);
+        } else if slow {
+            self.collapse(sample.to, ColdSign::Pace);
+        }
+    }
+
+    /// Takes in the upstream's own report, made at some time.
+    pub fn report(&mut self, made_at: Duration, cold: bool) {
+        if self.report_at.is_some_and(|at| made_at <= at) {
+            return;
+        }
+        let before = self.report_at.replace(made_at);
+        let was_warm = self.report_warm.replace(!cold) == Some(true);
+        if cold {
+            let outdated = self.warm_at.is_some_and(|at| at > made_at);
+            if !outdated {
+                self.collapse(made_at, ColdSign::Report);
+            }
+            return;
+        }
+        if was_warm {
+            self.learn(before.unwrap_or(made_at), made_at);
+        }
+        self.prove(made_at);
+    }
+
+    /// Takes in a completed request as one sample over all its outputs; used where the upstream
+    /// does not report whether it is cold.
+    pub fn completed(&mut self, whole: Sample) {
+        let pace = whole.pace();
+        self.completions_since_best += 1;
+        if self.best.is_none_or(|best| pace < best * IMPROVEMENT) {
+            self.best = Some(pace);
+            self.completions_since_best = 0;
+        }
+        let settled = self.completions_since_best >= PLATEAU_COMPLETIONS;
+        if self.report_warm.is_none() && self.pace.is_none() && settled {
+            self.pace = self.best;
+        }
+    }
+
+    /// Takes in that a request has given no output for some time.
+    pub fn silence(&mut self, now: Duration, since: Duration) {
+        let Some(pace) = self.pace else { return };
+        let silent = now.saturating_sub(since).as_secs_f64();
+        if !self.is_cold() && self.is_silence(silent, pace) {
+            self.collapse(now, ColdSign::Pace);
+        }
+    }
+
+    fn is_silence(&self, seconds: f64, pace: f64) -> bool {
+        seconds > (pace * COLD_FACTOR).max(SILENCE_FLOOR.as_secs_f64())
+    }
+
+    fn evidence(&mut self, at: Duration) {
+        if !self.prove(at) {
+            return;
+        }
+        self.streak += 1;
+        if self.streak >= EVIDENCE_PER_STEP {
+            self.streak = 0;
+            self.limit = (self.limit + 1).min(self.warm_concurrency);
+        }
+    }
+
+    /// Notes that the upstream was warm at some time, unless a later sign says otherwise.
+    fn prove(&mut self, at: Duration) -> bool {
+        if self.sign_at.is_some_and(|sign| at <= sign) {
+            return false;
+        }
+        self.warm_at = self.warm_at.max(Some(at));
+        true
+    }
+
+    fn note(&mut self, sample: Sample) {
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+    }
+
+    fn learn(&mut self, from: Duration, to: Duration) {
+        let within = |s: &&Sample| s.from >= from && s.to <= to;
+        for sample in self.samples.iter().filter(within) {
+            let pace = self.pace.unwrap_or(sample.pace());
+            self.pace = Some(pace + (sample.pace() - pace) * PACE_WEIGHT);
+        }
+        self.samples.retain(|s| s.to > to);
+    }
+}
