--- /dev/null
+++ b/crates/oriole_catalog/src/validate.rs
@@ -0,0 +1,240 @@
+//! Checks that hold between the parts of a catalog and that types alone cannot express.
+
+use std::collections::BTreeMap;
+use std::fmt::{Debug, Display};
+
+use oriole_types::prelude::*;
+
+/// Longest name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Largest request body an entry may allow, in bytes.
+const MAX_BODY_BYTES: u32 = 16 * 1024 * 1024;
+/// Most keys an account may have at once: the one in use and the one it is rotated to.
+const MAX_KEYS: usize = 2;
+/// Largest weight of an account.
+const MAX_WEIGHT: u32 = 1_000;
+/// Most claim partitions of a pool.
+const MAX_CLAIM_PARTITIONS: u32 = 4_096;
+
+/// Something in a catalog that must not be.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {message}")]
+pub struct Violation {
+    /// Key path, such as `entries.credits.pool`.
+    pub key: String,
+    /// What is wrong and what is allowed.
+    pub message: String,
+}
+
+/// All violations in a catalog, in order of sections.
+#[must_use]
+pub fn violations(catalog: &Catalog) -> Vec<Violation> {
+    let mut checks = Checks {
+        catalog,
+        found: Vec::new(),
+    };
+    checks.names();
+    checks.entries();
+    checks.accounts();
+    checks.pools();
+    checks.groups();
+    checks.blocks();
+    checks.found
+}
+
+struct Checks<'a> {
+    catalog: &'a Catalog,
+    found: Vec<Violation>,
+}
+
+impl Checks<'_> {
+    fn report(&mut self, key: String, message: impl Into<String>) {
+        let message = message.into();
+        self.found.push(Violation { key, message });
+    }
+
+    fn range(&mut self, key: String, value: u64, low: u64, high: u64) {
+        if !(low..=high).contains(&value) {
+            self.report(
+                key,
+                format!("{value} is out of range; allowed: {low} to {high}"),
+            );
+        }
+    }
+
+    fn positive(&mut self, key: String, value: u32) {
+        self.range(key, value.into(), 1, u32::MAX.into());
+    }
+
+    fn names(&mut self) {
+        let c = self.catalog;
+        let names = (c.entries.keys().map(|n| ("entries", n.as_str())))
+            .chain(c.accounts.keys().map(|n| ("accounts", n.as_str())))
+            .chain(c.pools.keys().map(|n| ("pools", n.as_str())))
+            .chain(c.domains.keys().map(|n| ("domains", n.as_str())))
+            .chain(c.vms.keys().map(|n| ("vms", n.as_str())))
+            .chain(c.groups.keys().map(|n| ("groups", n.as_str())))
+            .chain(c.blocks.keys().map(|n| ("blocks", n.as_str())));
+        for (section, name) in names.filter(|(_, name)| !is_name(name)) {
+            self.report(
+                format!("{section}.{name}"),
+                format!("not a name; allowed: 1 to {MAX_NAME_BYTES} of a-z, A-Z, 0-9, -, _ and ."),
+            );
+        }
+    }
+
+    fn entries(&mut self) {
+        let catalog = self.catalog;
+        for (name, e) in &catalog.entries {
+            let key = |field: &str| format!("entries.{name}.{field}");
+            if e.owner.is_empty() {
+                self.report(key("owner"), "must not be empty");
+            }
+            if !e.class.idempotent && e.class.stream {
+                self.report(
+                    key("class.stream"),
+                    "an entry that is not idempotent cannot be streamed; allowed: false",
+                );
+            }
+            match catalog.pools.get(&e.pool) {
+                None => self.report(key("pool"), unknown("pool", &e.pool, catalog.pools.keys())),
+                Some(pool) if pool.kind == PoolKind::Service && e.model.is_some() => {
+                    self.report(
+                        key("model"),
+                        "the pool's upstreams are plain services; leave it out",
+                    );
+                }
+                Some(_) => {}
+            }
+            self.range(
+                key("max_body_bytes"),
+                e.max_body_bytes.into(),
+                1,
+                MAX_BODY_BYTES.into(),
+            );
+            self.positive(key("requests_per_s"), e.requests_per_s);
+            self.positive(key("max_timeout_ms"), e.max_timeout_ms);
+            self.range(
+                key("default_timeout_ms"),
+                e.default_timeout_ms.into(),
+                1,
+                e.max_timeout_ms.max(1).into(),
+            );
+        }
+    }
+
+    fn accounts(&mut self) {
+        let mut owners = BTreeMap::new();
+        for (name, a) in &self.catalog.accounts {
+            let key = |field: &str| format!("accounts.{name}.{field}");
+            if !(1..=MAX_KEYS).contains(&a.key_digests.len()) {
+                let n = a.key_digests.len();
+                self.report(
+                    key("key_digests"),
+                    format!("{n} digests; allowed: 1, or {MAX_KEYS} while a key is rotated"),
+                );
+            }
+            for digest in &a.key_digests {
+                if let Some(owner) = owners.insert(digest, name) {
+                    self.report(
+                        key("key_digests"),
+                        format!("account {owner} has the same key"),
+                    );
+                }
+            }
+            self.positive(key("requests_per_s"), a.requests_per_s);
+            self.positive(key("burst"), a.burst);
+            self.positive(key("max_in_flight"), a.max_in_flight);
+            self.range(key("weight"), a.weight.into(), 1, MAX_WEIGHT.into());
+        }
+    }
+
+    fn pools(&mut self) {
+        for (name, p) in &self.catalog.pools {
+            let key = |field: &str| format!("pools.{name}.{field}");
+            self.positive(key("warm_concurrency"), p.warm_concurrency);
+            self.range(
+                key("cold_concurrency"),
+                p.cold_concurrency.into(),
+                1,
+                p.warm_concurrency.max(1).into(),
+            );
+            self.range(
+                key("claim_partitions"),
+                p.claim_partitions.into(),
+                1,
+                MAX_CLAIM_PARTITIONS.into(),
+            );
+        }
+    }
+
+    fn groups(&mut self) {
+        let catalog = self.catalog;
+        for (name, g) in &catalog.groups {
+            let key = |field: &str| format!("groups.{name}.{field}");
+            match catalog.pools.get(&g.pool) {
+                None => self.report(key("pool"), unknown("pool", &g.pool, catalog.pools.keys())),
+                Some(pool) if pool.kind != PoolKind::Engine => {
+                    self.report(key("pool"), "a group's pool must be of kind \"engine\"");
+                }
+                Some(_) => {}
+            }
+            self.positive(key("ranks"), g.ranks);
+            self.positive(key("experts"), g.experts);
+            self.positive(key("layers"), g.layers);
+            self.range(key("expert_bytes"), g.expert_bytes, 1, u64::MAX);
+            self.range(key("weight_bytes_per_s"), g.weight_bytes_per_s, 1, u64::MAX);
+            let fewest = g.experts.div_ceil(g.ranks.max(1));
+            self.range(
+                key("slots_per_rank"),
+                g.slots_per_rank.into(),
+                fewest.into(),
+                u32::MAX.into(),
+            );
+        }
+    }
+
+    fn blocks(&mut self) {
+        let catalog = self.catalog;
+        for (name, b) in &catalog.blocks {
+            let key = |field: &str| format!("blocks.{name}.{field}");
+            if b.account.is_none() && b.entry.is_none() && b.key.is_none() {
+                self.report(
+                    format!("blocks.{name}"),
+                    "covers nothing; name at least one of account, entry, key",
+                );
+            }
+            if let Some(e) = b
+                .entry
+                .as_ref()
+                .filter(|e| !catalog.entries.contains_key(*e))
+            {
+                self.report(key("entry"), unknown("entry", e, catalog.entries.keys()));
+            }
+            if let Some(a) = b
+                .account
+                .as_ref()
+                .filter(|a| !catalog.accounts.contains_key(*a))
+            {
+                self.report(key("account"), format!("no account {:?}", a.as_str()));
+            }
+            if b.reason.is_empty() {
+                self.report(key("reason"), "must not be empty");
+            }
+        }
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.chars().all(allowed)
+}
+
+fn unknown<'a, N: Display + Debug + 'a>(
+    what: &str,
+    name: &N,
+    known: impl Iterator<Item = &'a N>,
+) -> String {
+    let known: Vec<_> = known.map(ToString::to_string).collect();
+    format!("no {what} {name:?}; allowed: {}", known.join(", "))
+}
