Store the catalog as a root and parts, changed by one compare-and-swap

An accepted change must be durable, racing operators must see each other, and a lost answer must end in a clear accepted or rejected.

The root names the parts by digest and lists the recent changes; swapping it is what accepts a change. Accounts are cut into 32 parts, so that a change moves little.

--- a/crates/oriole_catalog/src/edit.rs
+++ b/crates/oriole_catalog/src/edit.rs
@@ -21,6 +21,8 @@
 /// It can be applied to any later catalog in which nobody changed the same items otherwise.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Edit {
+    /// Revision the author saw.
+    pub base: Revision,
     /// The changes in order of their paths.
     pub changes: Vec<ItemChange>,
 }
@@ -42,7 +44,7 @@
 }
 
 impl Edit {
-    /// What leads from one catalog to another; revisions play no part.
+    /// What leads from one catalog to another.
     #[must_use]
     pub fn between(before: &Catalog, after: &Catalog) -> Self {
         let old = items_of(before);
@@ -69,7 +71,8 @@
             });
         }
         changes.sort_by(|a, b| a.path.cmp(&b.path));
-        Self { changes }
+        let base = before.revision;
+        Self { base, changes }
     }
 
     /// The edit that a function makes of a catalog.
--- a/crates/oriole_catalog/src/lib.rs
+++ b/crates/oriole_catalog/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`document`]: TOML documents and their errors with file, line, key and allowed values.
 //! - [`validate`]: what must hold between the parts of a catalog.
 //! - [`section`], [`edit`]: a catalog as items, and changes as sets of item changes.
+//! - [`stored`]: the catalog in the store: change, history, rollback, and whole revisions in memory.
 //! - [`account_key`]: fresh account keys, of which the catalog holds only digests.
 #![forbid(unsafe_code)]
 
@@ -12,6 +13,7 @@
 pub mod document;
 pub mod edit;
 pub mod section;
+pub mod stored;
 pub mod validate;
 
 /// Everything that other crates usually need from this one.
@@ -19,4 +21,7 @@
     pub use crate::account_key::AccountKey;
     pub use crate::document::{Document, DocumentErrors};
     pub use crate::edit::{Edit, EditError};
+    pub use crate::stored::{
+        Accepted, ChangeError, ChangeMeta, ChangeRecord, Repository, RepositoryConfig, Snapshot,
+    };
 }
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/mod.rs
@@ -0,0 +1,14 @@
+//! The catalog as the store holds it: one root value, parts, and the roots of earlier revisions.
+
+mod change;
+mod part;
+mod repository;
+mod root;
+mod snapshot;
+mod trim;
+
+pub use change::{Accepted, ChangeError, ChangeMeta};
+pub use part::{PartName, split};
+pub use repository::{Repository, RepositoryConfig, RepositoryError};
+pub use root::{ChangeId, ChangeRecord, PartRef, ROOT_KEY, Root, history_key};
+pub use snapshot::{Bundle, Snapshot, SnapshotError};
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/part.rs
@@ -0,0 +1,76 @@
+//! Parts: the catalog cut so that a change moves little and no value grows beyond the store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use oriole_types::prelude::*;
+
+use crate::section::Section;
+
+/// Parts that accounts are cut into, by digest of the name.
+const ACCOUNT_SHARDS: u64 = 32;
+
+oriole_types::name_type! {
+    /// Name of a part: the section, and for accounts the shard.
+    pub struct PartName
+}
+
+fn account_part(name: &AccountName) -> PartName {
+    let shard = Digest::of(name.as_str().as_bytes()).short() % ACCOUNT_SHARDS;
+    PartName::new(&format!("{}.{shard}", Section::Accounts.as_str()))
+}
+
+/// Cuts a catalog into parts, each a JSON catalog with one section or shard. Empty ones are left
+/// out.
+///
+/// # Errors
+///
+/// Fails if a part cannot be written as JSON.
+pub fn split(catalog: &Catalog) -> Result<BTreeMap<PartName, Arc<str>>, serde_json::Error> {
+    let mut parts: BTreeMap<PartName, Catalog> = BTreeMap::new();
+    for (name, account) in &catalog.accounts {
+        let shard = parts.entry(account_part(name)).or_default();
+        shard.accounts.insert(name.clone(), account.clone());
+    }
+    macro_rules! section {
+        ($section:ident, $field:ident) => {
+            if !catalog.$field.is_empty() {
+                let part = parts.entry(PartName::new(Section::$section.as_str()));
+                part.or_default().$field = catalog.$field.clone();
+            }
+        };
+    }
+    section!(Entries, entries);
+    section!(Pools, pools);
+    section!(Domains, domains);
+    section!(Vms, vms);
+    section!(Groups, groups);
+    section!(Blocks, blocks);
+    section!(ReleasedDigests, released_digests);
+    let texts = parts.into_iter().map(|(name, part)| {
+        let text = serde_json::to_string(&part)?;
+        Ok((name, text.into()))
+    });
+    texts.collect()
+}
+
+/// Replaces one part of a catalog.
+pub(super) fn replace(catalog: &mut Catalog, name: &PartName, part: Catalog) {
+    let accounts = Section::Accounts.as_str();
+    if name.as_str().starts_with(accounts) {
+        catalog.accounts.retain(|a, _| account_part(a) != *name);
+        catalog.accounts.extend(part.accounts);
+        return;
+    }
+    match Section::from_name(name.as_str()) {
+        Some(Section::Entries) => catalog.entries = part.entries,
+        Some(Section::Pools) => catalog.pools = part.pools,
+        Some(Section::Domains) => catalog.domains = part.domains,
+        Some(Section::Vms) => catalog.vms = part.vms,
+        Some(Section::Groups) => catalog.groups = part.groups,
+        Some(Section::Blocks) => catalog.blocks = part.blocks,
+        Some(Section::ReleasedDigests) => catalog.released_digests = part.released_digests,
+        // A name that this version does not know carries nothing it could act on.
+        Some(Section::Accounts) | None => {}
+    }
+}
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/repository.rs
@@ -0,0 +1,228 @@
+//! Reading and changing the stored catalog, for operators' tools.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{StreamExt as _, TryStreamExt as _, stream};
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+
+use super::part::PartName;
+use super::root::{ChangeRecord, PartRef, ROOT_KEY, Root, history_key};
+use super::snapshot::{Snapshot, SnapshotError};
+
+/// Parts read at once.
+const CONCURRENT_READS: usize = 8;
+/// Reads of a whole revision before giving up because parts vanish under it.
+const READ_TRIES: u32 = 3;
+
+/// Settings of a [`Repository`].
+#[derive(Clone, Copy, Debug)]
+pub struct RepositoryConfig {
+    /// Longest time spent on finding out whether a change was accepted.
+    pub settle_timeout: Duration,
+    /// Pauses while finding out.
+    pub backoff: oriole_store::backoff::Backoff,
+    /// Revisions kept for history and rollback.
+    pub kept_revisions: u64,
+}
+
+impl Default for RepositoryConfig {
+    fn default() -> Self {
+        Self {
+            settle_timeout: Duration::from_secs(30),
+            backoff: oriole_store::backoff::Backoff {
+                first: Duration::from_millis(50),
+                max: Duration::from_secs(2),
+            },
+            kept_revisions: 2_000,
+        }
+    }
+}
+
+/// Why the stored catalog could not be read.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum RepositoryError {
+    /// The store gave no value.
+    #[error(transparent)]
+    Store(#[from] StepError<StoreError>),
+    /// What the store holds is not a catalog.
+    #[error("revision {revision}: {source}")]
+    Snapshot {
+        /// Revision.
+        revision: Revision,
+        /// What is wrong.
+        source: SnapshotError,
+    },
+    /// There is no such revision, or not any more.
+    #[error("no revision {0}")]
+    NoRevision(Revision),
+}
+
+/// The stored catalog.
+///
+/// Use [`Repository::change`] for every change: it ends in accepted, in a conflict that shows the
+/// other's change, or in a clear refusal, whatever the store does meanwhile.
+#[derive(Clone)]
+pub struct Repository {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) cfg: RepositoryConfig,
+}
+
+/// A whole revision with the version that its root has in the store.
+pub(super) struct Current {
+    pub(super) snapshot: Snapshot,
+    /// What a compare-and-swap of the root must expect.
+    pub(super) expect: Expect,
+    /// The root as it is stored; empty if there is none.
+    pub(super) root_bytes: Bytes,
+}
+
+impl Repository {
+    /// The catalog in a store.
+    #[must_use]
+    pub fn open(store: Arc<dyn Store>, cfg: RepositoryConfig) -> Self {
+        Self { store, cfg }
+    }
+
+    /// The newest revision; the empty snapshot with revision zero if nothing was ever applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no value or holds something else.
+    pub async fn read(&self) -> Result<Snapshot, RepositoryError> {
+        Ok(self.current().await?.snapshot)
+    }
+
+    /// An earlier revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such revision any more, or as [`Self::read`] does.
+    pub async fn at(&self, revision: Revision) -> Result<Snapshot, RepositoryError> {
+        let current = self.read().await?;
+        if current.revision() == revision {
+            return Ok(current);
+        }
+        let root = self.root_at(revision).await?;
+        self.assemble(&current, root.ok_or(RepositoryError::NoRevision(revision))?)
+            .await
+    }
+
+    /// The latest changes, newest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no value or holds something else.
+    pub async fn history(&self, limit: usize) -> Result<Vec<ChangeRecord>, RepositoryError> {
+        let mut changes = match self.root().await? {
+            Some((root, _)) => root.changes,
+            None => Vec::new(),
+        };
+        while let Some(oldest) = changes.last() {
+            let before = oldest.revision.0 - 1;
+            if changes.len() >= limit || before == 0 {
+                break;
+            }
+            match self.root_at(Revision(before)).await? {
+                Some(root) => changes.extend(root.changes),
+                None => break,
+            }
+        }
+        changes.truncate(limit);
+        Ok(changes)
+    }
+
+    pub(super) async fn current(&self) -> Result<Current, RepositoryError> {
+        let mut tries = 0;
+        loop {
+            let Some((root, stored)) = self.root().await? else {
+                return Ok(Current {
+                    snapshot: Snapshot::default(),
+                    expect: Expect::Absent,
+                    root_bytes: Bytes::new(),
+                });
+            };
+            tries += 1;
+            match self.assemble(&Snapshot::default(), root).await {
+                Ok(snapshot) => {
+                    return Ok(Current {
+                        snapshot,
+                        expect: Expect::Version(stored.version),
+                        root_bytes: stored.value,
+                    });
+                }
+                // Trimmed since the root was read: the root has moved on.
+                Err(RepositoryError::Snapshot {
+                    source: SnapshotError::Missing(_),
+                    ..
+                }) if tries < READ_TRIES => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    pub(super) async fn root(&self) -> Result<Option<(Root, Versioned)>, RepositoryError> {
+        let stored = self.store.get(ROOT_KEY).await;
+        let Some(stored) = stored.map_err(|e| e.at("read root"))? else {
+            return Ok(None);
+        };
+        let root = decode_root(&stored.value)?;
+        Ok(Some((root, stored)))
+    }
+
+    pub(super) async fn root_at(
+        &self,
+        revision: Revision,
+    ) -> Result<Option<Root>, RepositoryError> {
+        let stored = self.store.get(&history_key(revision)).await;
+        let stored = stored.map_err(|e| e.at("read history"))?;
+        stored.map(|s| decode_root(&s.value)).transpose()
+    }
+
+    async fn assemble(&self, held: &Snapshot, root: Root) -> Result<Snapshot, RepositoryError> {
+        let revision = root.revision;
+        let parts = read_parts(&*self.store, &held.missing(&root)).await?;
+        held.advance(Arc::new(root), parts)
+            .map_err(|source| RepositoryError::Snapshot { revision, source })
+    }
+}
+
+/// Reads parts from the store; those that are not there are left out.
+pub(crate) async fn read_parts(
+    store: &dyn Store,
+    parts: &[(&PartName, &PartRef)],
+) -> Result<BTreeMap<PartName, Arc<str>>, StepError<StoreError>> {
+    stream::iter(
+        parts
+            .iter()
+            .map(|(name, part)| read_part(store, name, &part.key)),
+    )
+    .buffer_unordered(CONCURRENT_READS)
+    .try_filter_map(|found| async { Ok(found) })
+    .try_collect()
+    .await
+}
+
+async fn read_part(
+    store: &dyn Store,
+    name: &PartName,
+    key: &str,
+) -> Result<Option<(PartName, Arc<str>)>, StepError<StoreError>> {
+    let stored = store.get(key).await.map_err(|e| e.at("read part"))?;
+    let Some(stored) = stored else {
+        return Ok(None);
+    };
+    let text = std::str::from_utf8(&stored.value)
+        .map_err(|e| StoreError::Malformed(e.to_string()).at("read part"))?;
+    Ok(Some((name.clone(), text.into())))
+}
+
+fn decode_root(bytes: &[u8]) -> Result<Root, RepositoryError> {
+    Root::decode(bytes).map_err(|e| RepositoryError::Snapshot {
+        revision: Revision::default(),
+        source: SnapshotError::Undecodable(e.to_string()),
+    })
+}
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/snapshot.rs
@@ -0,0 +1,165 @@
+//! One whole revision in memory, and what is sent to bring another process up to it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oriole_types::prelude::*;
+
+use super::part::{PartName, replace};
+use super::root::{PartRef, Root};
+
+/// A whole revision: its root, its parts and the catalog they make up.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    root: Arc<Root>,
+    parts: BTreeMap<PartName, Arc<str>>,
+    catalog: Arc<Catalog>,
+}
+
+/// Why a root and parts do not make up a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SnapshotError {
+    /// A part is missing.
+    #[error("part {0} is missing")]
+    Missing(PartName),
+    /// A part has not the content that the root names.
+    #[error("part {0} has another digest than the root says")]
+    Digest(PartName),
+    /// The bytes are not JSON of the expected shape.
+    #[error("cannot be decoded: {0}")]
+    Undecodable(String),
+}
+
+oriole_types::domain_type! {
+    /// A root with the parts that its receiver lacks.
+    pub struct Bundle {
+        /// Root.
+        pub root: Arc<Root>,
+        /// Contents of parts by name.
+        pub parts: BTreeMap<PartName, Arc<str>>,
+    }
+}
+
+impl SnapshotError {
+    /// The reason in metrics.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Missing(_) => "part_missing",
+            Self::Digest(_) => "digest",
+            Self::Undecodable(_) => "undecodable",
+        }
+    }
+}
+
+impl Bundle {
+    /// Reads a bundle.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a bundle.
+    pub fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        serde_json::from_slice(bytes).map_err(|e| SnapshotError::Undecodable(e.to_string()))
+    }
+
+    /// The bundle as bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be written as JSON.
+    pub fn encode(&self) -> Result<Bytes, serde_json::Error> {
+        serde_json::to_vec(self).map(Bytes::from)
+    }
+}
+
+impl Snapshot {
+    /// Revision; zero for the empty snapshot.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.root.revision
+    }
+
+    /// Root.
+    #[must_use]
+    pub fn root(&self) -> &Arc<Root> {
+        &self.root
+    }
+
+    /// Catalog.
+    #[must_use]
+    pub fn catalog(&self) -> &Arc<Catalog> {
+        &self.catalog
+    }
+
+    /// The parts of a root that this snapshot does not hold.
+    #[must_use]
+    pub fn missing<'a>(&self, root: &'a Root) -> Vec<(&'a PartName, &'a PartRef)> {
+        root.parts
+            .iter()
+            .filter(|(name, part)| !self.holds(name, part))
+            .collect()
+    }
+
+    fn holds(&self, name: &PartName, part: &PartRef) -> bool {
+        let held = self.root.parts.get(name);
+        held.is_some_and(|held| held.digest == part.digest)
+    }
+
+    /// The snapshot of another root, made from the parts held and some new ones.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part is in neither, or is not what the root says.
+    pub fn advance(
+        &self,
+        root: Arc<Root>,
+        mut fresh: BTreeMap<PartName, Arc<str>>,
+    ) -> Result<Self, SnapshotError> {
+        let mut catalog = Catalog::clone(&self.catalog);
+        let mut parts = BTreeMap::new();
+        for (name, part) in &root.parts {
+            if self.holds(name, part) {
+                let text = self.parts.get(name).cloned();
+                let text = text.ok_or_else(|| SnapshotError::Missing(name.clone()))?;
+                parts.insert(name.clone(), text);
+                continue;
+            }
+            let text = fresh.remove(name);
+            let text = text.ok_or_else(|| SnapshotError::Missing(name.clone()))?;
+            replace(&mut catalog, name, decode_part(name, part, &text)?);
+            parts.insert(name.clone(), text);
+        }
+        for name in self.parts.keys().filter(|n| !root.parts.contains_key(*n)) {
+            replace(&mut catalog, name, Catalog::default());
+        }
+        catalog.revision = root.revision;
+        Ok(Self {
+            root,
+            parts,
+            catalog: Arc::new(catalog),
+        })
+    }
+
+    /// What a process needs that holds the parts of some root, or nothing.
+    #[must_use]
+    pub fn bundle_for(&self, held: Option<&Root>) -> Bundle {
+        let lacks = |name: &PartName| {
+            let theirs = held.and_then(|root| root.parts.get(name));
+            let ours = self.root.parts.get(name);
+            theirs.map(|p| p.digest) != ours.map(|p| p.digest)
+        };
+        let parts = self.parts.iter().filter(|(name, _)| lacks(name));
+        Bundle {
+            root: Arc::clone(&self.root),
+            parts: parts.map(|(n, t)| (n.clone(), Arc::clone(t))).collect(),
+        }
+    }
+}
+
+fn decode_part(name: &PartName, part: &PartRef, text: &str) -> Result<Catalog, SnapshotError> {
+    if Digest::of(text.as_bytes()) != part.digest {
+        return Err(SnapshotError::Digest(name.clone()));
+    }
+    serde_json::from_str(text).map_err(|e| SnapshotError::Undecodable(e.to_string()))
+}
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/trim.rs
@@ -0,0 +1,41 @@
+//! Removing revisions that are no longer kept.
+
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+
+use super::repository::{Repository, RepositoryError};
+use super::root::history_key;
+
+impl Repository {
+    /// Removes the revision that falls out of the kept ones, and its parts that no later revision
+    /// uses. What cannot be removed stays behind and does no harm.
+    pub(super) async fn trim_before(&self, newest: Revision) {
+        let Some(oldest) = newest.0.checked_sub(self.cfg.kept_revisions) else {
+            return;
+        };
+        let _ = self.trim(Revision(oldest)).await;
+    }
+
+    async fn trim(&self, revision: Revision) -> Result<(), RepositoryError> {
+        let Some(old) = self.root_at(revision).await? else {
+            return Ok(());
+        };
+        let Some(next) = self.root_at(revision.next()).await? else {
+            return Ok(());
+        };
+        // A part belongs to consecutive revisions only, so the next one decides.
+        let kept: Vec<_> = next.parts.values().map(|p| p.key.as_str()).collect();
+        let unused = old.parts.values().map(|p| &p.key);
+        self.discard(unused.filter(|key| !kept.contains(&key.as_str())))
+            .await;
+        self.discard([&history_key(revision)]).await;
+        Ok(())
+    }
+
+    /// Removes values as far as the store does it.
+    pub(super) async fn discard(&self, keys: impl IntoIterator<Item = &String>) {
+        for key in keys {
+            let _ = self.store.delete(key, Expect::Any).await;
+        }
+    }
+}
