Add the expert placement planner

The planner smooths lagging, noisy loads per expert, tells stragglers from stalls by a windowed median of rank speeds, balances routing shares by water-filling and searches for moves that pay for their reads over a forecast horizon.

--- /dev/null
+++ b/crates/oriole_placement/src/balance.rs
@@ -0,0 +1,228 @@
+//! Best routing shares for a given placement.
+//!
+//! The load of an expert may be split over its replicas in any proportion. Water-filling one
+//! expert after the other minimizes the sum of squared load over speed; its minimum also has the
+//! least possible maximum.
+
+use crate::map::{ExpertId, LayerMap, SHARE_ONE};
+
+/// Most replicas of one expert in a layer.
+pub const MAX_REPLICAS: usize = 16;
+/// Most passes over all replicated experts.
+const MAX_SWEEPS: usize = 60;
+/// Passes stop when no share moves more than this part of the mean rank load.
+const TOLERANCE: f32 = 2e-4;
+
+/// Replicas of one expert with the load each takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Replicas {
+    pub len: u8,
+    pub ranks: [u16; MAX_REPLICAS],
+    pub loads: [f32; MAX_REPLICAS],
+}
+
+impl Replicas {
+    pub fn ranks(&self) -> &[u16] {
+        &self.ranks[..usize::from(self.len)]
+    }
+
+    pub fn find(&self, rank: u16) -> Option<usize> {
+        self.ranks().iter().position(|r| *r == rank)
+    }
+
+    pub fn is_full(&self) -> bool {
+        usize::from(self.len) == MAX_REPLICAS
+    }
+
+    pub fn add(&mut self, rank: u16) {
+        let i = usize::from(self.len);
+        self.ranks[i] = rank;
+        self.loads[i] = 0.0;
+        self.len += 1;
+    }
+
+    /// Removes a replica and returns the load it took.
+    pub fn remove(&mut self, rank: u16) -> f32 {
+        let Some(i) = self.find(rank) else { return 0.0 };
+        let last = usize::from(self.len) - 1;
+        let load = self.loads[i];
+        self.ranks[i] = self.ranks[last];
+        self.loads[i] = self.loads[last];
+        self.len -= 1;
+        load
+    }
+}
+
+/// Placement and shares of one layer while they are worked on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LayerWork {
+    pub(crate) slots_per_rank: usize,
+    pub(crate) slots: Vec<ExpertId>,
+    pub(crate) loads: Vec<f32>,
+    pub(crate) replicas: Vec<Replicas>,
+    pub(crate) rank_loads: Vec<f32>,
+    pub(crate) speeds: Vec<f32>,
+    pub(crate) level: f32,
+}
+
+impl LayerWork {
+    /// Takes up a layer's placement and shares under new loads and speeds.
+    #[must_use]
+    pub fn new(map: &LayerMap, loads: &[f32], speeds: &[f32], slots_per_rank: usize) -> Self {
+        let mut work = Self {
+            slots_per_rank,
+            slots: map.experts.clone(),
+            loads: loads.to_vec(),
+            replicas: vec![Replicas::default(); loads.len()],
+            rank_loads: vec![0.0; speeds.len()],
+            speeds: speeds.to_vec(),
+            level: loads.iter().sum::<f32>() / speeds.iter().sum::<f32>(),
+        };
+        for (slot, (expert, share)) in map.experts.iter().zip(&map.shares).enumerate() {
+            let load = loads[usize::from(*expert)] * f32::from(*share) / f32::from(SHARE_ONE);
+            let rank = slot / slots_per_rank;
+            let list = &mut work.replicas[usize::from(*expert)];
+            list.add(rank as u16);
+            list.loads[usize::from(list.len) - 1] = load;
+            work.rank_loads[rank] += load;
+        }
+        work
+    }
+
+    /// Load over speed of a rank, relative to a perfect balance.
+    #[must_use]
+    pub fn time(&self, rank: usize) -> f32 {
+        self.rank_loads[rank] / (self.speeds[rank] * self.level)
+    }
+
+    /// Largest load over speed, relative to a perfect balance; 1 is the best there is.
+    #[must_use]
+    pub fn peak(&self) -> f32 {
+        (0..self.rank_loads.len())
+            .map(|r| self.time(r))
+            .fold(0.0, f32::max)
+    }
+
+    /// A smooth stand-in for [`Self::peak`] that also rewards relief of the second slowest rank.
+    #[must_use]
+    pub fn smooth_peak(&self) -> f32 {
+        let ranks = self.rank_loads.len();
+        let sum: f32 = (0..ranks).map(|r| pow32(self.time(r))).sum();
+        (sum / ranks as f32).powf(1.0 / 32.0)
+    }
+
+    /// Finds the best shares for the placement.
+    pub fn balance(&mut self) {
+        self.balance_for(MAX_SWEEPS);
+    }
+
+    /// Improves the shares by at most so many passes.
+    pub fn balance_for(&mut self, sweeps: usize) {
+        let multi: Vec<usize> = (0..self.replicas.len())
+            .filter(|e| self.replicas[*e].len > 1)
+            .collect();
+        for sweep in 0..sweeps {
+            let change = if sweep % 2 == 0 {
+                self.sweep(multi.iter().copied())
+            } else {
+                self.sweep(multi.iter().rev().copied())
+            };
+            if change <= TOLERANCE * self.level {
+                return;
+            }
+        }
+    }
+
+    fn sweep(&mut self, experts: impl Iterator<Item = usize>) -> f32 {
+        experts.map(|e| self.fill(e)).fold(0.0, f32::max)
+    }
+
+    /// Spreads one expert's load over its replicas so that the ranks that take some end level.
+    /// Returns the largest change of a replica's load.
+    pub(crate) fn fill(&mut self, expert: usize) -> f32 {
+        let list = self.replicas[expert];
+        let n = usize::from(list.len);
+        let mut order = [0usize; MAX_REPLICAS];
+        let mut base = [0f32; MAX_REPLICAS];
+        for i in 0..n {
+            let rank = usize::from(list.ranks[i]);
+            base[i] = (self.rank_loads[rank] - list.loads[i]).max(0.0);
+            order[i] = i;
+        }
+        let speed = |i: usize| self.speeds[usize::from(list.ranks[i])];
+        order[..n]
+            .sort_unstable_by(|a, b| (base[*a] / speed(*a)).total_cmp(&(base[*b] / speed(*b))));
+        let mut sum_base = self.loads[expert];
+        let mut sum_speed = 0.0;
+        let mut level = 0.0;
+        for i in order[..n].iter().copied() {
+            if sum_speed > 0.0 && base[i] / speed(i) >= level {
+                break;
+            }
+            sum_base += base[i];
+            sum_speed += speed(i);
+            level = sum_base / sum_speed;
+        }
+        let mut change = 0f32;
+        for (i, base) in base[..n].iter().enumerate() {
+            let rank = usize::from(list.ranks[i]);
+            let load = (level * self.speeds[rank] - base).max(0.0);
+            change = change.max((load - list.loads[i]).abs());
+            self.replicas[expert].loads[i] = load;
+            self.rank_loads[rank] = base + load;
+        }
+        change
+    }
+
+    /// Whether a rank holds a replica of an expert.
+    pub(crate) fn holds(&self, rank: usize, expert: usize) -> bool {
+        self.replicas[expert].find(rank as u16).is_some()
+    }
+
+    /// Overwrites a slot with another expert, without spreading loads anew.
+    pub(crate) fn replace(&mut self, slot: usize, expert: ExpertId) {
+        let rank = slot / self.slots_per_rank;
+        let evicted = std::mem::replace(&mut self.slots[slot], expert);
+        let freed = self.replicas[usize::from(evicted)].remove(rank as u16);
+        self.rank_loads[rank] -= freed;
+        self.replicas[usize::from(expert)].add(rank as u16);
+    }
+
+    /// Placement and shares as a layer of a map; shares of each expert add up exactly.
+    #[must_use]
+    pub fn to_layer(&self) -> LayerMap {
+        let mut shares = vec![0u16; self.slots.len()];
+        let mut given = vec![0u16; self.replicas.len()];
+        let mut seen = vec![0u8; self.replicas.len()];
+        for (slot, expert) in self.slots.iter().enumerate() {
+            let e = usize::from(*expert);
+            seen[e] += 1;
+            let rest = SHARE_ONE - given[e];
+            shares[slot] = if seen[e] == self.replicas[e].len {
+                rest
+            } else {
+                self.share(e, slot / self.slots_per_rank).min(rest)
+            };
+            given[e] += shares[slot];
+        }
+        LayerMap {
+            experts: self.slots.clone(),
+            shares,
+        }
+    }
+
+    fn share(&self, expert: usize, rank: usize) -> u16 {
+        let list = &self.replicas[expert];
+        let load = list.find(rank as u16).map_or(0.0, |i| list.loads[i]);
+        let share = load / self.loads[expert].max(f32::MIN_POSITIVE);
+        (share * f32::from(SHARE_ONE)).round() as u16
+    }
+}
+
+fn pow32(x: f32) -> f32 {
+    let mut y = x;
+    for _ in 0..5 {
+        y *= y;
+    }
+    y
+}
--- /dev/null
+++ b/crates/oriole_placement/src/map.rs
@@ -0,0 +1,166 @@
+//! Which rank holds which expert, and which share of an expert's load goes to each replica.
+
+use oriole_types::digest::Digest;
+
+use crate::shape::GroupShape;
+
+/// Index of an expert within its layer.
+pub type ExpertId = u16;
+
+/// A replica's share that stands for the whole load of its expert.
+pub const SHARE_ONE: u16 = 10_000;
+
+oriole_types::number_type! {
+    /// Version of an expert map; it grows with each map of a group.
+    pub struct MapVersion
+}
+
+oriole_types::value_type! {
+    /// Version and content of an expert map. Two maps are the same only if both agree.
+    pub struct MapId {
+        /// Version.
+        pub version: MapVersion,
+        /// Digest of placement and shares.
+        pub digest: Digest,
+    }
+}
+
+oriole_types::value_type! {
+    /// One expert's weights that a rank has to read before it can use a map.
+    pub struct Move {
+        /// Layer.
+        pub layer: u16,
+        /// Rank that reads.
+        pub rank: u16,
+        /// Slot of the rank that is overwritten.
+        pub slot: u16,
+        /// Expert whose weights are read.
+        pub expert: ExpertId,
+        /// Expert that the slot held before.
+        pub evicted: ExpertId,
+    }
+}
+
+oriole_types::domain_type! {
+    /// Placement and shares of one layer, slot by slot, rank after rank.
+    pub struct LayerMap {
+        /// Expert in each slot.
+        pub experts: Vec<ExpertId>,
+        /// Share of the expert's load that the slot takes, in parts of [`SHARE_ONE`].
+        pub shares: Vec<u16>,
+    }
+}
+
+oriole_types::domain_type! {
+    /// The expert map of a group.
+    pub struct ExpertMap {
+        /// Version.
+        pub version: MapVersion,
+        /// Slots of a rank in a layer.
+        pub slots_per_rank: usize,
+        /// Layers.
+        pub layers: Vec<LayerMap>,
+    }
+}
+
+impl ExpertMap {
+    /// Version and digest.
+    #[must_use]
+    pub fn id(&self) -> MapId {
+        MapId {
+            version: self.version,
+            digest: self.digest(),
+        }
+    }
+
+    /// The digest of placement and shares.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let mut buf = Vec::new();
+        buf.extend((self.slots_per_rank as u64).to_be_bytes());
+        for layer in &self.layers {
+            buf.extend((layer.experts.len() as u64).to_be_bytes());
+            buf.extend(layer.experts.iter().flat_map(|e| e.to_be_bytes()));
+            buf.extend(layer.shares.iter().flat_map(|s| s.to_be_bytes()));
+        }
+        Digest::of(&buf)
+    }
+
+    /// The reads that lead from this map's placement to another's, layer by layer.
+    #[must_use]
+    pub fn moves_to(&self, next: &Self) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for (l, (old, new)) in self.layers.iter().zip(&next.layers).enumerate() {
+            layer_moves(l as u16, self.slots_per_rank, old, new, &mut moves);
+        }
+        moves
+    }
+
+    /// Whether every expert has a replica, no rank holds one twice and shares add up.
+    #[must_use]
+    pub fn is_whole(&self, shape: &GroupShape) -> bool {
+        self.slots_per_rank == shape.slots_per_rank
+            && self.layers.len() == shape.layers
+            && self.layers.iter().all(|l| l.is_whole(shape))
+    }
+}
+
+impl LayerMap {
+    /// The experts of one rank.
+    #[must_use]
+    pub fn rank(&self, rank: usize, slots_per_rank: usize) -> &[ExpertId] {
+        &self.experts[rank * slots_per_rank..(rank + 1) * slots_per_rank]
+    }
+
+    /// Load of each rank under known expert loads.
+    #[must_use]
+    pub fn rank_loads(&self, loads: &[f32], slots_per_rank: usize) -> Vec<f32> {
+        let slot_load =
+            |(e, s): (&u16, &u16)| loads[usize::from(*e)] * f32::from(*s) / f32::from(SHARE_ONE);
+        self.experts
+            .chunks(slots_per_rank)
+            .zip(self.shares.chunks(slots_per_rank))
+            .map(|(experts, shares)| experts.iter().zip(shares).map(slot_load).sum())
+            .collect()
+    }
+
+    /// Whether every expert has a replica, no rank holds one twice and shares add up.
+    #[must_use]
+    pub fn is_whole(&self, shape: &GroupShape) -> bool {
+        let mut sums = vec![0u32; shape.experts];
+        for (e, s) in self.experts.iter().zip(&self.shares) {
+            match sums.get_mut(usize::from(*e)) {
+                Some(sum) => *sum += u32::from(*s),
+                None => return false,
+            }
+        }
+        self.experts.len() == shape.slots()
+            && self.shares.len() == shape.slots()
+            && sums.iter().all(|s| *s == u32::from(SHARE_ONE))
+            && self.experts.chunks(shape.slots_per_rank).all(all_distinct)
+    }
+}
+
+fn all_distinct(experts: &[ExpertId]) -> bool {
+    experts
+        .iter()
+        .enumerate()
+        .all(|(i, e)| !experts[..i].contains(e))
+}
+
+fn layer_moves(layer: u16, slots: usize, old: &LayerMap, new: &LayerMap, moves: &mut Vec<Move>) {
+    let ranks = old.experts.chunks(slots).zip(new.experts.chunks(slots));
+    for (rank, (had, gets)) in ranks.enumerate() {
+        let mut free = (0..slots).filter(|s| !gets.contains(&had[*s]));
+        for expert in gets.iter().filter(|e| !had.contains(e)) {
+            let Some(slot) = free.next() else { break };
+            moves.push(Move {
+                layer,
+                rank: rank as u16,
+                slot: slot as u16,
+                expert: *expert,
+                evicted: had[slot],
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_placement/src/planner.rs
@@ -0,0 +1,319 @@
+//! The planner: estimates loads and speeds and says when another map pays.
+
+use std::time::Duration;
+
+use crate::balance::LayerWork;
+use crate::greedy;
+use crate::loads::{LoadConfig, LoadEstimator, LoadSample};
+use crate::map::{ExpertMap, LayerMap, MapVersion, Move};
+use crate::search::{self, SearchConfig};
+use crate::shape::{GroupShape, ShapeError};
+use crate::speeds::{SpeedConfig, SpeedEstimator};
+
+/// How the planner weighs skew against bytes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannerConfig {
+    /// Smoothing of expert loads.
+    pub loads: LoadConfig,
+    /// Smoothing of rank speeds.
+    pub speeds: SpeedConfig,
+    /// Time over which saved skew counts against the cost of moving.
+    pub horizon: Duration,
+    /// Factor on the time that reading weights takes, as its cost.
+    pub read_price: f64,
+    /// Excess of a layer's slowest rank over a perfect balance below which nothing is moved.
+    pub move_above: f32,
+    /// Excess that a search for moves is content with.
+    pub good_enough: f32,
+    /// Gain of new shares, as a part of the step time, below which they are left alone.
+    pub share_gain: f32,
+    /// Most bytes that one plan moves.
+    pub max_bytes: u64,
+    /// Most reads in one layer and plan.
+    pub max_reads_per_layer: usize,
+    /// Slowest ranks' experts considered in each round of a search.
+    pub sources: usize,
+    /// Fastest ranks considered in each round of a search.
+    pub targets: usize,
+}
+
+impl Default for PlannerConfig {
+    fn default() -> Self {
+        Self {
+            loads: LoadConfig::default(),
+            speeds: SpeedConfig::default(),
+            horizon: Duration::from_secs(600),
+            read_price: 1.0,
+            move_above: 0.02,
+            good_enough: 0.005,
+            share_gain: 0.002,
+            max_bytes: u64::MAX,
+            max_reads_per_layer: 8,
+            sources: 12,
+            targets: 4,
+        }
+    }
+}
+
+oriole_types::value_type! {
+    /// Why a plan was made.
+    pub enum PlanReason {
+        /// The group had no map.
+        FirstMap,
+        /// Other shares balance better; no weights are read.
+        Shares,
+        /// Demand drifted so far that moving weights pays.
+        Drift,
+        /// A rank became slower or faster for longer than a stall.
+        Speed,
+    }
+}
+
+/// A map that pays, and how to get there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The map.
+    pub map: ExpertMap,
+    /// Reads in the order in which they save most.
+    pub moves: Vec<Move>,
+    /// Expected step time under the map in force, relative to a perfect balance.
+    pub before: f32,
+    /// Expected step time under the new map, relative to a perfect balance.
+    pub after: f32,
+    /// Why.
+    pub reason: PlanReason,
+}
+
+impl Plan {
+    /// Bytes that the plan reads from the weight store.
+    #[must_use]
+    pub fn bytes(&self, shape: &GroupShape) -> u64 {
+        self.moves.len() as u64 * shape.expert_bytes
+    }
+}
+
+/// Plans the expert maps of one group.
+///
+/// Feed it with [`Self::observe_loads`] and [`Self::observe_speed`], ask [`Self::plan`] from time
+/// to time, and tell it by [`Self::set_map`] which map is in force.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    cfg: PlannerConfig,
+    shape: GroupShape,
+    loads: LoadEstimator,
+    speeds: SpeedEstimator,
+    planned_speeds: Vec<f32>,
+    map: Option<ExpertMap>,
+}
+
+/// Part of its planned speed by which a rank has to change for the change to be the reason.
+const SPEED_CHANGE: f32 = 0.1;
+
+impl Planner {
+    /// A planner for a group.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no placement exists for the group's sizes.
+    pub fn new(cfg: PlannerConfig, shape: GroupShape) -> Result<Self, ShapeError> {
+        shape.check()?;
+        Ok(Self {
+            loads: LoadEstimator::new(cfg.loads, shape.layers, shape.experts),
+            speeds: SpeedEstimator::new(cfg.speeds, shape.ranks),
+            planned_speeds: vec![1.0; shape.ranks],
+            cfg,
+            shape,
+            map: None,
+        })
+    }
+
+    /// Sizes of the group.
+    #[must_use]
+    pub fn shape(&self) -> &GroupShape {
+        &self.shape
+    }
+
+    /// The map in force, as far as the planner was told.
+    #[must_use]
+    pub fn map(&self) -> Option<&ExpertMap> {
+        self.map.as_ref()
+    }
+
+    /// The estimated rank speeds.
+    #[must_use]
+    pub fn speeds(&self) -> Vec<f32> {
+        self.speeds.speeds()
+    }
+
+    /// Ranks that have been clearly slower than the others for longer than a stall.
+    #[must_use]
+    pub fn stragglers(&self) -> Vec<usize> {
+        self.speeds.stragglers(1.0 - SPEED_CHANGE)
+    }
+
+    /// Says which map is in force.
+    pub fn set_map(&mut self, map: ExpertMap) {
+        self.planned_speeds = self.speeds.speeds();
+        self.map = Some(map);
+    }
+
+    /// Takes in the load reports of one interval.
+    pub fn observe_loads(&mut self, sample: &LoadSample) {
+        self.loads.observe(sample);
+    }
+
+    /// Takes in the speed that a rank showed in one interval.
+    pub fn observe_speed(&mut self, rank: usize, speed: f32) {
+        self.speeds.observe(rank, speed);
+    }
+
+    /// Expected step time under the map in force, relative to a perfect balance.
+    #[must_use]
+    pub fn skew(&self) -> f32 {
+        let speeds = self.speeds.speeds();
+        let Some(map) = &self.map else { return 1.0 };
+        let peaks = (0..map.layers.len()).map(|l| self.work(map, l, &speeds).peak());
+        peaks.sum::<f32>() / map.layers.len() as f32
+    }
+
+    /// A map that pays, if there is one.
+    #[must_use]
+    pub fn plan(&self) -> Option<Plan> {
+        match &self.map {
+            None => Some(self.first_plan()),
+            Some(map) => self.next_plan(map),
+        }
+    }
+
+    fn work(&self, map: &ExpertMap, layer: usize, speeds: &[f32]) -> LayerWork {
+        let loads = self.loads.shares(layer);
+        LayerWork::new(
+            &map.layers[layer],
+            &loads,
+            speeds,
+            self.shape.slots_per_rank,
+        )
+    }
+
+    fn first_plan(&self) -> Plan {
+        let speeds = self.speeds.speeds();
+        let cfg = self.search_config(usize::MAX, 0.0);
+        let layer = |l: usize| {
+            let loads = self.loads.shares(l);
+            let placed = greedy::place_layer(&self.shape, &loads, &speeds);
+            let mut work = LayerWork::new(&placed, &loads, &speeds, self.shape.slots_per_rank);
+            search::improve(&mut work, &cfg, &self.shape.domains);
+            (work.peak(), work.to_layer())
+        };
+        let (peaks, layers): (Vec<f32>, Vec<LayerMap>) = (0..self.shape.layers).map(layer).unzip();
+        let after = peaks.iter().sum::<f32>() / self.shape.layers as f32;
+        Plan {
+            map: self.versioned(MapVersion(1), layers),
+            moves: Vec::new(),
+            before: after,
+            after,
+            reason: PlanReason::FirstMap,
+        }
+    }
+
+    fn next_plan(&self, map: &ExpertMap) -> Option<Plan> {
+        let speeds = self.speeds.speeds();
+        let mut layers = LayerPlans::default();
+        for l in 0..map.layers.len() {
+            let mut work = self.work(map, l, &speeds);
+            let before = work.peak();
+            work.balance();
+            layers.push(before, work);
+        }
+        self.search_layers(&mut layers);
+        self.finish(map, &layers, &speeds)
+    }
+
+    /// Searches the worst layers first, until the byte budget is spent.
+    fn search_layers(&self, layers: &mut LayerPlans) {
+        let mut budget = (self.cfg.max_bytes / self.shape.expert_bytes.max(1)) as usize;
+        for l in layers.worst_first() {
+            if layers.works[l].peak() <= 1.0 + self.cfg.move_above || budget == 0 {
+                break;
+            }
+            let cfg = self.search_config(budget, self.price_per_read());
+            let reads = search::improve(&mut layers.works[l], &cfg, &self.shape.domains);
+            budget -= reads.min(budget);
+        }
+    }
+
+    /// Gain of one layer that one read has to bring, relative to the layer's perfect balance.
+    fn price_per_read(&self) -> f32 {
+        let step_part = 1.0 / self.shape.layers as f64;
+        let cost_s = self.cfg.read_price * self.shape.expert_read_s();
+        (cost_s / (self.cfg.horizon.as_secs_f64() * step_part)) as f32
+    }
+
+    fn search_config(&self, budget: usize, price_per_read: f32) -> SearchConfig {
+        SearchConfig {
+            price_per_read,
+            good_enough: self.cfg.good_enough,
+            max_reads: self.cfg.max_reads_per_layer.min(budget),
+            sources: self.cfg.sources,
+            targets: self.cfg.targets,
+        }
+    }
+
+    fn finish(&self, map: &ExpertMap, plans: &LayerPlans, speeds: &[f32]) -> Option<Plan> {
+        let before = plans.before.iter().sum::<f32>() / plans.before.len() as f32;
+        let after = plans.works.iter().map(LayerWork::peak).sum::<f32>() / plans.works.len() as f32;
+        let layers = plans.works.iter().map(LayerWork::to_layer).collect();
+        let next = self.versioned(map.version.next(), layers);
+        let moves = map.moves_to(&next);
+        if moves.is_empty() && before - after < self.cfg.share_gain {
+            return None;
+        }
+        Some(Plan {
+            reason: self.reason(&moves, speeds),
+            moves,
+            map: next,
+            before,
+            after,
+        })
+    }
+
+    fn reason(&self, moves: &[Move], speeds: &[f32]) -> PlanReason {
+        let changed = |(now, then): (&f32, &f32)| (now - then).abs() > SPEED_CHANGE * then;
+        if speeds.iter().zip(&self.planned_speeds).any(changed) {
+            return PlanReason::Speed;
+        }
+        if moves.is_empty() {
+            PlanReason::Shares
+        } else {
+            PlanReason::Drift
+        }
+    }
+
+    fn versioned(&self, version: MapVersion, layers: Vec<LayerMap>) -> ExpertMap {
+        ExpertMap {
+            version,
+            slots_per_rank: self.shape.slots_per_rank,
+            layers,
+        }
+    }
+}
+
+/// Layers of a plan in the making.
+#[derive(Debug, Default)]
+struct LayerPlans {
+    before: Vec<f32>,
+    works: Vec<LayerWork>,
+}
+
+impl LayerPlans {
+    fn push(&mut self, before: f32, work: LayerWork) {
+        self.before.push(before);
+        self.works.push(work);
+    }
+
+    fn worst_first(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.works.len()).collect();
+        order.sort_by(|a, b| self.works[*b].peak().total_cmp(&self.works[*a].peak()));
+        order
+    }
+}
--- /dev/null
+++ b/crates/oriole_placement/src/search.rs
@@ -0,0 +1,178 @@
+//! Changes of a placement that are worth their bytes.
+//!
+//! From the slowest ranks' experts towards the fastest ranks' slots: copy an expert over a spare
+//! replica (one read), or swap two experts (two reads). Each candidate is tried with its shares
+//! balanced anew, and the one with the best gain for its price is taken, until none pays.
+
+use crate::balance::LayerWork;
+use crate::map::ExpertId;
+
+/// Limits and prices of a search.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SearchConfig {
+    /// Gain, relative to a perfect balance, that one read has to bring.
+    pub price_per_read: f32,
+    /// The search ends when the slowest rank is within this part of a perfect balance.
+    pub good_enough: f32,
+    /// Most reads.
+    pub max_reads: usize,
+    /// Slowest ranks' experts that are considered in each round.
+    pub sources: usize,
+    /// Fastest ranks whose slots are considered in each round.
+    pub targets: usize,
+}
+
+/// Passes of share balancing in a trial.
+const TRIAL_SWEEPS: usize = 8;
+
+/// One change of a placement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Change {
+    Copy { expert: ExpertId, slot: usize },
+    Swap { from: usize, to: usize },
+}
+
+impl Change {
+    fn reads(self) -> usize {
+        match self {
+            Self::Copy { .. } => 1,
+            Self::Swap { .. } => 2,
+        }
+    }
+
+    fn apply(self, work: &mut LayerWork) {
+        match self {
+            Self::Copy { expert, slot } => {
+                let evicted = work.slots[slot];
+                work.replace(slot, expert);
+                work.fill(usize::from(evicted));
+                work.fill(usize::from(expert));
+            }
+            Self::Swap { from, to } => {
+                let (a, b) = (work.slots[from], work.slots[to]);
+                work.replace(from, b);
+                work.replace(to, a);
+                work.fill(usize::from(a));
+                work.fill(usize::from(b));
+            }
+        }
+    }
+}
+
+/// Improves a placement as long as it pays. Returns the number of reads it takes.
+pub fn improve(work: &mut LayerWork, cfg: &SearchConfig, domains: &[u16]) -> usize {
+    let mut reads = 0;
+    let mut trial = work.clone();
+    work.balance();
+    while work.peak() > 1.0 + cfg.good_enough && reads < cfg.max_reads {
+        let Some(change) = best_change(work, &mut trial, cfg, cfg.max_reads - reads, domains)
+        else {
+            break;
+        };
+        change.apply(work);
+        work.balance();
+        reads += change.reads();
+    }
+    reads
+}
+
+fn best_change(
+    work: &LayerWork,
+    trial: &mut LayerWork,
+    cfg: &SearchConfig,
+    budget: usize,
+    domains: &[u16],
+) -> Option<Change> {
+    let before = work.smooth_peak();
+    let mut best: Option<(f32, usize, Change)> = None;
+    for change in candidates(work, cfg) {
+        if change.reads() > budget {
+            continue;
+        }
+        trial.clone_from(work);
+        change.apply(trial);
+        trial.balance_for(TRIAL_SWEEPS);
+        let gain = before - trial.smooth_peak() - cfg.price_per_read * change.reads() as f32;
+        let spread = domain_spread(work, change, domains);
+        let better = match best {
+            None => gain > 0.0,
+            Some((g, s, _)) => gain > g + TIE || (gain > g - TIE && spread > s),
+        };
+        if better && gain > 0.0 {
+            best = Some((gain, spread, change));
+        }
+    }
+    best.map(|(_, _, change)| change)
+}
+
+/// Gains closer than this count as equal, and the wider spread over failure domains wins.
+const TIE: f32 = 1e-4;
+
+/// Failure domains that hold the copied expert once the change is made; 0 for a swap.
+fn domain_spread(work: &LayerWork, change: Change, domains: &[u16]) -> usize {
+    let Change::Copy { expert, slot } = change else {
+        return 0;
+    };
+    let mut held: Vec<u16> = work.replicas[usize::from(expert)]
+        .ranks()
+        .iter()
+        .map(|r| domains[usize::from(*r)])
+        .collect();
+    held.push(domains[slot / work.slots_per_rank]);
+    held.sort_unstable();
+    held.dedup();
+    held.len()
+}
+
+fn candidates(work: &LayerWork, cfg: &SearchConfig) -> Vec<Change> {
+    let mut ranks: Vec<usize> = (0..work.rank_loads.len()).collect();
+    ranks.sort_by(|a, b| work.time(*b).total_cmp(&work.time(*a)));
+    let sources = source_slots(work, &ranks, cfg.sources);
+    let targets = ranks.iter().rev().take(cfg.targets).copied();
+    let mut changes = Vec::new();
+    for rank in targets {
+        for from in &sources {
+            push_changes(work, *from, rank, &mut changes);
+        }
+    }
+    changes
+}
+
+/// Slots of the ranks that are slowest within a small margin, heaviest load first.
+fn source_slots(work: &LayerWork, slowest_first: &[usize], count: usize) -> Vec<usize> {
+    let peak = work.time(slowest_first[0]);
+    let limit = 1.0 + 0.7 * (peak - 1.0);
+    let tight = slowest_first.iter().filter(|r| work.time(**r) >= limit);
+    let mut slots: Vec<(usize, f32)> = tight
+        .flat_map(|r| r * work.slots_per_rank..(r + 1) * work.slots_per_rank)
+        .map(|slot| (slot, slot_load(work, slot)))
+        .collect();
+    slots.sort_by(|a, b| b.1.total_cmp(&a.1));
+    slots.truncate(count);
+    slots.into_iter().map(|(slot, _)| slot).collect()
+}
+
+fn slot_load(work: &LayerWork, slot: usize) -> f32 {
+    let rank = (slot / work.slots_per_rank) as u16;
+    let list = &work.replicas[usize::from(work.slots[slot])];
+    list.find(rank).map_or(0.0, |i| list.loads[i])
+}
+
+fn push_changes(work: &LayerWork, from: usize, rank: usize, changes: &mut Vec<Change>) {
+    let source = from / work.slots_per_rank;
+    let expert = work.slots[from];
+    if source == rank || work.holds(rank, usize::from(expert)) {
+        return;
+    }
+    let load = slot_load(work, from);
+    for to in rank * work.slots_per_rank..(rank + 1) * work.slots_per_rank {
+        let other = work.slots[to];
+        let spare = work.replicas[usize::from(other)].len > 1;
+        if spare && !work.replicas[usize::from(expert)].is_full() {
+            changes.push(Change::Copy { expert, slot: to });
+        }
+        if !work.holds(source, usize::from(other)) && slot_load(work, to) < load {
+            changes.push(Change::Swap { from, to });
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_placement/src/shape.rs
@@ -0,0 +1,105 @@
+//! The fixed sizes of a group.
+
+use oriole_types::catalog::Group;
+
+/// Why the sizes of a group admit no placement.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ShapeError {
+    /// Some size is zero or beyond what the planner handles.
+    #[error("{0} is zero or too large")]
+    Size(&'static str),
+    /// There are fewer slots than experts.
+    #[error("{slots} slots cannot hold {experts} experts")]
+    TooFewSlots {
+        /// Slots of all ranks in one layer.
+        slots: usize,
+        /// Experts in one layer.
+        experts: usize,
+    },
+    /// A rank has more slots than there are experts.
+    #[error("a rank has more slots than there are experts")]
+    TooManySlots,
+}
+
+oriole_types::domain_type! {
+    /// Sizes of a group and the failure domains of its ranks.
+    pub struct GroupShape {
+        /// Number of ranks.
+        pub ranks: usize,
+        /// Number of experts in a layer.
+        pub experts: usize,
+        /// Number of layers.
+        pub layers: usize,
+        /// Slots of a rank in a layer.
+        pub slots_per_rank: usize,
+        /// Weight of one expert in one layer, in bytes.
+        pub expert_bytes: u64,
+        /// Rate at which the group may read from the weight store, in bytes a second.
+        pub weight_bytes_per_s: u64,
+        /// Failure domain of each rank, as an index.
+        pub domains: Vec<u16>,
+    }
+}
+
+impl GroupShape {
+    /// Reads the sizes from a catalog group. Ranks without a known failure domain get domain 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no placement exists for these sizes.
+    pub fn new(group: &Group, domains: &[u16]) -> Result<Self, ShapeError> {
+        let mut domains = domains.to_vec();
+        domains.resize(group.ranks as usize, 0);
+        let shape = Self {
+            ranks: group.ranks as usize,
+            experts: group.experts as usize,
+            layers: group.layers as usize,
+            slots_per_rank: group.slots_per_rank as usize,
+            expert_bytes: group.expert_bytes,
+            weight_bytes_per_s: group.weight_bytes_per_s.max(1),
+            domains,
+        };
+        shape.check()?;
+        Ok(shape)
+    }
+
+    /// Slots of all ranks in one layer.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.ranks * self.slots_per_rank
+    }
+
+    /// Whether a placement exists for these sizes.
+    ///
+    /// # Errors
+    ///
+    /// Names the size that is at fault.
+    pub fn check(&self) -> Result<(), ShapeError> {
+        for (name, size) in [
+            ("ranks", self.ranks),
+            ("experts", self.experts),
+            ("layers", self.layers),
+            ("slots_per_rank", self.slots_per_rank),
+        ] {
+            if size == 0 || size > usize::from(u16::MAX) {
+                return Err(ShapeError::Size(name));
+            }
+        }
+        if self.slots() < self.experts {
+            return Err(ShapeError::TooFewSlots {
+                slots: self.slots(),
+                experts: self.experts,
+            });
+        }
+        if self.slots_per_rank > self.experts {
+            return Err(ShapeError::TooManySlots);
+        }
+        Ok(())
+    }
+
+    /// Seconds that reading one expert's weights takes at the group's rate.
+    #[must_use]
+    pub fn expert_read_s(&self) -> f64 {
+        self.expert_bytes as f64 / self.weight_bytes_per_s.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/oriole_placement/src/speeds.rs
@@ -0,0 +1,115 @@
+//! Rank speeds, with stragglers told from stalls.
+//!
+//! A straggler is slow for minutes and deserves less load; a stalled rank is slow for seconds and
+//! deserves none of it moved. The median of a window of samples follows the first and leaves out
+//! the second.
+
+use std::collections::VecDeque;
+
+/// How speeds are estimated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpeedConfig {
+    /// Number of samples whose median counts.
+    pub window: usize,
+    /// Weight of the newest median in the estimate while it moves little.
+    pub gain: f32,
+    /// Relative change of the median that is taken over at once.
+    pub jump: f32,
+    /// Least speed that is believed, relative to the mean of the group.
+    pub floor: f32,
+}
+
+impl Default for SpeedConfig {
+    fn default() -> Self {
+        Self {
+            window: 5,
+            gain: 0.05,
+            jump: 0.12,
+            floor: 0.05,
+        }
+    }
+}
+
+/// Estimates the speed of each rank relative to the others; a usual rank has speed 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SpeedEstimator {
+    cfg: SpeedConfig,
+    ranks: Vec<RankSpeed>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct RankSpeed {
+    recent: VecDeque<f32>,
+    speed: f32,
+}
+
+impl SpeedEstimator {
+    /// Starts with all ranks at speed 1.
+    #[must_use]
+    pub fn new(cfg: SpeedConfig, ranks: usize) -> Self {
+        let start = RankSpeed {
+            recent: VecDeque::with_capacity(cfg.window),
+            speed: 1.0,
+        };
+        Self {
+            cfg,
+            ranks: vec![start; ranks],
+        }
+    }
+
+    /// Takes in the speed that a rank showed in the last interval: load over busy time.
+    pub fn observe(&mut self, rank: usize, speed: f32) {
+        if !speed.is_finite() || speed < 0.0 {
+            return;
+        }
+        let cfg = self.cfg;
+        let Some(rank) = self.ranks.get_mut(rank) else {
+            return;
+        };
+        if rank.recent.len() == cfg.window {
+            rank.recent.pop_front();
+        }
+        rank.recent.push_back(speed);
+        rank.follow(&cfg);
+    }
+
+    /// Estimated speeds of all ranks.
+    #[must_use]
+    pub fn speeds(&self) -> Vec<f32> {
+        self.ranks
+            .iter()
+            .map(|r| r.speed.max(self.cfg.floor))
+            .collect()
+    }
+
+    /// Ranks whose estimated speed is below a part of the group's median.
+    #[must_use]
+    pub fn stragglers(&self, part: f32) -> Vec<usize> {
+        let speeds = self.speeds();
+        let limit = part * median(speeds.iter().copied());
+        (0..speeds.len()).filter(|r| speeds[*r] < limit).collect()
+    }
+}
+
+impl RankSpeed {
+    fn follow(&mut self, cfg: &SpeedConfig) {
+        if self.recent.len() < cfg.window.div_ceil(2) {
+            return;
+        }
+        let seen = median(self.recent.iter().copied());
+        let change = seen - self.speed;
+        let jumped = change.abs() > cfg.jump * self.speed;
+        self.speed += if jumped { change } else { cfg.gain * change };
+    }
+}
+
+fn median(values: impl Iterator<Item = f32>) -> f32 {
+    let mut sorted: Vec<f32> = values.collect();
+    sorted.sort_by(f32::total_cmp);
+    let mid = sorted.len() / 2;
+    match sorted.len() {
+        0 => 1.0,
+        n if n % 2 == 1 => sorted[mid],
+        _ => f32::midpoint(sorted[mid - 1], sorted[mid]),
+    }
+}
