Measure claims and the outage of the store

Three ways to bind a key run in one course each on the paused clock: one compare-and-swap a request, group commit, tickets, with deaths of agents, lost answers, twin and repeated requests; a further part fills a home with one retention of claims.

--- /dev/null
+++ b/crates/oriole_bench/src/experiments/claims.rs
@@ -0,0 +1,163 @@
+//! At most once: runs, writes, added latency and memory of three ways to bind a key.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_store::memory::WriteFault;
+use tokio::time::{Instant, sleep_until};
+
+use super::claims_fleet::{AGENTS, Contender, Fleet, under_paused_clock};
+use super::claims_history;
+use crate::experiment::{Experiment, RunOptions};
+use crate::report::{Limit, Report};
+
+/// Requests a second at the size of the design.
+const REQUESTS_PER_S: f64 = 1_400.0;
+/// Share of them that may not be repeated.
+const NOT_IDEMPOTENT: f64 = 0.2;
+/// Share of keys that are sent twice at once.
+const TWIN_SHARE: f64 = 0.1;
+/// Share of keys that are sent again after their first request ended.
+const AGAIN_SHARE: f64 = 0.1;
+/// Share of new keys at which a coming store write loses its answer.
+const LOST_ANSWER_SHARE: f64 = 0.01;
+/// Time between two deaths of an agent.
+const KILL_EVERY: Duration = Duration::from_secs(20);
+/// Length of the simulated course.
+const DURATION: Duration = Duration::from_secs(120);
+/// Target for the store's writes.
+const MAX_WRITES_PER_S: f64 = 100.0;
+/// Bytes a second that a daemon may spend on control.
+const MAX_CONTROL_BYTES_PER_S: f64 = 15_000.0;
+/// Memory of a daemon for control, in bytes.
+const MAX_CONTROL_MEMORY_BYTES: f64 = 256e6;
+
+/// The experiment.
+pub struct Claims;
+
+#[async_trait]
+impl Experiment for Claims {
+    fn name(&self) -> &'static str {
+        "claims"
+    }
+
+    fn about(&self) -> &'static str {
+        "at most once under kills and lost answers: one CAS a request, group commit, tickets"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let mut report = Report::default();
+        let duration = options.duration_or(DURATION);
+        for (name, contender) in [
+            ("cas", Contender::Cas),
+            ("grouped", Contender::Grouped),
+            ("tickets", Contender::Tickets),
+        ] {
+            let seed = options.seed;
+            let course = move || course(contender, seed, duration);
+            let figures = under_paused_clock(course).await?;
+            for (figure, value) in figures {
+                report.figure(&format!("{name}_{figure}"), value);
+            }
+        }
+        claims_history::measure(&mut report)?;
+        summarize(&mut report);
+        Ok(report)
+    }
+}
+
+fn summarize(report: &mut Report) {
+    let both = |r: &Report, figure: &str| {
+        r.figures[&format!("grouped_{figure}")] + r.figures[&format!("tickets_{figure}")]
+    };
+    let (doubles, false_not_run) = (both(report, "doubles"), both(report, "false_not_run"));
+    let writes = report.figures["grouped_store_writes_per_s"];
+    report
+        .figure("doubles", doubles)
+        .figure("false_not_run", false_not_run)
+        .figure("store_writes_per_s", writes)
+        .bound("doubles", Limit::AtMost(0.0))
+        .bound("false_not_run", Limit::AtMost(0.0))
+        .bound("store_writes_per_s", Limit::AtMost(MAX_WRITES_PER_S))
+        .bound(
+            "tickets_store_writes_per_s",
+            Limit::AtMost(MAX_WRITES_PER_S),
+        )
+        .bound(
+            "grouped_store_bytes_per_s_per_home",
+            Limit::AtMost(MAX_CONTROL_BYTES_PER_S),
+        )
+        .bound(
+            "history_home_bytes",
+            Limit::AtMost(MAX_CONTROL_MEMORY_BYTES),
+        );
+}
+
+async fn course(contender: Contender, seed: u64, duration: Duration) -> Vec<(&'static str, f64)> {
+    let fleet = Fleet::spawn(contender, seed);
+    let start = Instant::now();
+    let gap = Duration::from_secs_f64(1.0 / (REQUESTS_PER_S * NOT_IDEMPOTENT));
+    let mut callers = Vec::new();
+    let mut next_kill = KILL_EVERY;
+    for n in 0.. {
+        let at = gap * n;
+        if at >= duration {
+            break;
+        }
+        sleep_until(start + at).await;
+        if at >= next_kill {
+            next_kill += KILL_EVERY;
+            fleet.kill(fleet.pick(AGENTS));
+        }
+        if contender != Contender::Tickets && fleet.draw(LOST_ANSWER_SHARE) {
+            fleet.store.inner.script(WriteFault::LoseAnswer);
+        }
+        callers.push(tokio::spawn(one_key(fleet.clone(), u64::from(n))));
+    }
+    for caller in callers {
+        // A caller's panic would show as a run that is missing from the figures.
+        caller.await.expect("a caller ends");
+    }
+    figures(&fleet, duration)
+}
+
+async fn one_key(fleet: Fleet, n: u64) {
+    let key = fleet.key(n);
+    if fleet.draw(TWIN_SHARE) {
+        tokio::join!(fleet.call(&key), fleet.call(&key));
+    } else {
+        fleet.call(&key).await;
+    }
+    if fleet.draw(AGAIN_SHARE) {
+        fleet.call(&key).await;
+    }
+}
+
+fn figures(fleet: &Fleet, duration: Duration) -> Vec<(&'static str, f64)> {
+    let ledger = fleet.ledger();
+    let seconds = duration.as_secs_f64();
+    let counts = fleet.store.inner.counts();
+    let bytes = fleet.store.bytes.load(std::sync::atomic::Ordering::Relaxed);
+    let refused: u64 = ledger
+        .reasons
+        .iter()
+        .filter(|(name, _)| name.starts_with("not_run"))
+        .map(|(_, n)| n)
+        .sum();
+    vec![
+        ("doubles", ledger.doubles() as f64),
+        ("false_not_run", ledger.false_not_run() as f64),
+        ("runs", ledger.runs() as f64),
+        ("answered", ledger.answered as f64),
+        ("unknown", ledger.unknown as f64),
+        ("not_run", refused as f64),
+        ("store_writes_per_s", counts.writes as f64 / seconds),
+        ("store_reads_per_s", counts.reads as f64 / seconds),
+        (
+            "store_bytes_per_s_per_home",
+            bytes as f64 / seconds / AGENTS as f64,
+        ),
+        ("added_p50_ms", ledger.added_ms(0.5)),
+        ("added_p99_ms", ledger.added_ms(0.99)),
+    ]
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/claims_fleet.rs
@@ -0,0 +1,407 @@
+//! Callers, entries and homes over an in-process store, with a ledger that counts every run.
+//!
+//! Everything runs on one thread under the runtime's paused clock, so that minutes pass in seconds
+//! and a seed gives one course of events.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use oriole_claims::prelude::*;
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::claims_baseline::CasAgent;
+
+/// Time of a message between two processes, one way.
+pub const NETWORK: Duration = Duration::from_millis(1);
+/// Time the upstream takes for one request.
+const SERVICE: Duration = Duration::from_millis(20);
+/// Time a call to the store takes.
+pub const STORE_LATENCY: Duration = Duration::from_millis(3);
+/// Timeout of callers.
+pub const TIMEOUT: Duration = Duration::from_secs(5);
+/// Unix time at the start of a run, in milliseconds.
+const WALL_MS: u64 = 1_796_360_000_000;
+/// Length of a service's answer in bytes.
+const ANSWER_LEN: usize = 200;
+/// Agents of the pool.
+pub const AGENTS: usize = 12;
+/// Partitions of the pool, the catalog's default.
+const PARTITIONS: u32 = 16;
+
+/// How keys are bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contender {
+    /// One compare-and-swap a request, at any agent.
+    Cas,
+    /// Caller-chosen keys with an issue time, claimed in groups.
+    Grouped,
+    /// Tickets.
+    Tickets,
+}
+
+/// What happened to one key.
+#[derive(Clone, Debug, Default)]
+struct KeyRuns {
+    attempts: Vec<u64>,
+}
+
+/// Every run at the upstream, and every refusal.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    runs: HashMap<String, KeyRuns>,
+    refused: Vec<(String, u64)>,
+    pub answered: u64,
+    pub unknown: u64,
+    pub reasons: HashMap<String, u64>,
+    pub added: Vec<Duration>,
+}
+
+impl Ledger {
+    /// Runs beyond the first of a key.
+    #[must_use]
+    pub fn doubles(&self) -> u64 {
+        let extra = |r: &KeyRuns| r.attempts.len().saturating_sub(1) as u64;
+        self.runs.values().map(extra).sum()
+    }
+
+    /// Attempts that were told not run and ran.
+    #[must_use]
+    pub fn false_not_run(&self) -> u64 {
+        let ran = |(key, attempt): &&(String, u64)| {
+            let runs = self.runs.get(key);
+            runs.is_some_and(|r| r.attempts.contains(attempt))
+        };
+        self.refused.iter().filter(ran).count() as u64
+    }
+
+    /// Runs of all keys.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.runs.values().map(|r| r.attempts.len() as u64).sum()
+    }
+
+    /// A quantile of the time from the agent's receipt of a request to its run, in milliseconds.
+    #[must_use]
+    pub fn added_ms(&self, quantile: f64) -> f64 {
+        let mut added = self.added.clone();
+        added.sort();
+        let at = (added.len().saturating_sub(1) as f64 * quantile) as usize;
+        added.get(at).map_or(f64::NAN, |d| d.as_secs_f64() * 1e3)
+    }
+}
+
+/// Counts the bytes that are written to a store.
+#[derive(Debug)]
+pub struct CountingStore {
+    pub inner: MemoryStore,
+    pub bytes: AtomicU64,
+}
+
+#[async_trait]
+impl Store for CountingStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        self.inner.get(key).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> Result<StoreVersion, StoreError> {
+        self.bytes.fetch_add(value.len() as u64, Ordering::Relaxed);
+        self.inner.put(key, value, expect).await
+    }
+
+    async fn put_leased(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: LeaseId,
+    ) -> Result<StoreVersion, StoreError> {
+        self.inner.put_leased(key, value, expect, lease).await
+    }
+
+    async fn delete(&self, key: &str, expect: Expect) -> Result<(), StoreError> {
+        self.inner.delete(key, expect).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        wait: Duration,
+    ) -> Result<Option<Versioned>, StoreError> {
+        self.inner.watch(key, after, wait).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.inner.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.inner.renew_lease(lease).await
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    homes: Vec<ClaimHandle>,
+    baselines: Vec<CasAgent>,
+    incarnations: u64,
+    attempts: u64,
+    rng: StdRng,
+}
+
+/// A pool's agents with their entries and callers; clones share it.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    contender: Contender,
+    pub store: Arc<CountingStore>,
+    state: Arc<Mutex<State>>,
+    ledger: Arc<Mutex<Ledger>>,
+    start: Instant,
+}
+
+impl Fleet {
+    /// A fleet with all agents started; must be called within a runtime.
+    #[must_use]
+    pub fn spawn(contender: Contender, seed: u64) -> Self {
+        let inner = MemoryStore::open(MemoryStoreConfig {
+            latency: STORE_LATENCY,
+            ..MemoryStoreConfig::default()
+        });
+        let bytes = AtomicU64::new(0);
+        let fleet = Self {
+            contender,
+            store: Arc::new(CountingStore { inner, bytes }),
+            state: Arc::new(Mutex::new(State {
+                homes: Vec::new(),
+                baselines: Vec::new(),
+                incarnations: 0,
+                attempts: 0,
+                rng: StdRng::seed_from_u64(seed),
+            })),
+            ledger: Arc::default(),
+            start: Instant::now(),
+        };
+        for slot in 0..AGENTS {
+            let home = fleet.start_home(slot);
+            fleet.state().homes.push(home);
+            let baseline = CasAgent::new(fleet.store.clone(), seed ^ slot as u64);
+            fleet.state().baselines.push(baseline);
+        }
+        fleet
+    }
+
+    /// The ledger.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a draw with some probability hits.
+    pub fn draw(&self, probability: f64) -> bool {
+        self.state().rng.random_bool(probability)
+    }
+
+    /// A random number below a bound.
+    pub fn pick(&self, bound: usize) -> usize {
+        self.state().rng.random_range(0..bound)
+    }
+
+    /// Replaces the process of an agent.
+    pub fn kill(&self, slot: usize) {
+        let home = self.start_home(slot);
+        let baseline = CasAgent::new(self.store.clone(), slot as u64 + 1_000);
+        let mut state = self.state();
+        std::mem::replace(&mut state.homes[slot], home).abort();
+        state.baselines[slot] = baseline;
+    }
+
+    /// A new key, which a caller chooses or the fleet mints at a random live agent.
+    pub fn key(&self, n: u64) -> IdempotencyKey {
+        if self.contender == Contender::Tickets {
+            let slot = self.pick(AGENTS);
+            let home = self.state().homes[slot].clone();
+            return home.mint(&account(), &entry(), &format!("k{n}")).key();
+        }
+        let issued = WALL_MS + self.start.elapsed().as_millis() as u64;
+        IdempotencyKey::new(&format!("{issued}-{n}"))
+    }
+
+    /// Whether the incarnation that a ticket is bound to still runs; true for any other key.
+    pub fn home_lives(&self, key: &IdempotencyKey) -> bool {
+        let KeyForm::Ticket(ticket) = KeyForm::of(key) else {
+            return true;
+        };
+        self.state().homes[slot_of(&ticket.home.vm)].home() == ticket.home
+    }
+
+    /// One request of a caller, from one entry; returns how it ended.
+    pub async fn call(&self, key: &IdempotencyKey) -> CallStep {
+        let attempt = {
+            let mut state = self.state();
+            state.attempts += 1;
+            state.attempts
+        };
+        let end = match timeout(TIMEOUT, self.way(key, attempt)).await {
+            Ok(end) => end,
+            Err(_) => CallStep::Unknown(UnknownReason::AgentLost),
+        };
+        self.book(key, attempt, &end);
+        end
+    }
+
+    fn book(&self, key: &IdempotencyKey, attempt: u64, end: &CallStep) {
+        let mut ledger = self.ledger();
+        let name = match end {
+            CallStep::Answer(_) => {
+                ledger.answered += 1;
+                return;
+            }
+            CallStep::NotRun(reason) => {
+                ledger.refused.push((key.as_str().to_owned(), attempt));
+                format!("not_run_{reason}")
+            }
+            CallStep::Unknown(reason) => {
+                ledger.unknown += 1;
+                format!("unknown_{reason}")
+            }
+            CallStep::Ask { .. } => return,
+        };
+        *ledger.reasons.entry(name).or_default() += 1;
+    }
+
+    async fn way(&self, key: &IdempotencyKey, attempt: u64) -> CallStep {
+        let names = (&account(), &entry(), key);
+        let mut candidates = candidates(&pool(), PARTITIONS, names, &live());
+        if self.contender == Contender::Cas {
+            candidates = vec![vm(self.pick(AGENTS))];
+        }
+        let mut way = ClaimCall::new(candidates);
+        loop {
+            match way.step() {
+                CallStep::Ask { vm, recall } => {
+                    sleep(NETWORK).await;
+                    let end = self.ask(&vm, recall, key, attempt).await;
+                    sleep(NETWORK).await;
+                    way.on_end(end);
+                }
+                end => return end,
+            }
+        }
+    }
+
+    async fn ask(
+        &self,
+        vm: &VmName,
+        recall: Option<Incarnation>,
+        key: &IdempotencyKey,
+        attempt: u64,
+    ) -> ClaimEnd {
+        let slot = slot_of(vm);
+        let run = self.run(key, attempt);
+        if self.contender == Contender::Cas {
+            let agent = self.state().baselines[slot].clone();
+            return agent.execute(key, run).await;
+        }
+        let home = self.state().homes[slot].clone();
+        let req = ClaimRequest {
+            account: account(),
+            entry: entry(),
+            key: key.clone(),
+            content: Digest::of(b"body"),
+            timeout: TIMEOUT - 2 * NETWORK,
+            recall,
+        };
+        home.execute(req, move || run).await
+    }
+
+    /// A run at the upstream, which the ledger counts when it starts.
+    fn run(
+        &self,
+        key: &IdempotencyKey,
+        attempt: u64,
+    ) -> impl Future<Output = RunEnd> + Send + 'static {
+        let (ledger, key, asked) = (self.ledger.clone(), key.clone(), Instant::now());
+        async move {
+            {
+                let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
+                let runs = ledger.runs.entry(key.as_str().to_owned()).or_default();
+                runs.attempts.push(attempt);
+                ledger.added.push(asked.elapsed());
+            }
+            sleep(SERVICE).await;
+            RunEnd::Answer(Bytes::from(vec![b'a'; ANSWER_LEN]))
+        }
+    }
+
+    fn start_home(&self, slot: usize) -> ClaimHandle {
+        let incarnation = {
+            let mut state = self.state();
+            state.incarnations += 1;
+            Incarnation(state.incarnations)
+        };
+        let secret = TicketSecret::new(b"experiment");
+        let mut cfg = ClaimsConfig::new(pool(), vm(slot), incarnation, secret);
+        cfg.partitions = PARTITIONS;
+        cfg.wall_at_start_ms = WALL_MS + self.start.elapsed().as_millis() as u64;
+        let home = ClaimService::spawn(cfg, self.store.clone());
+        home.set_live(live());
+        home
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Runs a future to its end on one thread under a paused clock.
+///
+/// # Errors
+///
+/// Fails if the runtime cannot be built or the thread panics.
+pub async fn under_paused_clock<T: Send + 'static, F: Future<Output = T> + 'static>(
+    make: impl FnOnce() -> F + Send + 'static,
+) -> eyre::Result<T> {
+    let run = move || -> eyre::Result<T> {
+        let mut builder = tokio::runtime::Builder::new_current_thread();
+        let runtime = builder.enable_all().start_paused(true).build()?;
+        Ok(runtime.block_on(make()))
+    };
+    tokio::task::spawn_blocking(run).await?
+}
+
+fn account() -> AccountName {
+    "account".into()
+}
+
+fn entry() -> EntryName {
+    "capture".into()
+}
+
+fn pool() -> PoolName {
+    "deposits".into()
+}
+
+fn vm(slot: usize) -> VmName {
+    VmName::new(&format!("vm-{slot}"))
+}
+
+fn slot_of(vm: &VmName) -> usize {
+    let number = vm.as_str().trim_start_matches("vm-").parse();
+    number.unwrap_or_default()
+}
+
+fn live() -> Vec<VmName> {
+    (0..AGENTS).map(vm).collect()
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/claims_history.rs
@@ -0,0 +1,182 @@
+//! A home with a full retention of claims: its memory, and what a takeover reads.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::eyre;
+use oriole_claims::home::{Action, Event};
+use oriole_claims::partition::{Partition, StoreCall, StoreEnd};
+use oriole_claims::prelude::*;
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+
+use crate::report::Report;
+
+/// Claims a second at the size of the design.
+const CLAIMS_PER_S: f64 = 280.0;
+/// Homes that share them, as today's pool of plain services has.
+const HOMES: f64 = 3.0;
+/// Partitions of the home that is measured: its share of the default 16.
+const PARTITIONS: u32 = 5;
+/// Length of an answer in bytes.
+const ANSWER_LEN: usize = 200;
+
+/// A store without faults, driven by hand.
+#[derive(Default)]
+struct PlainStore {
+    values: HashMap<String, Versioned>,
+    version: u64,
+    reads: u64,
+}
+
+impl PlainStore {
+    fn call(&mut self, call: StoreCall) -> StoreEnd {
+        match call {
+            StoreCall::Read { key } => {
+                self.reads += 1;
+                StoreEnd::Read(Ok(self.values.get(&key).cloned()))
+            }
+            StoreCall::Delete { key } => {
+                self.values.remove(&key);
+                StoreEnd::Delete(Ok(()))
+            }
+            StoreCall::Write { key, value, expect } => {
+                let found = self.values.get(&key).map(|f| f.version);
+                let holds = match expect {
+                    Expect::Absent => found.is_none(),
+                    Expect::Version(version) => found == Some(version),
+                    Expect::Any => true,
+                };
+                StoreEnd::Write(if holds {
+                    Ok(self.write(key, value))
+                } else {
+                    Err(StoreError::Conflict)
+                })
+            }
+        }
+    }
+
+    fn write(&mut self, key: String, value: Bytes) -> StoreVersion {
+        self.version += 1;
+        let version = StoreVersion(self.version);
+        self.values.insert(key, Versioned { value, version });
+        version
+    }
+
+    fn bytes(&self) -> usize {
+        self.values.values().map(|v| v.value.len()).sum()
+    }
+
+    fn largest(&self) -> usize {
+        let sizes = self.values.values().map(|v| v.value.len());
+        sizes.max().unwrap_or_default()
+    }
+}
+
+fn config(incarnation: u64) -> ClaimsConfig {
+    let secret = TicketSecret::new(b"experiment");
+    let mut cfg = ClaimsConfig::new(
+        "deposits".into(),
+        "vm".into(),
+        Incarnation(incarnation),
+        secret,
+    );
+    cfg.partitions = PARTITIONS;
+    cfg
+}
+
+/// Carries out everything a home wants, runs included; returns the number of runs.
+fn drive(home: &mut ClaimHome, store: &mut PlainStore, now: Duration, event: Event) -> u64 {
+    let mut runs = 0;
+    let mut events = vec![event];
+    while let Some(event) = events.pop() {
+        for action in home.handle(now, event) {
+            match action {
+                Action::Store(lane, call) => events.push(Event::Store(lane, store.call(call))),
+                Action::Run(_, key) => {
+                    runs += 1;
+                    let answer = Bytes::from(vec![b'a'; ANSWER_LEN]);
+                    events.push(Event::RunEnded(key, RunEnd::Answer(answer)));
+                }
+                Action::Reply(..) => {}
+            }
+        }
+    }
+    runs
+}
+
+/// Adds the figures of a home after one full retention at the design's rate.
+pub fn measure(report: &mut Report) -> eyre::Result<()> {
+    let cfg = config(1);
+    let claims = (CLAIMS_PER_S / HOMES * cfg.limits.retention.as_secs_f64()) as u64;
+    let gap = cfg.limits.retention.div_f64(claims as f64);
+    let mut store = PlainStore::default();
+    let before = resident_bytes()?;
+    let mut home = ClaimHome::new(cfg);
+    let live = vec![VmName::new("vm")];
+    drive(
+        &mut home,
+        &mut store,
+        Duration::ZERO,
+        Event::Live(live.clone()),
+    );
+    let mut runs = 0;
+    let mut now = Duration::ZERO;
+    for n in 0..claims {
+        now = gap.mul_f64(n as f64);
+        runs += drive(
+            &mut home,
+            &mut store,
+            now,
+            Event::Request(CallId(n), request(n)),
+        );
+    }
+    now += Duration::from_secs(1);
+    runs += drive(&mut home, &mut store, now, Event::Tick);
+    let grown = resident_bytes()?.saturating_sub(before) as f64 - store.bytes() as f64;
+    report
+        .figure("history_claims", claims as f64)
+        .figure("history_runs", runs as f64)
+        .figure("history_home_bytes", grown)
+        .figure("history_home_bytes_per_claim", grown / claims as f64)
+        .figure(
+            "history_store_bytes_per_claim",
+            store.bytes() as f64 / claims as f64,
+        )
+        .figure("history_largest_value_bytes", store.largest() as f64);
+    take_over(report, &mut store, &live);
+    Ok(())
+}
+
+fn take_over(report: &mut Report, store: &mut PlainStore, live: &[VmName]) {
+    store.reads = 0;
+    let mut heir = ClaimHome::new(config(2));
+    drive(&mut heir, store, Duration::ZERO, Event::Live(live.to_vec()));
+    let indexed: usize = heir.partitions().iter().map(Partition::indexed).sum();
+    report.figure("takeover_claims", indexed as f64).figure(
+        "takeover_reads_per_partition",
+        store.reads as f64 / f64::from(PARTITIONS),
+    );
+}
+
+fn request(n: u64) -> ClaimRequest {
+    ClaimRequest {
+        account: "account".into(),
+        entry: "capture".into(),
+        key: IdempotencyKey::new(&format!("order-{n}")),
+        content: Digest::of(b"body"),
+        timeout: Duration::from_secs(5),
+        recall: None,
+    }
+}
+
+fn resident_bytes() -> eyre::Result<u64> {
+    const PAGE_BYTES: u64 = 4096;
+    let statm = std::fs::read_to_string("/proc/self/statm")?;
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .ok_or_else(|| eyre!("no resident pages"))?;
+    Ok(pages.parse::<u64>()? * PAGE_BYTES)
+}
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,10 +2,19 @@
 
 use crate::experiment::Experiment;
 
+mod claims;
+mod claims_baseline;
+mod claims_fleet;
+mod claims_history;
+mod store_outage;
+
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![]
+    vec![
+        Box::new(claims::Claims),
+        Box::new(store_outage::StoreOutage),
+    ]
 }
 
 /// The experiment of some name.
--- a/crates/oriole_claims/src/service.rs
+++ b/crates/oriole_claims/src/service.rs
@@ -23,13 +23,14 @@
 use oriole_types::ids::{AccountName, EntryName, VmName};
 use oriole_types::outcome::{RefusalReason, UnknownReason};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::config::{ClaimsConfig, millis};
 use crate::home::{Action, ClaimHome, Event, Lane};
 use crate::key::ClaimKey;
 use crate::partition::{StoreCall, StoreEnd};
-use crate::request::{CallId, ClaimEnd, ClaimRequest, RunEnd};
+use crate::request::{CallId, ClaimEnd, ClaimRequest, HomeRef, RunEnd};
 use crate::ticket::Ticket;
 
 /// Requests that wait for the task before further ones are refused.
@@ -58,12 +59,13 @@
         let (live_tx, live_rx) = mpsc::unbounded_channel();
         let start = Instant::now();
         let task = Task::new(cfg.clone(), store, start);
-        tokio::spawn(task.run(rx, live_rx));
+        let task = tokio::spawn(task.run(rx, live_rx));
         ClaimHandle {
             cfg: Arc::new(cfg),
             start,
             tx,
             live_tx,
+            task: task.abort_handle(),
         }
     }
 }
@@ -75,6 +77,7 @@
     start: Instant,
     tx: mpsc::Sender<Command>,
     live_tx: mpsc::UnboundedSender<Vec<VmName>>,
+    task: AbortHandle,
 }
 
 impl fmt::Debug for ClaimHandle {
@@ -105,12 +108,24 @@
         }
     }
 
+    /// The incarnation that this home is.
+    #[must_use]
+    pub fn home(&self) -> HomeRef {
+        self.cfg.home()
+    }
+
     /// Tells the home which of the pool's agents take new work, itself included unless it drains.
     pub fn set_live(&self, live: Vec<VmName>) {
         // A send fails only after the task ended, and then there is nobody to tell.
         let _ = self.live_tx.send(live);
     }
 
+    /// Ends the task at once, as the death of its process would: what it remembers is gone, runs and
+    /// store calls under way take their course, and waiting calls end as unknown.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+
     /// The home's clock in milliseconds. An entry that minted tickets with an older reading issues
     /// tickets that expire a little earlier.
     #[must_use]
