--- a/crates/oriole_claims/tests/world/mod.rs
+++ b/crates/oriole_claims/tests/world/mod.rs
@@ -21,6 +21,8 @@
 const WALL_MS: u64 = 1_796_360_000_000;
 /// Steps of the quiet end of a run, and their length.
 const QUIET_STEPS: u32 = 45;
+/// Most messages delivered at once.
+const FLUSH_MESSAGES: u32 = 400;
 const QUIET_STEP: Duration = Duration::from_millis(400);
 
 /// What is broken on purpose.
@@ -88,6 +90,29 @@
     },
 }
 
+/// Sort of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sort {
+    Request,
+    Reply,
+    StoreWrite,
+    Run,
+}
+
+impl Sort {
+    fn covers(self, msg: &Msg) -> bool {
+        match msg {
+            Msg::Request { .. } => self == Self::Request,
+            Msg::Reply { .. } => self == Self::Reply,
+            Msg::Run { .. } => self == Self::Run,
+            Msg::StoreReq { call, .. } => {
+                self == Self::StoreWrite && matches!(call, StoreCall::Write { .. })
+            }
+            Msg::StoreEnd { .. } | Msg::LateWrite(_) | Msg::RunEnd { .. } => false,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Agent {
     home: ClaimHome,
@@ -460,6 +485,39 @@
         }
     }
 
+    /// Delivers messages in order until none is left.
+    pub fn flush(&mut self) {
+        for _ in 0..FLUSH_MESSAGES {
+            if self.net.is_empty() {
+                return;
+            }
+            self.deliver(0);
+        }
+    }
+
+    /// Lets time pass and ticks every agent.
+    pub fn pass(&mut self, time: Duration) {
+        self.now += time;
+        (0..AGENTS).for_each(|slot| self.event(slot, Event::Tick));
+    }
+
+    /// Loses, in the way `kind` says, the first message on its way that is of some sort.
+    pub fn fault_first(&mut self, sort: Sort, kind: u8) {
+        let found = self.net.iter().position(|m| sort.covers(m));
+        let Some(at) = found else {
+            return self.fail(format!("no {sort:?} is on its way"));
+        };
+        let msg = self.net.remove(at);
+        self.net.insert(0, msg);
+        self.fault(0, kind);
+    }
+
+    /// The slot that should own a key's partition.
+    pub fn owner_of(&self, key: usize) -> usize {
+        let names = (&account(), &entry(), &self.keys[key].text);
+        slot_of(&candidates(&pool(), PARTITIONS, names, &vms(0xff))[0])
+    }
+
     /// The upstream runs a request: the ledger counts it.
     fn run(&mut self, ask: usize) -> Bytes {
         let call = self.asks[ask];
@@ -705,14 +763,8 @@
 
     pub fn rest(&mut self) {
         for _ in 0..QUIET_STEPS {
-            for _ in 0..200 {
-                if self.net.is_empty() {
-                    break;
-                }
-                self.deliver(0);
-            }
-            self.now += QUIET_STEP;
-            (0..AGENTS).for_each(|slot| self.event(slot, Event::Tick));
+            self.flush();
+            self.pass(QUIET_STEP);
             self.lose_late();
         }
     }
