--- a/crates/oriole_claims/tests/fuzz.rs
+++ b/crates/oriole_claims/tests/fuzz.rs
@@ -49,6 +49,7 @@
             10 => (1..24_u8).prop_map(Step::Settle),
             4 => (any::<u16>(), any::<u8>()).prop_map(|(n, kind)| Step::Fault(n, kind)),
             2 => any::<u8>().prop_map(Step::Kill),
+            1 => any::<u8>().prop_map(Step::Pause),
             2 => (any::<u8>(), view()).prop_map(|(slot, mask)| Step::View(slot, mask)),
             5 => (by, any::<u8>()).prop_map(|(by, mask)| Step::Advance(by, mask)),
             1 => prop_oneof![1 => Just(true), 3 => Just(false)].prop_map(Step::Outage),
--- a/crates/oriole_claims/tests/world/mod.rs
+++ b/crates/oriole_claims/tests/world/mod.rs
@@ -14,6 +14,8 @@
 use oriole_types::prelude::*;
 
 pub const AGENTS: usize = 3;
+/// Bit of a mask that stands for the paused processes.
+const ZOMBIES: u8 = 0x80;
 pub const PARTITIONS: u32 = 2;
 pub const RETENTION: Duration = Duration::from_secs(30);
 const TIMEOUT: Duration = Duration::from_secs(4);
@@ -51,6 +53,7 @@
     Settle(u8),
     Fault(u16, u8),
     Kill(u8),
+    Pause(u8),
     View(u8, u8),
     Advance(u8, u8),
     Outage(bool),
@@ -174,6 +177,8 @@
     store: BTreeMap<String, Versioned>,
     version: u64,
     agents: Vec<Agent>,
+    /// Paused processes whose VM has a new one. They wake for every message that reaches them.
+    zombies: Vec<((usize, u64), Agent)>,
     net: Vec<Msg>,
     asks: Vec<usize>,
     calls: Vec<Call>,
@@ -240,6 +245,7 @@
             store: BTreeMap::new(),
             version: 0,
             agents: Vec::new(),
+            zombies: Vec::new(),
             net: Vec::new(),
             asks: Vec::new(),
             calls: Vec::new(),
@@ -304,6 +310,7 @@
             Step::Deliver(n) => self.deliver(n as usize),
             Step::Settle(n) => (0..n).for_each(|_| self.deliver(0)),
             Step::Fault(n, kind) => self.fault(n as usize, kind),
+            Step::Pause(slot) => self.pause(slot as usize % AGENTS),
             Step::Kill(slot) => self.kill(slot as usize % AGENTS),
             Step::View(slot, mask) => self.view(slot as usize % AGENTS, mask),
             Step::Advance(by, mask) => self.advance(by, mask),
@@ -429,7 +436,7 @@
             return;
         };
         match msg {
-            Msg::Request { ask, slot, recall } => self.request(ask, slot, recall),
+            Msg::Request { ask, slot, recall } => self.request(ask, (slot, n), recall),
             Msg::Reply { ask, end } => self.reply(ask, end),
             Msg::StoreReq { agent, lane, call } if self.outage => {
                 let kind = if self.net.len().is_multiple_of(2) {
@@ -459,7 +466,7 @@
         }
     }
 
-    fn request(&mut self, ask: usize, slot: usize, recall: Option<Incarnation>) {
+    fn request(&mut self, ask: usize, (slot, n): (usize, usize), recall: Option<Incarnation>) {
         let call = &self.calls[self.asks[ask]];
         let key = &self.keys[call.key];
         if key.plain && self.now > key.first_sent + RETENTION {
@@ -474,7 +481,12 @@
             timeout: TIMEOUT,
             recall,
         };
-        self.event(slot, Event::Request(CallId(ask as u64), req));
+        // An old connection may still lead to the process that was replaced.
+        let id = match self.zombies.iter().find(|(id, _)| id.0 == slot) {
+            Some((id, _)) if n % 4 == 1 => *id,
+            _ => (slot, self.agents[slot].incarnation),
+        };
+        self.tell(id, Event::Request(CallId(ask as u64), req));
     }
 
     fn reply(&mut self, ask: usize, end: ClaimEnd) {
@@ -670,12 +682,26 @@
     /// The process of an agent is replaced. Its writes and runs under way take their course.
     pub fn kill(&mut self, slot: usize) {
         self.say(|| format!("vm-{slot} dies and is replaced"));
+        let id = (slot, self.agents[slot].incarnation);
+        self.replace(slot);
+        self.net
+            .retain(|m| !matches!(m, Msg::Run { agent, .. } if *agent == id));
+    }
+
+    /// The process of an agent is paused and taken for dead; it wakes after it was replaced.
+    pub fn pause(&mut self, slot: usize) {
+        self.say(|| format!("vm-{slot} is paused and replaced"));
+        let id = (slot, self.agents[slot].incarnation);
+        let paused = self.replace(slot);
+        self.zombies.push((id, paused));
+    }
+
+    fn replace(&mut self, slot: usize) -> Agent {
         let live = self.agents[slot].live.clone();
         let agent = self.agent(slot, live.clone());
-        self.agents[slot] = agent;
-        self.net
-            .retain(|m| !matches!(m, Msg::Run { agent, .. } if agent.0 == slot));
+        let old = std::mem::replace(&mut self.agents[slot], agent);
         self.event(slot, Event::Live(live));
+        old
     }
 
     pub fn view(&mut self, slot: usize, mask: u8) {
@@ -690,6 +716,10 @@
         for slot in (0..AGENTS).filter(|i| mask & (1 << i) != 0) {
             self.event(slot, Event::Tick);
         }
+        if mask & ZOMBIES != 0 {
+            let ids: Vec<(usize, u64)> = self.zombies.iter().map(|(id, _)| *id).collect();
+            ids.into_iter().for_each(|id| self.tell(id, Event::Tick));
+        }
         self.lose_late();
     }
 
@@ -707,18 +737,19 @@
     }
 
     fn alive(&self, agent: (usize, u64)) -> bool {
-        self.agents[agent.0].incarnation == agent.1
+        self.agents[agent.0].incarnation == agent.1 || self.zombie(agent).is_some()
     }
 
-    fn tell(&mut self, agent: (usize, u64), event: Event) {
-        if self.alive(agent) {
-            self.event(agent.0, event);
-        }
+    fn zombie(&self, agent: (usize, u64)) -> Option<usize> {
+        self.zombies.iter().position(|(id, _)| *id == agent)
     }
 
-    fn event(&mut self, slot: usize, event: Event) {
-        let agent = &mut self.agents[slot];
-        let id = (slot, agent.incarnation);
+    fn tell(&mut self, id: (usize, u64), event: Event) {
+        let agent = match self.zombie(id) {
+            Some(zombie) => &mut self.zombies[zombie].1,
+            None if self.agents[id.0].incarnation == id.1 => &mut self.agents[id.0],
+            None => return,
+        };
         let actions = agent.home.handle(self.now - agent.started, event);
         for action in actions {
             let msg = match action {
@@ -741,6 +772,11 @@
         }
     }
 
+    /// Something happens to the newest process of a VM.
+    fn event(&mut self, slot: usize, event: Event) {
+        self.tell((slot, self.agents[slot].incarnation), event);
+    }
+
     /// Ends all faults and lets everything come to rest; then every call must have ended and new
     /// requests of all forms must be answered.
     pub fn quiesce(&mut self) {
