Bound what views of the pool that never agree cost

Two homes that each believe to be the pool's only one, asked in turn through the entry's calls: every one of 3,000 requests is answered, and besides one commit a request a partition moves once in a hold-off at most.

--- a/crates/oriole_claims/tests/service.rs
+++ b/crates/oriole_claims/tests/service.rs
@@ -162,3 +162,50 @@
         assert_eq!(end, ClaimEnd::not_run(RefusalReason::AgentStarting));
     }
 }
+
+/// Follows a call over homes as an entry does, without losses.
+async fn follow(homes: &[ClaimHandle], first: usize, key: &str, runs: &Arc<AtomicU32>) -> CallStep {
+    let mut way = ClaimCall::new(vec![homes[first].home().vm]);
+    loop {
+        match way.step() {
+            CallStep::Ask { vm, recall } => {
+                let home = homes.iter().find(|h| h.home().vm == vm).expect("a home");
+                let req = ClaimRequest {
+                    recall,
+                    ..request(key)
+                };
+                way.on_end(execute(home, req, runs).await);
+            }
+            end => return end,
+        }
+    }
+}
+
+/// Views of the pool that never agree cost a bounded number of writes and no request.
+#[tokio::test(start_paused = true)]
+async fn execute_under_views_that_never_agree() {
+    const REQUESTS: u32 = 3_000;
+    const PERIOD: Duration = Duration::from_secs(300);
+    let hold_off = ClaimsLimits::default().hold_off;
+    let (store, runs) = (MemoryStore::new(), Arc::default());
+    let homes = [home("a", 1, &store), home("b", 2, &store)];
+    homes.iter().for_each(|h| h.set_live(vec![h.home().vm]));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = store.counts().writes;
+    let start = tokio::time::Instant::now();
+    let mut answered = 0;
+    for n in 0..REQUESTS {
+        let end = follow(&homes, n as usize % 2, &format!("order-{n}"), &runs).await;
+        answered += u32::from(matches!(end, CallStep::Answer(_)));
+        tokio::time::sleep_until(start + PERIOD * (n + 1) / REQUESTS).await;
+    }
+    let writes = store.counts().writes - before;
+    assert_eq!(answered, REQUESTS);
+    assert_eq!(runs.load(Ordering::SeqCst), REQUESTS);
+    // Besides one commit a request at this rate, a partition moves once in a hold-off at most.
+    let moves = 16 * PERIOD.as_millis() / hold_off.as_millis();
+    assert!(
+        u128::from(writes) <= u128::from(REQUESTS) + moves,
+        "{writes} writes"
+    );
+}
