--- /dev/null
+++ b/crates/oriole_agent/src/core.rs
@@ -0,0 +1,108 @@
+//! What the handlers and tasks of one agent share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use oriole_admission::confirmation::Confirmation;
+use oriole_admission::gate::Gate;
+use oriole_claims::service::ClaimHandle;
+use oriole_kernel::clock::Clock;
+use oriole_types::prelude::*;
+use oriole_wire::reply::Trailer;
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, watch};
+
+use crate::gatekeeper::{Gatekeeper, Work};
+use crate::upstream::Upstream;
+
+/// What the handlers and tasks of one agent share.
+pub struct AgentCore {
+    /// Name of the VM.
+    pub name: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Pool that the upstream serves.
+    pub pool: PoolName,
+    /// Incarnation of this process.
+    pub incarnation: Incarnation,
+    /// Time since the start.
+    pub clock: Clock,
+    /// Log.
+    pub log: Logger,
+    /// Configuration; `None` until the first one is known.
+    pub config: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Admission.
+    pub gate: Gatekeeper,
+    /// The upstream.
+    pub upstream: Box<dyn Upstream>,
+    /// Claims of requests that are not idempotent.
+    pub claims: ClaimHandle,
+    /// Whether the upstream was lost and not found again.
+    pub lost: AtomicBool,
+    /// Wakes the task that looks for the upstream.
+    pub look: Notify,
+}
+
+impl AgentCore {
+    /// Revision of the configuration in force; 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(Revision(0), |c| c.revision)
+    }
+
+    /// What ends an exchange besides the answer.
+    #[must_use]
+    pub fn trailer(&self) -> Trailer {
+        Trailer {
+            load: Some(self.gate.load()),
+            revision: self.revision(),
+        }
+    }
+
+    /// Time since the store confirmed the configuration, as far as this agent heard.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Duration> {
+        self.gate.read(Gate::configuration_age)
+    }
+
+    /// Notes what a peer says of the configuration; only one that holds the same revision, or a
+    /// later one than this agent, can confirm anything.
+    pub fn heard(&self, domain: &DomainName, revision: Revision, confirmed: Option<Duration>) {
+        let age = confirmed.filter(|_| revision <= self.revision());
+        let domain = domain.clone();
+        self.gate.heard(&Confirmation { domain, age });
+    }
+
+    /// Notes that the connection to the upstream broke under a piece of work: the upstream's
+    /// process counts as lost with all its work, unless this work was part of an earlier loss.
+    pub fn lost_under(&self, work: Work) {
+        if work.is_current() {
+            self.upstream_lost();
+        }
+    }
+
+    /// Notes that the upstream's process cannot be reached.
+    pub fn upstream_lost(&self) {
+        if !self.lost.swap(true, Ordering::AcqRel) {
+            warn!(self.log, "upstream lost"; "upstream" => self.name.as_str(), "step" => "run");
+            metrics::counter!("oriole_upstream_lost_total").increment(1);
+            self.gate.upstream_lost();
+        }
+        self.look.notify_one();
+    }
+
+    /// Notes that the upstream can be reached, with so much work that this agent does not know.
+    pub fn upstream_found(&self, in_flight: u32) {
+        if self.lost.swap(false, Ordering::AcqRel) {
+            info!(self.log, "upstream found"; "upstream" => self.name.as_str(), "step" => "probe");
+            self.gate.tell(|gate, now| {
+                gate.upstream_found(now, in_flight);
+                Vec::new()
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_agent/src/gatekeeper.rs
@@ -0,0 +1,262 @@
+//! The admission gate as a service: requests wait on it, and it is told what happens.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use oriole_admission::confirmation::Confirmation;
+use oriole_admission::gate::{
+    Action, Decision, FinishKind, Gate, GateConfig, Offer, Refusal, UpstreamReport, WorkId,
+};
+use oriole_admission::poison::PoisonDigest;
+use oriole_kernel::clock::Clock;
+use oriole_types::prelude::*;
+use tokio::sync::oneshot;
+
+/// The admission gate behind one lock; clones share it.
+#[derive(Clone)]
+pub struct Gatekeeper {
+    clock: Clock,
+    inner: Arc<Mutex<Inner>>,
+}
+
+struct Inner {
+    gate: Gate,
+    waiting: HashMap<WorkId, oneshot::Sender<Result<(), Refusal>>>,
+    next: WorkId,
+    poison_sent: BTreeMap<VmName, u64>,
+    losses: u64,
+}
+
+/// Work that may run at the upstream; say how it ended.
+///
+/// Dropping it leaves the work counted until it is known that the upstream is done with it, so
+/// that the upstream never gets more than it bears.
+pub struct Work {
+    keeper: Gatekeeper,
+    id: WorkId,
+    losses: u64,
+}
+
+impl Gatekeeper {
+    /// A gate that admits nothing until it knows the configuration and the upstream.
+    #[must_use]
+    pub fn open(clock: Clock, cfg: GateConfig) -> Self {
+        let gate = Gate::new(cfg, clock.now());
+        let inner = Inner {
+            gate,
+            waiting: HashMap::new(),
+            next: WorkId(1),
+            poison_sent: BTreeMap::new(),
+            losses: 0,
+        };
+        Self {
+            clock,
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// Waits until work may run at the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with a reason; the work was sent nowhere.
+    pub async fn admit(
+        &self,
+        content: Digest,
+        priority: Priority,
+        deadline: Duration,
+        proven: bool,
+    ) -> Result<Work, Refusal> {
+        let (id, rx) = self.offer(content, priority, deadline, proven)?;
+        let Some(rx) = rx else {
+            return Ok(self.work(id));
+        };
+        let mut waiting = Waiting {
+            keeper: self,
+            id,
+            rx,
+        };
+        match (&mut waiting.rx).await {
+            Ok(Ok(())) => Ok(self.work(id)),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal {
+                reason: RefusalReason::Cancelled,
+                retry_after: None,
+            }),
+        }
+    }
+
+    /// Tells the gate something and carries out what follows.
+    pub fn tell(&self, event: impl FnOnce(&mut Gate, Duration) -> Vec<Action>) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let actions = event(&mut inner.gate, now);
+        inner.apply(actions);
+    }
+
+    /// Reads something of the gate.
+    pub fn read<T>(&self, look: impl FnOnce(&Gate, Duration) -> T) -> T {
+        let now = self.clock.now();
+        look(&self.lock().gate, now)
+    }
+
+    /// Notes what a peer said of the configuration.
+    pub fn heard(&self, confirmation: &Confirmation) {
+        self.tell(|gate, now| {
+            gate.heard_configuration(now, confirmation);
+            Vec::new()
+        });
+    }
+
+    /// Notes what the upstream said of its load `age` ago, asked at `asked`.
+    pub fn upstream_report(&self, asked: Duration, age: Duration, in_flight: u32, cold: bool) {
+        let report = UpstreamReport {
+            made_at: asked.saturating_sub(age),
+            in_flight,
+            cold: Some(cold),
+        };
+        self.tell(|gate, now| gate.upstream_report(now, report));
+    }
+
+    /// Notes that the upstream's process was lost with all its work.
+    pub fn upstream_lost(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.losses += 1;
+        let actions = inner.gate.upstream_lost(now);
+        inner.apply(actions);
+    }
+
+    /// The load as entries get it.
+    #[must_use]
+    pub fn load(&self) -> LoadReport {
+        self.read(Gate::load_report)
+    }
+
+    /// Whether nothing runs and nothing waits.
+    #[must_use]
+    pub fn is_quiet(&self) -> bool {
+        self.read(|gate, _| gate.is_quiet())
+    }
+
+    /// What a peer should learn of suspects and quarantine since it was last told.
+    #[must_use]
+    pub fn poison_for(&self, peer: &VmName) -> PoisonDigest {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let since = inner.poison_sent.get(peer).copied().unwrap_or(0);
+        let (digest, version) = inner.gate.poison().digest_since(now, since);
+        inner.poison_sent.insert(peer.clone(), version);
+        digest
+    }
+
+    /// Takes in what a peer knows of suspects and quarantine.
+    pub fn merge_poison(&self, digest: &PoisonDigest) {
+        self.tell(|gate, now| {
+            gate.poison_mut().merge(now, digest);
+            Vec::new()
+        });
+    }
+
+    fn offer(
+        &self,
+        content: Digest,
+        priority: Priority,
+        deadline: Duration,
+        proven: bool,
+    ) -> Result<(WorkId, Option<Verdict>), Refusal> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let id = inner.next;
+        inner.next = id.next();
+        let mut offer = Offer::new(id, content, deadline).with_priority(priority);
+        offer.proven = proven;
+        match inner.gate.offer(now, offer) {
+            Decision::Admit => Ok((id, None)),
+            Decision::Queue => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiting.insert(id, tx);
+                Ok((id, Some(rx)))
+            }
+            Decision::Refuse(refusal) => Err(refusal),
+        }
+    }
+
+    fn work(&self, id: WorkId) -> Work {
+        let losses = self.lock().losses;
+        Work {
+            keeper: self.clone(),
+            id,
+            losses,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+type Verdict = oneshot::Receiver<Result<(), Refusal>>;
+
+/// Work that waits for admission; withdrawn when its reader leaves.
+struct Waiting<'a> {
+    keeper: &'a Gatekeeper,
+    id: WorkId,
+    rx: Verdict,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut inner = self.keeper.lock();
+        inner.waiting.remove(&self.id);
+        inner.gate.withdraw(self.id);
+        drop(inner);
+        // It may have been started just before the reader left; nothing was sent yet.
+        if let Ok(Ok(())) = self.rx.try_recv() {
+            let id = self.id;
+            self.keeper
+                .tell(|gate, now| gate.finished(now, id, FinishKind::Cancelled));
+        }
+    }
+}
+
+impl Inner {
+    fn apply(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, verdict) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse(id, refusal) => (id, Err(refusal)),
+                // The task that runs it sees the broken connection itself.
+                Action::Lost(_) => continue,
+            };
+            let sent = match self.waiting.remove(&id) {
+                Some(tx) => tx.send(verdict).is_ok(),
+                None => false,
+            };
+            if !sent && verdict.is_ok() {
+                metrics::counter!("oriole_agent_started_unclaimed_total").increment(1);
+            }
+        }
+    }
+}
+
+impl Work {
+    /// Whether the upstream was not lost since the work was admitted.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.keeper.lock().losses == self.losses
+    }
+
+    /// Notes output of the work.
+    pub fn output(&self, tokens: u32) {
+        let id = self.id;
+        self.keeper.tell(|gate, now| gate.output(now, id, tokens));
+    }
+
+    /// Notes that the upstream is done with the work.
+    pub fn finished(self, kind: FinishKind) {
+        let id = self.id;
+        self.keeper.tell(|gate, now| gate.finished(now, id, kind));
+    }
+}
--- /dev/null
+++ b/crates/oriole_agent/src/handler.rs
@@ -0,0 +1,140 @@
+//! What entries and other agents ask of this agent.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use oriole_claims::request::{ClaimEnd, ClaimRequest};
+use oriole_peers::note::{LOAD_SERVICE, LoadNote, Note, decode_age};
+use oriole_types::prelude::*;
+use oriole_wire::frame::Open;
+use oriole_wire::reply::{Refusal, Reply};
+use oriole_wire::server::{Handler, PeerInfo};
+use prost::Message;
+
+use crate::core::AgentCore;
+use crate::run;
+use crate::upstream::Job;
+
+/// Answers the frames that come to an agent.
+pub struct AgentHandler {
+    core: Arc<AgentCore>,
+}
+
+impl AgentHandler {
+    /// A handler over the agent's state.
+    #[must_use]
+    pub fn new(core: Arc<AgentCore>) -> Self {
+        Self { core }
+    }
+
+    /// Runs a request under its idempotency key.
+    async fn claim(&self, job: Job, recall: Option<Incarnation>, mut reply: Reply) {
+        let Some(key) = job.head.key.clone() else {
+            let refusal = Refusal::new(RefusalReason::KeyRequired);
+            // The reader may be gone.
+            let _ = reply.refuse(&refusal, self.core.trailer()).await;
+            return;
+        };
+        let req = ClaimRequest {
+            account: job.head.account.clone(),
+            entry: job.head.entry.clone(),
+            key,
+            content: job.head.content,
+            timeout: std::time::Duration::from_millis(u64::from(job.head.timeout_ms)),
+            recall,
+        };
+        let core = Arc::clone(&self.core);
+        let end = self
+            .core
+            .claims
+            .execute(req, move || run::run_whole(core, job))
+            .await;
+        metrics::counter!("oriole_claim_ends_total", "end" => end.as_str()).increment(1);
+        let trailer = self.core.trailer();
+        // The reader may be gone.
+        let _ = match end {
+            ClaimEnd::FirstRun(answer) => give(&mut reply, answer).await && {
+                reply.end(false, trailer).await.is_ok()
+            },
+            ClaimEnd::Replay(answer) => give(&mut reply, answer).await && {
+                reply.end(true, trailer).await.is_ok()
+            },
+            ClaimEnd::NotRun { reason, home } => {
+                let mut refusal = Refusal::new(reason);
+                refusal.try_instead = home;
+                reply.refuse(&refusal, trailer).await.is_ok()
+            }
+            ClaimEnd::Elsewhere(home) => {
+                let mut refusal = Refusal::new(RefusalReason::NotHome);
+                refusal.try_instead = Some(home.vm);
+                refusal.recall = Some(home.incarnation);
+                reply.refuse(&refusal, trailer).await.is_ok()
+            }
+            ClaimEnd::Unknown(reason) => reply.fail(reason, trailer).await.is_ok(),
+        };
+    }
+
+    fn trade_notes(&self, peer: &PeerInfo, payload: Bytes) -> Result<Bytes, String> {
+        let note = Note::decode(payload).map_err(|e| e.to_string())?;
+        let domain = DomainName::new(&peer.domain);
+        self.core
+            .heard(&domain, Revision(note.revision), note.confirmed());
+        if !note.poison.is_empty() {
+            let digest = serde_json::from_slice(&note.poison).map_err(|e| e.to_string())?;
+            self.core.gate.merge_poison(&digest);
+        }
+        let mut own = Note::new(self.core.revision(), self.core.confirmed());
+        let poison = self.core.gate.poison_for(&VmName::new(&peer.name));
+        if !poison.records.is_empty() {
+            let text = serde_json::to_vec(&poison).map_err(|e| e.to_string())?;
+            own.poison = text.into();
+        }
+        let answer = LoadNote {
+            load: Some(self.core.gate.load().into()),
+            note: Some(own),
+            incarnation: self.core.incarnation.0,
+            clock_ms: self.core.claims.clock_ms(),
+        };
+        Ok(answer.encode_to_vec().into())
+    }
+}
+
+/// Hands over an answer that is one item; `false` if the reader is gone.
+async fn give(reply: &mut Reply, answer: Bytes) -> bool {
+    reply.chunk(1, answer).await.is_ok()
+}
+
+#[async_trait]
+impl Handler for AgentHandler {
+    async fn exchange(&self, peer: &PeerInfo, open: Open, reply: Reply) {
+        let domain = DomainName::new(&peer.domain);
+        let confirmed = decode_age(open.confirmed_ms);
+        self.core.heard(&domain, Revision(open.revision), confirmed);
+        let Ok(head) = open.head() else {
+            let refusal = Refusal::new(RefusalReason::RequestInvalid);
+            // The reader may be gone.
+            let _ = reply.refuse(&refusal, self.core.trailer()).await;
+            return;
+        };
+        let job = Job {
+            request: open.request,
+            attempt: open.attempt,
+            head,
+            body: open.body,
+        };
+        if job.head.idempotent {
+            run::stream(&self.core, job, open.proven, reply).await;
+        } else {
+            let recall = (open.recall != 0).then_some(Incarnation(open.recall));
+            self.claim(job, recall, reply).await;
+        }
+    }
+
+    async fn call(&self, peer: &PeerInfo, service: &str, payload: Bytes) -> Result<Bytes, String> {
+        match service {
+            LOAD_SERVICE => self.trade_notes(peer, payload),
+            _ => Err(format!("no service {service:?}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_agent/src/settings.rs
@@ -0,0 +1,87 @@
+//! Settings of an agent daemon.
+
+use std::net::SocketAddr;
+
+use oriole_kernel::settings::Settings;
+use oriole_types::ids::{DomainName, PoolName, VmName};
+use oriole_wire::secret::FleetSecrets;
+use serde::{Deserialize, Serialize};
+
+/// Settings of an agent daemon, as its TOML file states them.
+///
+/// ```
+/// use oriole_agent::settings::AgentSettings;
+/// use oriole_kernel::settings::parse;
+/// let text = r#"
+///     name = "worker-1"
+///     domain = "gela"
+///     pool = "notes"
+///     address = "127.0.0.1:0"
+///     upstream = "127.0.0.1:9000"
+///     store = "127.0.0.1:7001"
+///     vm_list = "127.0.0.1:7002"
+///     fleet_secrets = ["0123456789abcdef"]
+/// "#;
+/// let settings: AgentSettings = parse("agent.toml".as_ref(), text).unwrap();
+/// assert_eq!(settings.log_level, "info");
+/// ```
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Name of the VM.
+    pub name: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Pool that the upstream serves.
+    pub pool: PoolName,
+    /// Address that peers connect to.
+    pub address: SocketAddr,
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+    /// Address of the platform's key-value store.
+    pub store: SocketAddr,
+    /// Address of the platform's VM list.
+    pub vm_list: SocketAddr,
+    /// One or two fleet secrets; the first is the one the process proves itself with.
+    #[serde(skip_serializing)]
+    pub fleet_secrets: Vec<String>,
+    /// Time between two reads of the VM list, in milliseconds.
+    #[serde(default = "default_vm_list_period_ms")]
+    pub vm_list_period_ms: u64,
+    /// Lowest level that is logged: `critical`, `error`, `warning`, `info`, `debug` or `trace`.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+fn default_vm_list_period_ms() -> u64 {
+    1_000
+}
+
+fn default_log_level() -> String {
+    "info".into()
+}
+
+impl AgentSettings {
+    /// The fleet secrets.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are not one or two, or if one is too short.
+    pub fn secrets(&self) -> Result<FleetSecrets, String> {
+        FleetSecrets::from_settings(&self.fleet_secrets)
+    }
+}
+
+impl Settings for AgentSettings {
+    fn check(&self) -> Result<(), String> {
+        self.secrets()?;
+        oriole_kernel::settings::check_range(
+            "vm_list_period_ms",
+            self.vm_list_period_ms,
+            100..=60_000,
+        )?;
+        oriole_kernel::logging::parse_level(&self.log_level)
+            .map(|_| ())
+            .map_err(|e| format!("log_level: {e}"))
+    }
+}
--- /dev/null
+++ b/crates/oriole_agent/src/upstream/client.rs
@@ -0,0 +1,124 @@
+//! HTTP towards the upstream on the same VM.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use super::{UpstreamError, UpstreamLoad};
+
+/// Longest time to connect.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time for a load report.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest small JSON document, in bytes.
+const MAX_SMALL_BYTES: usize = 16 * 1024;
+
+/// A pooled HTTP client of one upstream, whose errors tell whether something was sent.
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    base: String,
+}
+
+impl HttpClient {
+    /// A client of the upstream at some address.
+    #[must_use]
+    pub fn open(addr: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            base: format!("http://{addr}"),
+        }
+    }
+
+    /// Sends a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Tells what is known: nothing was sent, the upstream refused, or it may have run.
+    pub async fn post(
+        &self,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        let mut req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("{}{path}", self.base))
+            .header(http::header::CONTENT_TYPE, "application/json");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req
+            .body(Full::new(body))
+            .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
+        self.send(req).await
+    }
+
+    /// Asks for the load.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the upstream does not answer in time with a load report.
+    pub async fn load(&self) -> Result<UpstreamLoad, UpstreamError> {
+        let read = async {
+            let req = Request::get(format!("{}/v1/load", self.base))
+                .body(Full::default())
+                .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
+            read_json(self.send(req).await?).await
+        };
+        timeout(LOAD_TIMEOUT, read)
+            .await
+            .unwrap_or_else(|_| Err(UpstreamError::Failed("no load report in time".into())))
+    }
+
+    async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, UpstreamError> {
+        let response = self.client.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                UpstreamError::NotSent(e.to_string())
+            } else {
+                UpstreamError::Failed(e.to_string())
+            }
+        })?;
+        check_status(response)
+    }
+}
+
+/// Reads a small JSON document.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or the document is not what is expected.
+pub async fn read_json<T: DeserializeOwned>(
+    response: Response<Incoming>,
+) -> Result<T, UpstreamError> {
+    let body = Limited::new(response.into_body(), MAX_SMALL_BYTES)
+        .collect()
+        .await
+        .map_err(|e| UpstreamError::Failed(e.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|_| UpstreamError::Incomplete)
+}
+
+fn check_status(response: Response<Incoming>) -> Result<Response<Incoming>, UpstreamError> {
+    let status = response.status();
+    if status.is_success() {
+        return Ok(response);
+    }
+    let refused = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    if refused {
+        return Err(UpstreamError::Refused(status.as_u16()));
+    }
+    Err(UpstreamError::Error(status.as_u16()))
+}
--- a/crates/oriole_agent/src/upstream/engine.rs
+++ b/crates/oriole_agent/src/upstream/engine.rs
@@ -4,24 +4,20 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::{Deserialize, Serialize};
 
-use super::{Answer, CONNECT_TIMEOUT, Job, Upstream, UpstreamError};
+use oriole_types::catalog::Priority;
+
+use super::client::{self, HttpClient};
+use super::{Answer, Job, Upstream, UpstreamError, UpstreamLoad};
 
 /// Client of one model engine.
 ///
 /// Its requests carry a prompt and a number of tokens; its answers come token by token.
 pub struct EngineUpstream {
     client: HttpClient,
-    uri: String,
 }
 
-pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
-
 /// What a caller sends to an entry that a model engine serves.
 #[derive(Deserialize)]
 struct Prompt {
@@ -32,11 +28,11 @@
 
 #[derive(Serialize)]
 struct Generate<'a> {
-    request_id: String,
+    request_id: u64,
     attempt: u32,
     prompt: &'a str,
     max_tokens: u32,
-    priority: u32,
+    priority: Priority,
     resume_from: u64,
 }
 
@@ -48,68 +44,63 @@
     /// A client of the engine at some address.
     #[must_use]
     pub fn open(addr: SocketAddr) -> Self {
-        Self {
-            client: http_client(),
-            uri: format!("http://{addr}/v1/generate"),
-        }
+        let client = HttpClient::open(addr);
+        Self { client }
     }
 }
 
 #[async_trait]
 impl Upstream for EngineUpstream {
+    async fn load(&self) -> Result<UpstreamLoad, UpstreamError> {
+        self.client.load().await
+    }
+
+    async fn cancel(&self, job: &Job) -> bool {
+        let cancel = Cancel {
+            request_id: job.request,
+            attempt: job.attempt,
+        };
+        let Ok(body) = serde_json::to_vec(&cancel) else {
+            return false;
+        };
+        match self.client.post("/v1/cancel", &[], body.into()).await {
+            Ok(response) => client::read_json(response)
+                .await
+                .is_ok_and(|answer: CancelAnswer| answer.cancelled),
+            Err(_) => false,
+        }
+    }
+
     async fn run(&self, job: &Job) -> Result<Answer, UpstreamError> {
         let body = generate(job)?;
-        let req = http::Request::post(&self.uri)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
-        let response = send(&self.client, req).await?;
+        let response = self.client.post("/v1/generate", &[], body).await?;
         Ok(Answer::lines(response.into_body(), job.head.resume_from))
     }
 }
 
+#[derive(Serialize)]
+struct Cancel {
+    request_id: u64,
+    attempt: u32,
+}
+
+#[derive(Deserialize)]
+struct CancelAnswer {
+    cancelled: bool,
+}
+
 fn generate(job: &Job) -> Result<Bytes, UpstreamError> {
     let bad_request = |_| UpstreamError::Refused(http::StatusCode::BAD_REQUEST.as_u16());
     let prompt: Prompt = serde_json::from_slice(&job.body).map_err(bad_request)?;
     let generate = Generate {
-        request_id: format!("{:016x}", job.request),
+        request_id: job.request,
         attempt: job.attempt,
         prompt: &prompt.prompt,
         max_tokens: prompt.max_tokens,
-        priority: job.head.priority as u32,
+        priority: job.head.priority,
         resume_from: job.head.resume_from,
     };
     serde_json::to_vec(&generate)
         .map(Bytes::from)
         .map_err(bad_request)
 }
-
-pub(crate) fn http_client() -> HttpClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new()).build(connector)
-}
-
-/// Sends a request and tells what is known if there is no answer.
-pub(crate) async fn send(
-    client: &HttpClient,
-    req: http::Request<Full<Bytes>>,
-) -> Result<http::Response<hyper::body::Incoming>, UpstreamError> {
-    let response = client.request(req).await.map_err(|e| {
-        if e.is_connect() {
-            UpstreamError::NotSent(e.to_string())
-        } else {
-            UpstreamError::Failed(e.to_string())
-        }
-    })?;
-    let status = response.status();
-    if status.is_success() {
-        return Ok(response);
-    }
-    let refused = status.is_client_error() || status == http::StatusCode::SERVICE_UNAVAILABLE;
-    if refused {
-        return Err(UpstreamError::Refused(status.as_u16()));
-    }
-    Err(UpstreamError::Failed(format!("status {status}")))
-}
--- a/crates/oriole_agent/src/upstream/mod.rs
+++ b/crates/oriole_agent/src/upstream/mod.rs
@@ -1,18 +1,28 @@
 //! The upstream as its agent sees it.
 
 pub mod answer;
+pub mod client;
 pub mod engine;
 pub mod service;
 
+use std::net::SocketAddr;
+
 use async_trait::async_trait;
 use bytes::Bytes;
+use oriole_types::catalog::PoolKind;
 use oriole_types::ids::Attempt;
 use oriole_types::request::RequestHead;
 
 pub use self::answer::Answer;
 
-/// Longest time to connect to the upstream, which runs on the same VM.
-pub(crate) const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+/// Opens a client of the upstream of some kind.
+#[must_use]
+pub fn open(kind: PoolKind, addr: SocketAddr) -> Box<dyn Upstream> {
+    match kind {
+        PoolKind::Engine => Box::new(engine::EngineUpstream::open(addr)),
+        PoolKind::Service => Box::new(service::ServiceUpstream::open(addr)),
+    }
+}
 
 /// One attempt of a request, as it is given to the upstream.
 #[derive(Clone, Debug)]
@@ -36,7 +46,10 @@
     /// The upstream refused the request before running it.
     #[error("the upstream refused the request with status {0}")]
     Refused(u16),
-    /// The upstream failed after the request was sent; the request may have run.
+    /// The upstream answered with an error status; the request may have run.
+    #[error("the upstream answered with status {0}")]
+    Error(u16),
+    /// The connection failed after the request was sent; the request may have run.
     #[error("the upstream failed: {0}")]
     Failed(String),
     /// The answer ended early or out of order.
@@ -44,11 +57,43 @@
     Incomplete,
 }
 
+/// What an upstream says of its load, which lags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+pub struct UpstreamLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Whether it is in cold start.
+    pub cold: bool,
+    /// Age of the report, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u32,
+}
+
 /// An upstream: a model engine or a plain service.
 #[async_trait]
 pub trait Upstream: Send + Sync + 'static {
+    /// Asks for the load; fails if the upstream cannot be reached.
+    async fn load(&self) -> Result<UpstreamLoad, UpstreamError>;
+
+    /// Asks the upstream to stop a job; `true` once it confirms that nothing of it runs any more.
+    async fn cancel(&self, job: &Job) -> bool;
+
     /// Sends a job and returns its answer once the upstream has accepted it.
     ///
     /// Dropping the answer cancels the work where the upstream can cancel it.
     async fn run(&self, job: &Job) -> Result<Answer, UpstreamError>;
 }
+
+impl UpstreamError {
+    /// The label of the error in metrics.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Refused(_) => "refused",
+            Self::Error(_) => "error_status",
+            Self::Failed(_) => "connection_failed",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
--- a/crates/oriole_agent/src/upstream/service.rs
+++ b/crates/oriole_agent/src/upstream/service.rs
@@ -3,41 +3,42 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use http_body_util::Full;
 
-use super::engine::{HttpClient, http_client, send};
-use super::{Answer, Job, Upstream, UpstreamError};
+use super::client::HttpClient;
+use super::{Answer, Job, Upstream, UpstreamError, UpstreamLoad};
 
 /// Client of one plain service: one document each way.
 pub struct ServiceUpstream {
     client: HttpClient,
-    uri: String,
 }
 
 impl ServiceUpstream {
     /// A client of the service at some address.
     #[must_use]
     pub fn open(addr: SocketAddr) -> Self {
-        Self {
-            client: http_client(),
-            uri: format!("http://{addr}/v1/run"),
-        }
+        let client = HttpClient::open(addr);
+        Self { client }
     }
 }
 
 #[async_trait]
 impl Upstream for ServiceUpstream {
+    async fn load(&self) -> Result<UpstreamLoad, UpstreamError> {
+        self.client.load().await
+    }
+
+    async fn cancel(&self, _job: &Job) -> bool {
+        // A plain service cannot stop what it has begun.
+        false
+    }
+
     async fn run(&self, job: &Job) -> Result<Answer, UpstreamError> {
-        let mut req = http::Request::post(&self.uri)
-            .header(http::header::CONTENT_TYPE, "application/json")
-            .header("Catalog-Entry", job.head.entry.as_str());
+        let mut headers = vec![("catalog-entry", job.head.entry.as_str())];
         if let Some(key) = &job.head.key {
-            req = req.header("Idempotency-Key", key.as_str());
+            headers.push(("idempotency-key", key.as_str()));
         }
-        let req = req
-            .body(Full::new(job.body.clone()))
-            .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
-        let response = send(&self.client, req).await?;
+        let body = job.body.clone();
+        let response = self.client.post("/v1/run", &headers, body).await?;
         Ok(Answer::plain(response.into_body()))
     }
 }
--- /dev/null
+++ b/crates/oriole_agent/src/watchers.rs
@@ -0,0 +1,123 @@
+//! Tasks that keep the gate informed: the upstream, the configuration, and the passing of time.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use oriole_types::prelude::*;
+use tokio::sync::watch;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::core::AgentCore;
+use crate::upstream::UpstreamError;
+
+/// Time between two looks at the upstream.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time between two looks at an upstream that is lost.
+const LOST_LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time between two ticks of the gate.
+const GATE_PERIOD: Duration = Duration::from_millis(10);
+
+/// The watchers of one agent; they end when this is dropped.
+pub struct Watchers {
+    _tasks: Vec<AbortOnDropHandle<()>>,
+}
+
+impl Watchers {
+    /// Starts all watchers.
+    #[must_use]
+    pub fn spawn(core: &Arc<AgentCore>, vm_list: watch::Receiver<Arc<VmList>>) -> Self {
+        let tasks = vec![
+            tokio::spawn(watch_upstream(Arc::clone(core))),
+            tokio::spawn(follow_fleet(Arc::clone(core), vm_list)),
+            tokio::spawn(tick_gate(Arc::clone(core))),
+        ];
+        Self {
+            _tasks: tasks.into_iter().map(AbortOnDropHandle::new).collect(),
+        }
+    }
+}
+
+async fn watch_upstream(core: Arc<AgentCore>) {
+    loop {
+        let asked = core.clock.now();
+        match core.upstream.load().await {
+            Ok(load) => {
+                core.upstream_found(load.in_flight);
+                let age = Duration::from_millis(u64::from(load.age_ms));
+                core.gate
+                    .upstream_report(asked, age, load.in_flight, load.cold);
+            }
+            Err(UpstreamError::NotSent(_)) => core.upstream_lost(),
+            // It is there but slow; the gate sees that its work stalls.
+            Err(_) => metrics::counter!("oriole_upstream_look_failed_total").increment(1),
+        }
+        let pause = if core.lost.load(Ordering::Acquire) {
+            LOST_LOOK_PERIOD
+        } else {
+            LOOK_PERIOD
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = core.look.notified() => tokio::time::sleep(LOST_LOOK_PERIOD).await,
+        }
+    }
+}
+
+/// Feeds each newer catalog and VM list to the gate and the claims.
+async fn follow_fleet(core: Arc<AgentCore>, mut vm_list: watch::Receiver<Arc<VmList>>) {
+    let mut config = core.config.clone();
+    loop {
+        let list = vm_list.borrow_and_update().clone();
+        if let Some(catalog) = config.borrow_and_update().clone() {
+            configure(&core, &catalog, &list);
+        }
+        let changed = tokio::select! {
+            changed = vm_list.changed() => changed,
+            changed = config.changed() => changed,
+        };
+        if changed.is_err() {
+            return;
+        }
+    }
+}
+
+fn configure(core: &AgentCore, catalog: &Catalog, list: &VmList) {
+    let service = if catalog.takes_work(&core.name, &core.domain) {
+        ServiceState::InService
+    } else {
+        ServiceState::Drained
+    };
+    let members = pool_members(core, catalog, list);
+    core.gate.tell(|gate, now| {
+        if let Some(pool) = catalog.pools.get(&core.pool) {
+            gate.configure(pool);
+        }
+        gate.set_domains(catalog.domains.keys());
+        gate.set_pool(&members);
+        gate.poison_mut().set_released(&catalog.released_digests);
+        gate.set_service_state(now, service)
+    });
+    core.claims.set_live(members);
+}
+
+/// The pool's VMs that take new work.
+fn pool_members(core: &AgentCore, catalog: &Catalog, list: &VmList) -> Vec<VmName> {
+    list.vms
+        .iter()
+        .filter(|vm| matches!(&vm.role, VmRole::Upstream { pool } if *pool == core.pool))
+        .filter(|vm| vm.state == VmState::Live && catalog.takes_work(&vm.name, &vm.domain))
+        .map(|vm| vm.name.clone())
+        .collect()
+}
+
+async fn tick_gate(core: Arc<AgentCore>) {
+    let mut interval = tokio::time::interval(GATE_PERIOD);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        core.gate.tell(|gate, now| gate.tick(now));
+    }
+}
--- a/crates/oriole_entry/src/api/status.rs
+++ b/crates/oriole_entry/src/api/status.rs
@@ -1,6 +1,7 @@
 //! What the process says of itself.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use dropshot::{Body, HttpError, RequestContext, endpoint};
 use http::{HeaderValue, Response, header};
@@ -22,6 +23,12 @@
     pub state: String,
     /// Revision of the configuration in force.
     pub revision: u64,
+    /// Time since the store confirmed that revision, in milliseconds; absent if never.
+    pub config_age_ms: Option<u64>,
+    /// Whether nothing confirmed the revision for long.
+    pub config_stale: bool,
+    /// Whether the process watches the store for its peers.
+    pub config_relay: bool,
     /// Requests being answered.
     pub running: usize,
     /// Requests that wait for an upstream.
@@ -94,12 +101,16 @@
 }
 
 fn status(state: &EntryState) -> StatusBody {
-    let catalog = state.config.borrow().clone();
+    let catalog = state.catalog.borrow().clone();
+    let config = state.config.status();
     StatusBody {
         name: state.name.to_string(),
         domain: state.domain.to_string(),
         state: state_name(state, catalog.is_some()).into(),
         revision: state.revision().0,
+        config_age_ms: config.confirmed_age.map(millis),
+        config_stale: config.stale,
+        config_relay: config.relay,
         running: state.running.load(Ordering::Relaxed),
         waiting: state.traffic.waiting(),
         pools: pools(state),
@@ -107,8 +118,12 @@
     }
 }
 
+fn millis(age: Duration) -> u64 {
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn state_name(state: &EntryState, configured: bool) -> &'static str {
-    if state.leaving.load(Ordering::Relaxed) {
+    if state.draining.load(Ordering::Relaxed) {
         "leaving"
     } else if configured {
         "serving"
--- /dev/null
+++ b/crates/oriole_entry/src/daemon.rs
@@ -0,0 +1,275 @@
+//! Start and graceful shutdown of an entry daemon.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_catalog::spread::ConfigFollower;
+use oriole_kernel::app::{App, Plugin, RunningApp, Service};
+use oriole_kernel::clock::Clock;
+use oriole_kernel::error::KernelError;
+use oriole_kernel::registry::Registry;
+use oriole_peers::platform::{CHANNELS, CONFIG, PLATFORM, PlatformConfig, PlatformPlugin, VM_LIST};
+use oriole_peers::pool::ChannelPool;
+use oriole_peers::vm_list::VmListFollower;
+use oriole_routing::endpoints::{AnswerConfig, EndpointAnswers};
+use oriole_wire::channel::ChannelConfig;
+use oriole_wire::handshake::Identity;
+use oriole_wire::server::{WireServer, WireServerConfig};
+use slog::{Logger, info};
+use tokio::time::sleep;
+
+use crate::api::{self, Server};
+use crate::fleet::Fleet;
+use crate::peers::PeerHandler;
+use crate::poison::Poison;
+use crate::settings::EntrySettings;
+use crate::state::EntryState;
+use crate::traffic::Traffic;
+use crate::watchers::Watchers;
+
+/// Name of the service that runs the entry.
+const ENTRY: &str = "entry";
+
+/// Name under which the entry's state is found.
+const ENTRY_STATE: &str = "entry.state";
+
+/// Time between two looks at whether requests still run.
+const QUIET_PERIOD: Duration = Duration::from_millis(20);
+
+/// A running entry daemon.
+pub struct EntryDaemon {
+    app: RunningApp,
+    state: Arc<EntryState>,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+}
+
+impl EntryDaemon {
+    /// Binds its addresses and starts to serve; requests are refused until a configuration is
+    /// known.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound.
+    pub async fn bind(settings: &EntrySettings, log: Logger) -> eyre::Result<Self> {
+        let mut app = App::new();
+        app.add_plugin(&PlatformPlugin(platform(settings, &log)?))?;
+        let addresses = Arc::new(Mutex::default());
+        app.add_plugin(&EntryPlugin {
+            settings: settings.clone(),
+            log,
+            addresses: Arc::clone(&addresses),
+        })?;
+        let app = app.start().await?;
+        let state = app.registry().get(ENTRY_STATE)?;
+        let bound = *addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        let (address, peer_address) =
+            bound.ok_or_else(|| eyre::eyre!("the entry service did not start"))?;
+        Ok(Self {
+            app,
+            state,
+            address,
+            peer_address,
+        })
+    }
+
+    /// Address that callers connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address that peers connect to.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// What handlers and tasks share; for embedding.
+    #[must_use]
+    pub fn state(&self) -> &Arc<EntryState> {
+        &self.state
+    }
+
+    /// Shuts down without cutting a request.
+    ///
+    /// First the entry is left out of endpoint answers and serves on until the callers' answers
+    /// have expired; then it refuses new requests with other addresses; it ends when the last
+    /// running request has ended.
+    pub async fn shutdown(mut self) {
+        self.app.stop().await;
+    }
+}
+
+fn platform(settings: &EntrySettings, log: &Logger) -> eyre::Result<PlatformConfig> {
+    Ok(PlatformConfig {
+        store: settings.store,
+        vm_list: settings.vm_list,
+        vm_list_period: Duration::from_millis(settings.vm_list_period_ms),
+        channel: channel(settings)?,
+        log: log.clone(),
+    })
+}
+
+fn channel(settings: &EntrySettings) -> eyre::Result<ChannelConfig> {
+    let secrets = settings.secrets().map_err(|e| eyre::eyre!(e))?;
+    let identity = Identity {
+        name: settings.name.to_string(),
+        domain: settings.domain.to_string(),
+        incarnation: rand::random::<u64>() | 1,
+    };
+    Ok(ChannelConfig::new(identity, secrets))
+}
+
+type Addresses = Arc<Mutex<Option<(SocketAddr, SocketAddr)>>>;
+
+struct EntryPlugin {
+    settings: EntrySettings,
+    log: Logger,
+    addresses: Addresses,
+}
+
+impl Plugin for EntryPlugin {
+    fn name(&self) -> &'static str {
+        ENTRY
+    }
+
+    fn build(&self, app: &mut App) -> Result<(), KernelError> {
+        app.add_service(Box::new(EntryService {
+            settings: self.settings.clone(),
+            log: self.log.clone(),
+            addresses: Arc::clone(&self.addresses),
+            running: Mutex::default(),
+        }));
+        Ok(())
+    }
+}
+
+struct EntryService {
+    settings: EntrySettings,
+    log: Logger,
+    addresses: Addresses,
+    running: Mutex<Option<Running>>,
+}
+
+struct Running {
+    state: Arc<EntryState>,
+    http: Server,
+    frames: WireServer,
+    _watchers: Watchers,
+}
+
+impl EntryService {
+    fn state(&self, registry: &Registry) -> Result<Arc<EntryState>, KernelError> {
+        let config: Arc<ConfigFollower> = registry.get(CONFIG)?;
+        let channels: Arc<ChannelPool> = registry.get(CHANNELS)?;
+        let clock = Clock::start();
+        let answers = AnswerConfig {
+            ttl_ms: self.settings.endpoint_ttl_ms,
+            ..AnswerConfig::default()
+        };
+        let state = EntryState {
+            name: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
+            clock,
+            log: self.log.clone(),
+            catalog: config.subscribe(),
+            config,
+            fleet: Fleet::default(),
+            poison: Poison::open(clock),
+            traffic: Traffic::open(clock, self.settings.domain.clone()),
+            channels,
+            endpoints: EndpointAnswers::new(answers),
+            running: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            next_request: AtomicU64::new(rand::random()),
+        };
+        Ok(Arc::new(state))
+    }
+
+    async fn run(&self, registry: &Registry, state: &Arc<EntryState>) -> eyre::Result<Running> {
+        let vm_list: Arc<VmListFollower> = registry.get(VM_LIST)?;
+        let channel = channel(&self.settings)?;
+        let frames = WireServer::bind(
+            self.settings.peer_address,
+            WireServerConfig::new(channel.identity, channel.secrets),
+            Arc::new(PeerHandler::new(Arc::clone(state))),
+        )
+        .await?;
+        let quiet = self.log.new(slog::o!("part" => "http"));
+        let http = api::bind(self.settings.address, Arc::clone(state), &quiet)?;
+        let bound = (http.local_addr(), frames.addr());
+        *self
+            .addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(bound);
+        Ok(Running {
+            state: Arc::clone(state),
+            http,
+            frames,
+            _watchers: Watchers::spawn(state, vm_list.subscribe()),
+        })
+    }
+}
+
+#[async_trait]
+impl Service for EntryService {
+    fn name(&self) -> &'static str {
+        ENTRY
+    }
+
+    fn after(&self) -> &'static [&'static str] {
+        &[PLATFORM]
+    }
+
+    async fn start(&self, registry: &Registry) -> Result<(), KernelError> {
+        let state = self.state(registry)?;
+        let running = self
+            .run(registry, &state)
+            .await
+            .map_err(|e| KernelError::Start {
+                name: ENTRY.into(),
+                message: e.to_string(),
+            })?;
+        let (address, peer_address) = (running.http.local_addr(), running.frames.addr());
+        info!(self.log, "entry started"; "step" => "start",
+            "address" => %address, "peer_address" => %peer_address);
+        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
+        registry.insert(ENTRY_STATE, state)
+    }
+
+    async fn stop(&self) {
+        let running = self
+            .running
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(running) = running {
+            let ttl = Duration::from_millis(u64::from(self.settings.endpoint_ttl_ms));
+            running.leave(ttl, &self.log).await;
+        }
+    }
+}
+
+impl Running {
+    async fn leave(self, endpoint_ttl: Duration, log: &Logger) {
+        info!(log, "entry leaving"; "step" => "drain");
+        self.state.draining.store(true, Ordering::Relaxed);
+        let own = self.state.name.clone();
+        self.state.fleet.set_away(&own, true);
+        // Callers keep an answer for its lifetime and then some.
+        sleep(endpoint_ttl + endpoint_ttl / 2).await;
+        self.state.leaving.store(true, Ordering::Relaxed);
+        while self.state.running.load(Ordering::Relaxed) > 0 {
+            sleep(QUIET_PERIOD).await;
+        }
+        // Open connections without a request are closed; nobody waits on them.
+        let _ = self.http.close().await;
+        self.frames.shutdown().await;
+        info!(log, "entry ended"; "step" => "end");
+    }
+}
--- a/crates/oriole_entry/src/fleet.rs
+++ b/crates/oriole_entry/src/fleet.rs
@@ -6,8 +6,6 @@
 
 use oriole_types::prelude::*;
 
-use crate::answer::Refusal;
-
 /// Upstreams and entries as this process sees them.
 #[derive(Default)]
 pub struct Fleet {
@@ -20,7 +18,16 @@
     by_name: BTreeMap<VmName, VmRecord>,
     away: BTreeSet<VmName>,
     loads: BTreeMap<VmName, LoadReport>,
-    quarantined: BTreeSet<Digest>,
+    homes: BTreeMap<VmName, Home>,
+}
+
+/// What an entry must know of an agent to mint keys that are bound to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Incarnation of the agent.
+    pub incarnation: Incarnation,
+    /// The agent's clock when it last told, in milliseconds since its start.
+    pub clock_ms: u64,
 }
 
 impl Fleet {
@@ -34,6 +41,7 @@
             .collect();
         let names: BTreeSet<VmName> = inner.by_name.keys().cloned().collect();
         inner.loads.retain(|vm, _| names.contains(vm));
+        inner.homes.retain(|vm, _| names.contains(vm));
         inner.list = list;
     }
 
@@ -124,22 +132,15 @@
         self.lock().loads.clone()
     }
 
-    /// Replaces the content digests in quarantine.
-    pub fn set_quarantined(&self, digests: BTreeSet<Digest>) {
-        self.lock().quarantined = digests;
+    /// Notes what an agent said of its incarnation and clock.
+    pub fn set_home(&self, vm: &VmName, home: Home) {
+        self.lock().homes.insert(vm.clone(), home);
     }
 
-    /// Checks that content is not in quarantine.
-    ///
-    /// # Errors
-    ///
-    /// Refuses content that is.
-    pub fn check_content(&self, content: &Digest) -> Result<(), Refusal> {
-        if !self.lock().quarantined.contains(content) {
-            return Ok(());
-        }
-        let message = "this content crashed upstreams and is quarantined";
-        Err(Refusal::new(RefusalReason::Quarantined, message))
+    /// The newest incarnation and clock of an agent.
+    #[must_use]
+    pub fn home(&self, vm: &VmName) -> Option<Home> {
+        self.lock().homes.get(vm).copied()
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`settings`]: the daemon's TOML settings.
 //! - [`state`]: what handlers and tasks share.
 //! - [`fleet`]: upstreams and entries as this process sees them.
+//! - [`poison`]: suspect and quarantined content.
 //! - [`watchers`]: tasks that keep that view and the routing machines up to date.
 //! - [`peers`]: what other processes ask of this one.
 //! - [`daemon`]: start and graceful shutdown.
@@ -20,11 +21,12 @@
 
 pub mod answer;
 pub mod api;
-//pub mod daemon;
+pub mod daemon;
 pub mod dispatch;
 pub mod fleet;
 pub mod intake;
 pub mod peers;
+pub mod poison;
 pub mod settings;
 pub mod state;
 pub mod traffic;
@@ -32,6 +34,6 @@
 
 /// Everything that embeds an entry daemon.
 pub mod prelude {
-    //pub use crate::daemon::EntryDaemon;
+    pub use crate::daemon::EntryDaemon;
     pub use crate::settings::EntrySettings;
 }
--- a/crates/oriole_entry/src/peers.rs
+++ b/crates/oriole_entry/src/peers.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use oriole_peers::config_peer::{CONFIG_SERVICE, serve_config};
 use oriole_types::ids::VmName;
 use oriole_types::outcome::RefusalReason;
 use oriole_wire::frame::Open;
@@ -45,12 +46,13 @@
                 let digest = serde_json::from_slice(&payload).map_err(|e| e.to_string())?;
                 let peer = VmName::new(&peer.name);
                 self.state.traffic.peer_limits(&peer, &digest);
-                Ok(if self.state.leaving.load(Ordering::Relaxed) {
+                Ok(if self.state.draining.load(Ordering::Relaxed) {
                     Bytes::from_static(LEAVING)
                 } else {
                     Bytes::new()
                 })
             }
+            CONFIG_SERVICE => serve_config(&self.state.config, payload).await,
             _ => Err(format!("no service {service:?}")),
         }
     }
--- /dev/null
+++ b/crates/oriole_entry/src/poison.rs
@@ -0,0 +1,98 @@
+//! Suspect and quarantined content, as agents tell of it.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use oriole_admission::poison::{PoisonDigest, PoisonLedger, Standing};
+use oriole_kernel::clock::Clock;
+use oriole_types::digest::Digest;
+use oriole_types::ids::VmName;
+use oriole_types::outcome::RefusalReason;
+
+use crate::answer::Refusal;
+
+/// What the entry knows of content that crashes upstreams.
+///
+/// Agents find it out; the entry carries it between them and refuses quarantined content early.
+pub struct Poison {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    ledger: PoisonLedger,
+    sent: BTreeMap<VmName, u64>,
+}
+
+impl Poison {
+    /// A ledger that knows nothing.
+    #[must_use]
+    pub fn open(clock: Clock) -> Self {
+        Self {
+            clock,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Checks that content is not in quarantine.
+    ///
+    /// # Errors
+    ///
+    /// Refuses content that is.
+    pub fn check(&self, content: &Digest) -> Result<(), Refusal> {
+        if self.lock().ledger.standing(content) != Standing::Quarantined {
+            return Ok(());
+        }
+        let message = "this content crashed upstreams and is quarantined";
+        Err(Refusal::new(RefusalReason::Quarantined, message))
+    }
+
+    /// How a content stands.
+    #[must_use]
+    pub fn standing(&self, content: &Digest) -> Standing {
+        self.lock().ledger.standing(content)
+    }
+
+    /// What an agent should learn since it was last told; empty if nothing.
+    #[must_use]
+    pub fn for_peer(&self, peer: &VmName) -> Bytes {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let since = inner.sent.get(peer).copied().unwrap_or(0);
+        let (digest, version) = inner.ledger.digest_since(now, since);
+        inner.sent.insert(peer.clone(), version);
+        drop(inner);
+        if digest.records.is_empty() {
+            return Bytes::new();
+        }
+        serde_json::to_vec(&digest).unwrap_or_default().into()
+    }
+
+    /// Takes in what an agent told.
+    pub fn merge(&self, payload: &[u8]) {
+        if payload.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        match serde_json::from_slice::<PoisonDigest>(payload) {
+            Ok(digest) => {
+                self.lock().ledger.merge(now, &digest);
+            }
+            Err(_) => metrics::counter!("oriole_poison_malformed_total").increment(1),
+        }
+    }
+
+    /// Takes over what operators released, and lets old crashes be forgotten.
+    pub fn configure(&self, released: &[Digest]) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.ledger.set_released(released);
+        inner.ledger.tick(now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/oriole_entry/src/settings.rs
+++ b/crates/oriole_entry/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use oriole_kernel::settings::Settings;
+use oriole_kernel::settings::{Settings, check_range};
 use oriole_types::ids::{DomainName, VmName};
 use oriole_wire::secret::FleetSecrets;
 use serde::{Deserialize, Serialize};
@@ -72,25 +72,17 @@
     ///
     /// Fails if there are not one or two, or if one is too short.
     pub fn secrets(&self) -> Result<FleetSecrets, String> {
-        let secrets: Vec<&str> = self.fleet_secrets.iter().map(String::as_str).collect();
-        FleetSecrets::new(&secrets).map_err(|e| format!("fleet_secrets: {e}"))
+        FleetSecrets::from_settings(&self.fleet_secrets)
     }
 }
 
 impl Settings for EntrySettings {
     fn check(&self) -> Result<(), String> {
         self.secrets()?;
-        check_range("vm_list_period_ms", self.vm_list_period_ms, 100, 60_000)?;
-        check_range("endpoint_ttl_ms", self.endpoint_ttl_ms.into(), 500, 300_000)?;
+        check_range("vm_list_period_ms", self.vm_list_period_ms, 100..=60_000)?;
+        check_range("endpoint_ttl_ms", self.endpoint_ttl_ms.into(), 500..=300_000)?;
         oriole_kernel::logging::parse_level(&self.log_level)
             .map(|_| ())
             .map_err(|e| format!("log_level: {e}"))
     }
 }
-
-fn check_range(key: &str, value: u64, min: u64, max: u64) -> Result<(), String> {
-    if (min..=max).contains(&value) {
-        return Ok(());
-    }
-    Err(format!("{key} = {value}: allowed are {min} to {max}"))
-}
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -7,6 +7,7 @@
 
 use dropshot::Body;
 use http::Response;
+use oriole_catalog::spread::ConfigFollower;
 use oriole_kernel::clock::Clock;
 use oriole_peers::pool::ChannelPool;
 use oriole_routing::endpoints::EndpointAnswers;
@@ -19,6 +20,7 @@
 use crate::dispatch;
 use crate::fleet::Fleet;
 use crate::intake::Accepted;
+use crate::poison::Poison;
 use crate::traffic::Traffic;
 
 /// Events of one answer that wait for a slow reader.
@@ -40,19 +42,25 @@
     pub clock: Clock,
     /// Log.
     pub log: Logger,
-    /// Configuration.
-    pub config: ConfigReceiver,
+    /// Follower of the configuration.
+    pub config: Arc<ConfigFollower>,
+    /// Configuration in force.
+    pub catalog: ConfigReceiver,
     /// Upstreams and entries as this process sees them.
     pub fleet: Fleet,
+    /// Suspect and quarantined content.
+    pub poison: Poison,
     /// Routing machines.
     pub traffic: Traffic,
     /// Channels to agents and other entries.
-    pub channels: ChannelPool,
+    pub channels: Arc<ChannelPool>,
     /// Endpoint answers.
     pub endpoints: EndpointAnswers,
     /// Requests being answered.
     pub running: AtomicUsize,
-    /// Whether the process is shutting down.
+    /// Whether the process is to end and should be left out of endpoint answers.
+    pub draining: AtomicBool,
+    /// Whether new requests are refused because the process ends.
     pub leaving: AtomicBool,
     /// Number for the next request.
     pub next_request: AtomicU64,
@@ -71,7 +79,7 @@
     ///
     /// Refuses while none is known.
     pub fn catalog(&self) -> Result<Arc<Catalog>, Refusal> {
-        self.config.borrow().clone().ok_or_else(|| {
+        self.catalog.borrow().clone().ok_or_else(|| {
             let message = "this entry holds no configuration yet";
             Refusal::new(RefusalReason::NoConfiguration, message).retry_after(1_000)
         })
@@ -80,10 +88,7 @@
     /// Revision of the configuration in force; 0 if there is none.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.config
-            .borrow()
-            .as_ref()
-            .map_or(Revision(0), |c| c.revision)
+        self.config.revision()
     }
 
     /// Checks that new requests are taken.
@@ -111,7 +116,7 @@
     ///
     /// Refuses content in quarantine.
     pub fn check_content(&self, content: &Digest) -> Result<(), Refusal> {
-        self.fleet.check_content(content)
+        self.poison.check(content)
     }
 
     /// Starts to answer a request; events come until one of the three ends.
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use oriole_peers::note::{LOAD_SERVICE, LoadNote, Note};
 use oriole_routing::endpoints::AnswerView;
 use oriole_types::prelude::*;
-use oriole_wire::frame::Load;
+use oriole_wire::error::WireError;
 use prost::Message;
 use rand::RngExt;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::fleet::Home;
 use crate::state::EntryState;
 
 /// Time between two looks at an upstream that sends no answers.
@@ -27,9 +29,6 @@
 /// Time between two exchanges of limit digests.
 const LIMITS_PERIOD: Duration = Duration::from_secs(1);
 
-/// Name of the agents' service that tells their load.
-pub const LOAD_SERVICE: &str = "load";
-
 /// Name of the entries' service that takes in limit digests.
 pub const LIMITS_SERVICE: &str = "limits";
 
@@ -56,7 +55,7 @@
 
 /// Feeds each newer VM list and catalog to the routing machines.
 async fn follow_fleet(state: Arc<EntryState>, mut vm_list: watch::Receiver<Arc<VmList>>) {
-    let mut config = state.config.clone();
+    let mut config = state.catalog.clone();
     loop {
         let list = vm_list.borrow_and_update().clone();
         let catalog = config.borrow_and_update().clone();
@@ -119,23 +118,41 @@
 }
 
 async fn ask_load(state: &EntryState, record: &VmRecord) {
-    let Ok(channel) = state.channels.get(record.peer_address).await else {
-        return;
-    };
-    match channel.call(LOAD_SERVICE, Bytes::new(), LOAD_TIMEOUT).await {
-        Ok(payload) => {
-            if let Ok(load) = Load::decode(payload) {
-                let load = LoadReport::from(load);
-                state.fleet.set_load(&record.name, load);
-                state.traffic.report(&record.name, &load);
-            }
-        }
+    match trade_notes(state, record).await {
+        Ok(answer) => take_notes(state, record, answer),
         Err(_) => {
             metrics::counter!("oriole_load_ask_failed_total").increment(1);
         }
     }
 }
 
+async fn trade_notes(state: &EntryState, record: &VmRecord) -> Result<LoadNote, WireError> {
+    let channel = state.channels.get(record.peer_address).await?;
+    let status = state.config.status();
+    let mut note = Note::new(status.revision, status.confirmed_age);
+    note.poison = state.poison.for_peer(&record.name);
+    let payload = note.encode_to_vec().into();
+    let answer = channel.call(LOAD_SERVICE, payload, LOAD_TIMEOUT).await?;
+    LoadNote::decode(answer).map_err(|_| WireError::Malformed("load note"))
+}
+
+fn take_notes(state: &EntryState, record: &VmRecord, answer: LoadNote) {
+    let home = Home {
+        incarnation: answer.incarnation(),
+        clock_ms: answer.clock_ms,
+    };
+    state.fleet.set_home(&record.name, home);
+    if let Some(load) = answer.load {
+        let load = LoadReport::from(load);
+        state.fleet.set_load(&record.name, load);
+        state.traffic.report(&record.name, &load);
+    }
+    if let Some(note) = answer.note {
+        state.config.hint(Revision(note.revision), &record.name);
+        state.poison.merge(&note.poison);
+    }
+}
+
 async fn tick_queues(state: Arc<EntryState>) {
     let mut interval = tokio::time::interval(QUEUE_PERIOD);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -1,5 +1,6 @@
 //! Reading and checking a daemon's TOML settings.
 
+use std::ops::RangeInclusive;
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
@@ -47,3 +48,16 @@
         message,
     }
 }
+
+/// Checks that a number lies in a range.
+///
+/// # Errors
+///
+/// Fails with the key and the allowed values.
+pub fn check_range(key: &str, value: u64, range: RangeInclusive<u64>) -> Result<(), String> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let (min, max) = range.into_inner();
+    Err(format!("{key} = {value}: allowed are {min} to {max}"))
+}
--- /dev/null
+++ b/crates/oriole_peers/src/platform.rs
@@ -0,0 +1,152 @@
+//! The platform and the fleet as services of a process.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_catalog::spread::{ConfigEvent, ConfigFollower, ConfigPeer, FollowerConfig, Member};
+use oriole_kernel::app::{App, Plugin, Service};
+use oriole_kernel::error::KernelError;
+use oriole_kernel::registry::Registry;
+use oriole_store::http::{HttpStore, StoreClientConfig};
+use oriole_store::store::Store;
+use oriole_types::ids::{DomainName, VmName};
+use oriole_wire::channel::ChannelConfig;
+use slog::{Logger, info, warn};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::config_peer::FrameConfigPeer;
+use crate::pool::ChannelPool;
+use crate::vm_list::{HttpVmList, VmListFollower};
+
+/// Name of the service that starts everything here.
+pub const PLATFORM: &str = "platform";
+
+/// Name under which the [`StoreHandle`] is found.
+pub const STORE: &str = "store";
+
+/// Name under which the [`ChannelPool`] is found.
+pub const CHANNELS: &str = "channels";
+
+/// Name under which the [`VmListFollower`] is found.
+pub const VM_LIST: &str = "vm_list";
+
+/// Name under which the [`ConfigFollower`] is found.
+pub const CONFIG: &str = "config";
+
+/// The store as a service that can be found by name.
+pub struct StoreHandle(pub Arc<dyn Store>);
+
+/// Where the platform is, and who the process is.
+#[derive(Clone)]
+pub struct PlatformConfig {
+    /// Address of the key-value store.
+    pub store: SocketAddr,
+    /// Address of the VM list.
+    pub vm_list: SocketAddr,
+    /// Time between two reads of the VM list.
+    pub vm_list_period: Duration,
+    /// How the process connects to others.
+    pub channel: ChannelConfig,
+    /// Log.
+    pub log: Logger,
+}
+
+/// Registers the store, channels to other processes, the VM list and the configuration.
+///
+/// Services that need them come after [`PLATFORM`].
+pub struct PlatformPlugin(pub PlatformConfig);
+
+impl Plugin for PlatformPlugin {
+    fn name(&self) -> &'static str {
+        PLATFORM
+    }
+
+    fn build(&self, app: &mut App) -> Result<(), KernelError> {
+        app.add_service(Box::new(Platform {
+            cfg: self.0.clone(),
+            tasks: Mutex::default(),
+        }));
+        Ok(())
+    }
+}
+
+struct Platform {
+    cfg: PlatformConfig,
+    tasks: Mutex<Vec<AbortOnDropHandle<()>>>,
+}
+
+#[async_trait]
+impl Service for Platform {
+    fn name(&self) -> &'static str {
+        PLATFORM
+    }
+
+    async fn start(&self, registry: &Registry) -> Result<(), KernelError> {
+        let cfg = &self.cfg;
+        let store = HttpStore::open(cfg.store, StoreClientConfig::default());
+        let store: Arc<dyn Store> = Arc::new(store);
+        let channels = Arc::new(ChannelPool::new(cfg.channel.clone()));
+        let source = Arc::new(HttpVmList::open(cfg.vm_list));
+        let vm_list = Arc::new(VmListFollower::spawn(source, cfg.vm_list_period));
+        let peer = Arc::new(FrameConfigPeer::new(Arc::clone(&channels)));
+        let me = Member {
+            name: VmName::new(&cfg.channel.identity.name),
+            domain: DomainName::new(&cfg.channel.identity.domain),
+        };
+        let way: Arc<dyn ConfigPeer> = peer.clone();
+        let follower =
+            ConfigFollower::spawn(FollowerConfig::default(), me, Arc::clone(&store), way);
+        let config = Arc::new(follower);
+        let introduce = introduce(Arc::clone(&vm_list), peer, Arc::clone(&config));
+        let report = report(Arc::clone(&config), cfg.log.clone());
+        let tasks = [tokio::spawn(introduce), tokio::spawn(report)];
+        self.tasks
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .extend(tasks.map(AbortOnDropHandle::new));
+        registry.insert(STORE, Arc::new(StoreHandle(store)))?;
+        registry.insert(CHANNELS, channels)?;
+        registry.insert(VM_LIST, vm_list)?;
+        registry.insert(CONFIG, config)
+    }
+
+    async fn stop(&self) {
+        self.tasks
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+    }
+}
+
+/// Tells the follower of the configuration who belongs to the fleet.
+async fn introduce(
+    vm_list: Arc<VmListFollower>,
+    peer: Arc<FrameConfigPeer>,
+    config: Arc<ConfigFollower>,
+) {
+    let mut list = vm_list.subscribe();
+    loop {
+        let current = list.borrow_and_update().clone();
+        config.set_members(peer.learn(&current));
+        if list.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Logs what happens to the configuration.
+async fn report(config: Arc<ConfigFollower>, log: Logger) {
+    let mut events = config.events();
+    loop {
+        match events.recv().await {
+            Ok(ConfigEvent::Installed { revision, .. }) => {
+                info!(log, "configuration in force"; "step" => "config", "revision" => revision.0);
+            }
+            Ok(event) => warn!(log, "configuration"; "step" => "config", "event" => ?event),
+            Err(tokio::sync::broadcast::error::RecvError::Lagged(_)) => {}
+            Err(tokio::sync::broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
--- a/crates/oriole_wire/src/secret.rs
+++ b/crates/oriole_wire/src/secret.rs
@@ -40,6 +40,16 @@
         Ok(Self { secrets })
     }
 
+    /// Takes the secrets that a daemon's settings state under `fleet_secrets`.
+    ///
+    /// # Errors
+    ///
+    /// As [`FleetSecrets::new`], with the key in the message.
+    pub fn from_settings(secrets: &[String]) -> Result<Self, String> {
+        let secrets: Vec<&str> = secrets.iter().map(String::as_str).collect();
+        Self::new(&secrets).map_err(|e| format!("fleet_secrets: {e}"))
+    }
+
     /// Identifier of the secret this process proves itself with.
     #[must_use]
     pub fn own_id(&self) -> u64 {
