--- a/crates/oriole_agent/src/core.rs
+++ b/crates/oriole_agent/src/core.rs
@@ -6,6 +6,7 @@
 
 use oriole_admission::confirmation::Confirmation;
 use oriole_admission::gate::Gate;
+use oriole_catalog::spread::ConfigFollower;
 use oriole_claims::service::ClaimHandle;
 use oriole_kernel::clock::Clock;
 use oriole_types::prelude::*;
@@ -30,8 +31,10 @@
     pub clock: Clock,
     /// Log.
     pub log: Logger,
-    /// Configuration; `None` until the first one is known.
-    pub config: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Follower of the configuration.
+    pub config: Arc<ConfigFollower>,
+    /// Configuration in force; `None` until the first one is known.
+    pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
     /// Admission.
     pub gate: Gatekeeper,
     /// The upstream.
@@ -48,10 +51,7 @@
     /// Revision of the configuration in force; 0 if there is none.
     #[must_use]
     pub fn revision(&self) -> Revision {
-        self.config
-            .borrow()
-            .as_ref()
-            .map_or(Revision(0), |c| c.revision)
+        self.config.revision()
     }
 
     /// What ends an exchange besides the answer.
@@ -69,10 +69,17 @@
         self.gate.read(Gate::configuration_age)
     }
 
-    /// Notes what a peer says of the configuration; only one that holds the same revision, or a
-    /// later one than this agent, can confirm anything.
-    pub fn heard(&self, domain: &DomainName, revision: Revision, confirmed: Option<Duration>) {
-        let age = confirmed.filter(|_| revision <= self.revision());
+    /// Notes what a peer says of the configuration. Only a peer that holds the same revision
+    /// confirms it; a later one shows that there is something newer to fetch.
+    pub fn heard(
+        &self,
+        peer: &VmName,
+        domain: &DomainName,
+        revision: Revision,
+        confirmed: Option<Duration>,
+    ) {
+        self.config.hint(revision, peer);
+        let age = confirmed.filter(|_| revision == self.revision());
         let domain = domain.clone();
         self.gate.heard(&Confirmation { domain, age });
     }
--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -1,10 +1,12 @@
 //! What entries and other agents ask of this agent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use oriole_claims::request::{ClaimEnd, ClaimRequest};
+use oriole_peers::config_peer::{CONFIG_SERVICE, serve_config};
 use oriole_peers::note::{LOAD_SERVICE, LoadNote, Note, decode_age};
 use oriole_types::prelude::*;
 use oriole_wire::frame::Open;
@@ -41,7 +43,7 @@
             entry: job.head.entry.clone(),
             key,
             content: job.head.content,
-            timeout: std::time::Duration::from_millis(u64::from(job.head.timeout_ms)),
+            timeout: Duration::from_millis(u64::from(job.head.timeout_ms)),
             recall,
         };
         let core = Arc::clone(&self.core);
@@ -75,11 +77,15 @@
         };
     }
 
+    fn heard(&self, peer: &PeerInfo, revision: u64, confirmed: Option<Duration>) {
+        let vm = VmName::new(&peer.name);
+        let domain = DomainName::new(&peer.domain);
+        self.core.heard(&vm, &domain, Revision(revision), confirmed);
+    }
+
     fn trade_notes(&self, peer: &PeerInfo, payload: Bytes) -> Result<Bytes, String> {
         let note = Note::decode(payload).map_err(|e| e.to_string())?;
-        let domain = DomainName::new(&peer.domain);
-        self.core
-            .heard(&domain, Revision(note.revision), note.confirmed());
+        self.heard(peer, note.revision, note.confirmed());
         if !note.poison.is_empty() {
             let digest = serde_json::from_slice(&note.poison).map_err(|e| e.to_string())?;
             self.core.gate.merge_poison(&digest);
@@ -108,9 +114,7 @@
 #[async_trait]
 impl Handler for AgentHandler {
     async fn exchange(&self, peer: &PeerInfo, open: Open, reply: Reply) {
-        let domain = DomainName::new(&peer.domain);
-        let confirmed = decode_age(open.confirmed_ms);
-        self.core.heard(&domain, Revision(open.revision), confirmed);
+        self.heard(peer, open.revision, decode_age(open.confirmed_ms));
         let Ok(head) = open.head() else {
             let refusal = Refusal::new(RefusalReason::RequestInvalid);
             // The reader may be gone.
@@ -134,6 +138,7 @@
     async fn call(&self, peer: &PeerInfo, service: &str, payload: Bytes) -> Result<Bytes, String> {
         match service {
             LOAD_SERVICE => self.trade_notes(peer, payload),
+            CONFIG_SERVICE => serve_config(&self.core.config, payload).await,
             _ => Err(format!("no service {service:?}")),
         }
     }
--- a/crates/oriole_agent/src/watchers.rs
+++ b/crates/oriole_agent/src/watchers.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use oriole_admission::confirmation::Confirmation;
 use oriole_types::prelude::*;
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
@@ -68,7 +69,7 @@
 
 /// Feeds each newer catalog and VM list to the gate and the claims.
 async fn follow_fleet(core: Arc<AgentCore>, mut vm_list: watch::Receiver<Arc<VmList>>) {
-    let mut config = core.config.clone();
+    let mut config = core.catalog.clone();
     loop {
         let list = vm_list.borrow_and_update().clone();
         if let Some(catalog) = config.borrow_and_update().clone() {
@@ -118,6 +119,11 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        core.gate.tell(|gate, now| gate.tick(now));
+        let age = core.config.status().confirmed_age;
+        core.gate.tell(|gate, now| {
+            let domain = core.domain.clone();
+            gate.heard_configuration(now, &Confirmation { domain, age });
+            gate.tick(now)
+        });
     }
 }
--- /dev/null
+++ b/crates/oriole_entry/src/main.rs
@@ -0,0 +1,36 @@
+//! `oriole-entry`: the entry daemon as a process.
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use oriole_kernel::{logging, settings, signals, telemetry};
+use oriole_entry::prelude::{EntryDaemon, EntrySettings};
+
+/// An entry daemon of oriolefield.
+#[derive(FromArgs)]
+struct Args {
+    /// TOML file with the settings
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings, print what would be in force, and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let settings: EntrySettings = settings::read(&args.settings)?;
+    if args.check {
+        print!("{}", settings::render(&settings)?);
+        return Ok(());
+    }
+    telemetry::open();
+    let level = logging::parse_level(&settings.log_level).map_err(|e| eyre::eyre!(e))?;
+    let log = logging::open(settings.name.as_str(), level);
+    let daemon = EntryDaemon::bind(&settings, log).await?;
+    signals::stop_requested().await?;
+    daemon.shutdown().await;
+    Ok(())
+}
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`logging`]: JSON lines through `slog`.
 //! - [`telemetry`]: the process-wide metrics recorder.
 //! - [`settings`]: reading and checking a daemon's TOML settings.
+//! - [`signals`]: signals that ask a process to end.
 //!
 //! ```
 //! use oriole_kernel::prelude::*;
@@ -35,6 +36,7 @@
 pub mod logging;
 pub mod registry;
 pub mod settings;
+pub mod signals;
 pub mod telemetry;
 
 /// Everything that daemons usually need from this crate.
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -3,6 +3,7 @@
 use std::ops::RangeInclusive;
 use std::path::Path;
 
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::error::KernelError;
@@ -42,6 +43,16 @@
     Ok(settings)
 }
 
+/// The settings in force as TOML text; fields that are not serialized, such as secrets, are left
+/// out.
+///
+/// # Errors
+///
+/// Fails if the settings cannot be written as TOML.
+pub fn render(settings: &impl Serialize) -> eyre::Result<String> {
+    Ok(toml::to_string(settings)?)
+}
+
 fn settings_error(path: &Path, message: String) -> KernelError {
     KernelError::Settings {
         path: path.display().to_string(),
--- /dev/null
+++ b/crates/oriole_kernel/src/signals.rs
@@ -0,0 +1,18 @@
+//! Signals that ask a process to end.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for SIGINT or SIGTERM.
+///
+/// # Errors
+///
+/// Fails if the signals cannot be received.
+pub async fn stop_requested() -> std::io::Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    Ok(())
+}
