Spread the catalog through relays, with a direct read as the backstop

Every process must hold the newest accepted revision within seconds, and one that watches the store from each of 1,160 processes would spend the store's read rate on waiting.

Two relays a failure domain, found by rendezvous hash, hold the store's watch and all others a long poll at one of them. A process whose relays fail or cannot confirm asks more widely, and reads the store itself at jittered times.

--- /dev/null
+++ b/crates/oriole_catalog/src/spread/members.rs
@@ -0,0 +1,106 @@
+//! Members of the fleet and the relays among them.
+
+use oriole_types::prelude::*;
+
+/// A process that takes part in the spread.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member {
+    /// VM it runs on.
+    pub name: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+}
+
+impl From<&VmRecord> for Member {
+    fn from(vm: &VmRecord) -> Self {
+        Self {
+            name: vm.name.clone(),
+            domain: vm.domain.clone(),
+        }
+    }
+}
+
+impl Member {
+    /// Place in the rendezvous order of its failure domain; the lowest ones are relays.
+    fn place(&self) -> u64 {
+        let fields = [
+            self.domain.as_str().as_bytes(),
+            self.name.as_str().as_bytes(),
+        ];
+        Digest::of_fields(&fields).short()
+    }
+}
+
+/// A process and its peers, ordered by place.
+#[derive(Clone, Debug)]
+pub(super) struct Fleet {
+    pub(super) me: Member,
+    my_place: u64,
+    /// Peers with their places, in order of the places.
+    peers: Vec<(u64, Member)>,
+}
+
+impl Fleet {
+    pub(super) fn new(me: Member) -> Self {
+        let my_place = me.place();
+        let peers = Vec::new();
+        Self {
+            me,
+            my_place,
+            peers,
+        }
+    }
+
+    /// Sets the peers; the process itself is left out.
+    pub(super) fn set_peers(&mut self, members: Vec<Member>) {
+        let peers = members.into_iter().filter(|m| m.name != self.me.name);
+        self.peers = peers.map(|m| (m.place(), m)).collect();
+        self.peers.sort();
+    }
+
+    pub(super) fn is_alone(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    pub(super) fn contains(&self, name: &VmName) -> bool {
+        self.peers.iter().any(|(_, m)| m.name == *name)
+    }
+
+    pub(super) fn peers(&self) -> impl Iterator<Item = &Member> {
+        self.peers.iter().map(|(_, m)| m)
+    }
+
+    /// Number of usable peers of the own failure domain that come before the process itself.
+    pub(super) fn rank(&self, usable: impl Fn(&Member) -> bool) -> usize {
+        self.peers
+            .iter()
+            .take_while(|(place, _)| *place < self.my_place)
+            .filter(|(_, m)| m.domain == self.me.domain && usable(m))
+            .count()
+    }
+
+    /// The first usable peers of the own failure domain.
+    pub(super) fn near_relays(&self, n: usize, usable: impl Fn(&Member) -> bool) -> Vec<&Member> {
+        self.peers()
+            .filter(|m| m.domain == self.me.domain && usable(m))
+            .take(n)
+            .collect()
+    }
+
+    /// The first usable peers of each other failure domain.
+    pub(super) fn far_relays(&self, n: usize, usable: impl Fn(&Member) -> bool) -> Vec<&Member> {
+        let mut found: Vec<&Member> = Vec::new();
+        for m in self.peers().filter(|m| m.domain != self.me.domain) {
+            let same = found.iter().filter(|f| f.domain == m.domain).count();
+            if same < n && usable(m) {
+                found.push(m);
+            }
+        }
+        found
+    }
+
+    /// A number that spreads processes evenly over the relays of a failure domain.
+    pub(super) fn preference(&self) -> usize {
+        (self.my_place >> 32) as usize
+    }
+}
--- a/crates/oriole_catalog/src/stored/change.rs
+++ b/crates/oriole_catalog/src/stored/change.rs
@@ -6,7 +6,6 @@
 use metrics::counter;
 use oriole_store::prelude::*;
 use oriole_types::prelude::*;
-use rand::RngExt as _;
 use tokio::time::{Instant, sleep};
 
 use super::part::{PartName, split};
@@ -172,7 +171,7 @@
             if !found.is_empty() {
                 return Err(ChangeError::Invalid(found));
             }
-            let plan = plan(&current, &catalog, &effective, meta)?;
+            let plan = plan(self.change_id(), &current, &catalog, &effective, meta)?;
             self.write_fresh(&current, &plan).await?;
             match self.commit(&plan).await? {
                 Commit::Won => {
@@ -241,7 +240,7 @@
                 return Ok(commit);
             }
             tries += 1;
-            let pause = self.cfg.backoff.pause(tries, &mut rand::rng());
+            let pause = self.pause(tries);
             if Instant::now() + pause >= deadline {
                 return Err(ChangeError::Unsettled {
                     id: plan.id.clone(),
@@ -304,12 +303,12 @@
 }
 
 fn plan(
+    id: ChangeId,
     current: &Current,
     catalog: &Catalog,
     edit: &Edit,
     meta: &ChangeMeta,
 ) -> Result<Plan, ChangeError> {
-    let id = ChangeId::new(&format!("{:016x}", rand::rng().random::<u64>()));
     let root = current.snapshot.root();
     let revision = root.revision.next();
     let mut fresh = BTreeMap::new();
--- a/crates/oriole_catalog/src/stored/mod.rs
+++ b/crates/oriole_catalog/src/stored/mod.rs
@@ -9,6 +9,7 @@
 
 pub use change::{Accepted, ChangeError, ChangeMeta};
 pub use part::{PartName, split};
+pub(crate) use repository::read_parts;
 pub use repository::{Repository, RepositoryConfig, RepositoryError};
 pub use root::{ChangeId, ChangeRecord, PartRef, ROOT_KEY, Root, history_key};
 pub use snapshot::{Bundle, Snapshot, SnapshotError};
--- a/crates/oriole_catalog/src/stored/repository.rs
+++ b/crates/oriole_catalog/src/stored/repository.rs
@@ -1,16 +1,18 @@
 //! Reading and changing the stored catalog, for operators' tools.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{StreamExt as _, TryStreamExt as _, stream};
 use oriole_store::prelude::*;
 use oriole_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
 
 use super::part::PartName;
-use super::root::{ChangeRecord, PartRef, ROOT_KEY, Root, history_key};
+use super::root::{ChangeId, ChangeRecord, PartRef, ROOT_KEY, Root, history_key};
 use super::snapshot::{Snapshot, SnapshotError};
 
 /// Parts read at once.
@@ -27,6 +29,8 @@
     pub backoff: oriole_store::backoff::Backoff,
     /// Revisions kept for history and rollback.
     pub kept_revisions: u64,
+    /// Seed of everything random; random if absent.
+    pub seed: Option<u64>,
 }
 
 impl Default for RepositoryConfig {
@@ -38,6 +42,7 @@
                 max: Duration::from_secs(2),
             },
             kept_revisions: 2_000,
+            seed: None,
         }
     }
 }
@@ -69,6 +74,7 @@
 pub struct Repository {
     pub(super) store: Arc<dyn Store>,
     pub(super) cfg: RepositoryConfig,
+    rng: Arc<Mutex<StdRng>>,
 }
 
 /// A whole revision with the version that its root has in the store.
@@ -84,7 +90,24 @@
     /// The catalog in a store.
     #[must_use]
     pub fn open(store: Arc<dyn Store>, cfg: RepositoryConfig) -> Self {
-        Self { store, cfg }
+        let seed = cfg.seed.unwrap_or_else(rand::random);
+        let rng = Arc::new(Mutex::new(StdRng::seed_from_u64(seed)));
+        Self { store, cfg, rng }
+    }
+
+    /// A fresh name for a change.
+    pub(super) fn change_id(&self) -> ChangeId {
+        let number: u64 = self.rng().random();
+        ChangeId::new(&format!("{number:016x}"))
+    }
+
+    /// The pause after some number of failed tries.
+    pub(super) fn pause(&self, failed_tries: u32) -> Duration {
+        self.cfg.backoff.pause(failed_tries, &mut *self.rng())
+    }
+
+    fn rng(&self) -> MutexGuard<'_, StdRng> {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The newest revision; the empty snapshot with revision zero if nothing was ever applied.
@@ -184,7 +207,7 @@
 
     async fn assemble(&self, held: &Snapshot, root: Root) -> Result<Snapshot, RepositoryError> {
         let revision = root.revision;
-        let parts = read_parts(&*self.store, &held.missing(&root)).await?;
+        let parts = read_parts(&*self.store, held.missing(&root)).await?;
         held.advance(Arc::new(root), parts)
             .map_err(|source| RepositoryError::Snapshot { revision, source })
     }
@@ -193,12 +216,12 @@
 /// Reads parts from the store; those that are not there are left out.
 pub(crate) async fn read_parts(
     store: &dyn Store,
-    parts: &[(&PartName, &PartRef)],
+    parts: Vec<(PartName, PartRef)>,
 ) -> Result<BTreeMap<PartName, Arc<str>>, StepError<StoreError>> {
     stream::iter(
         parts
-            .iter()
-            .map(|(name, part)| read_part(store, name, &part.key)),
+            .into_iter()
+            .map(|(name, part)| read_part(store, name, part)),
     )
     .buffer_unordered(CONCURRENT_READS)
     .try_filter_map(|found| async { Ok(found) })
@@ -208,16 +231,16 @@
 
 async fn read_part(
     store: &dyn Store,
-    name: &PartName,
-    key: &str,
+    name: PartName,
+    part: PartRef,
 ) -> Result<Option<(PartName, Arc<str>)>, StepError<StoreError>> {
-    let stored = store.get(key).await.map_err(|e| e.at("read part"))?;
+    let stored = store.get(&part.key).await.map_err(|e| e.at("read part"))?;
     let Some(stored) = stored else {
         return Ok(None);
     };
     let text = std::str::from_utf8(&stored.value)
         .map_err(|e| StoreError::Malformed(e.to_string()).at("read part"))?;
-    Ok(Some((name.clone(), text.into())))
+    Ok(Some((name, text.into())))
 }
 
 fn decode_root(bytes: &[u8]) -> Result<Root, RepositoryError> {
--- a/crates/oriole_catalog/src/stored/snapshot.rs
+++ b/crates/oriole_catalog/src/stored/snapshot.rs
@@ -31,13 +31,21 @@
     Undecodable(String),
 }
 
+/// A root with the parts that its receiver lacks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bundle {
+    /// Root.
+    pub root: Arc<Root>,
+    /// Contents of parts by name.
+    pub parts: BTreeMap<PartName, Arc<str>>,
+}
+
 oriole_types::domain_type! {
-    /// A root with the parts that its receiver lacks.
-    pub struct Bundle {
-        /// Root.
-        pub root: Arc<Root>,
-        /// Contents of parts by name.
-        pub parts: BTreeMap<PartName, Arc<str>>,
+    /// First line of an encoded bundle. The parts follow it one after the other, as they are.
+    struct BundleHead {
+        root: Arc<Root>,
+        /// Lengths of the parts in bytes.
+        parts: BTreeMap<PartName, usize>,
     }
 }
 
@@ -60,7 +68,23 @@
     ///
     /// Fails if the bytes are not a bundle.
     pub fn decode(bytes: &[u8]) -> Result<Self, SnapshotError> {
-        serde_json::from_slice(bytes).map_err(|e| SnapshotError::Undecodable(e.to_string()))
+        let undecodable = |what: &str| SnapshotError::Undecodable(what.to_owned());
+        let text = std::str::from_utf8(bytes).map_err(|e| undecodable(&e.to_string()))?;
+        let (head, mut rest) = text
+            .split_once('\n')
+            .ok_or_else(|| undecodable("no head"))?;
+        let head: BundleHead =
+            serde_json::from_str(head).map_err(|e| undecodable(&e.to_string()))?;
+        let mut parts = BTreeMap::new();
+        for (name, len) in head.parts {
+            let (part, after) = rest
+                .split_at_checked(len)
+                .ok_or_else(|| undecodable("cut off"))?;
+            parts.insert(name, part.into());
+            rest = after;
+        }
+        let root = head.root;
+        Ok(Self { root, parts })
     }
 
     /// The bundle as bytes.
@@ -69,7 +93,20 @@
     ///
     /// Fails if it cannot be written as JSON.
     pub fn encode(&self) -> Result<Bytes, serde_json::Error> {
-        serde_json::to_vec(self).map(Bytes::from)
+        let lens = self
+            .parts
+            .iter()
+            .map(|(name, part)| (name.clone(), part.len()));
+        let head = BundleHead {
+            root: Arc::clone(&self.root),
+            parts: lens.collect(),
+        };
+        let mut buf = serde_json::to_vec(&head)?;
+        buf.push(b'\n');
+        for part in self.parts.values() {
+            buf.extend_from_slice(part.as_bytes());
+        }
+        Ok(buf.into())
     }
 }
 
@@ -94,10 +131,11 @@
 
     /// The parts of a root that this snapshot does not hold.
     #[must_use]
-    pub fn missing<'a>(&self, root: &'a Root) -> Vec<(&'a PartName, &'a PartRef)> {
-        root.parts
-            .iter()
+    pub fn missing(&self, root: &Root) -> Vec<(PartName, PartRef)> {
+        let parts = root.parts.iter();
+        parts
             .filter(|(name, part)| !self.holds(name, part))
+            .map(|(name, part)| (name.clone(), part.clone()))
             .collect()
     }
 
--- a/crates/oriole_store/src/http.rs
+++ b/crates/oriole_store/src/http.rs
@@ -22,12 +22,16 @@
 use crate::rate::TokenBucket;
 use crate::store::{Expect, LeaseId, MAX_VALUE_BYTES, Store, StoreVersion, Versioned};
 
+/// Most doublings of the time given to a try.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Settings of a [`HttpStore`].
 #[derive(Clone, Debug)]
 pub struct StoreClientConfig {
     /// Longest time to open a connection.
     pub connect_timeout: Duration,
-    /// Longest time for one try of a call, beyond the wait of a watch.
+    /// Longest time for the first try of a call, beyond the wait of a watch; doubled for each
+    /// further one.
     pub timeout: Duration,
     /// Most tries of a call that certainly wrote nothing.
     pub tries: u32,
@@ -117,7 +121,9 @@
         let mut tries = 0;
         loop {
             let wait = deadline.map_or(Duration::ZERO, |d| d - Instant::now());
-            let end = self.try_call(&call, self.cfg.timeout + wait).await;
+            // A slow store is given more time, so that it is slow to read and not lost.
+            let longest = self.cfg.timeout * (1 << tries.min(MAX_DOUBLINGS)) + wait;
+            let end = self.try_call(&call, longest).await;
             tries += 1;
             count(call.kind, &end);
             let retryable = matches!(end, Err(StoreError::Unavailable | StoreError::RateLimited));
--- a/crates/oriole_store/src/memory/mod.rs
+++ b/crates/oriole_store/src/memory/mod.rs
@@ -281,6 +281,7 @@
             }
             let lapse = next_lapse.map_or(deadline, |t| self.shared.opened_at + t);
             tokio::select! {
+                biased;
                 _ = changed.changed() => {}
                 _ = fault.changed() => {}
                 () = sleep_until(deadline.min(lapse)) => {}
