--- a/crates/oriole_agent/src/core.rs
+++ b/crates/oriole_agent/src/core.rs
@@ -6,7 +6,7 @@
 
 use oriole_admission::confirmation::Confirmation;
 use oriole_admission::gate::Gate;
-use oriole_catalog::spread::ConfigFollower;
+use oriole_catalog::prelude::ConfigFollower;
 use oriole_claims::service::ClaimHandle;
 use oriole_kernel::clock::Clock;
 use oriole_types::prelude::*;
--- a/crates/oriole_agent/src/daemon.rs
+++ b/crates/oriole_agent/src/daemon.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use oriole_admission::gate::{Gate, GateConfig};
-use oriole_catalog::spread::ConfigFollower;
+use oriole_catalog::prelude::ConfigFollower;
 use oriole_claims::config::ClaimsConfig;
 use oriole_claims::service::ClaimService;
 use oriole_claims::ticket::TicketSecret;
@@ -20,7 +20,7 @@
 };
 use oriole_peers::vm_list::VmListFollower;
 use oriole_types::catalog::{Catalog, Pool};
-use oriole_types::ids::Incarnation;
+use oriole_types::ids::{Incarnation, PoolName};
 use oriole_wire::channel::ChannelConfig;
 use oriole_wire::handshake::Identity;
 use oriole_wire::server::{WireServer, WireServerConfig};
@@ -175,7 +175,7 @@
     fn pool<'a>(&self, catalog: &'a Catalog) -> Result<&'a Pool, KernelError> {
         let name = &self.settings.pool;
         catalog.pools.get(name).ok_or_else(|| {
-            let known: Vec<&str> = catalog.pools.keys().map(|p| p.as_str()).collect();
+            let known: Vec<&str> = catalog.pools.keys().map(PoolName::as_str).collect();
             start_error(format!(
                 "pool = {:?}: the catalog has {}",
                 name.as_str(),
--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -56,12 +56,12 @@
         let trailer = self.core.trailer();
         // The reader may be gone.
         let _ = match end {
-            ClaimEnd::FirstRun(answer) => give(&mut reply, answer).await && {
-                reply.end(false, trailer).await.is_ok()
-            },
-            ClaimEnd::Replay(answer) => give(&mut reply, answer).await && {
-                reply.end(true, trailer).await.is_ok()
-            },
+            ClaimEnd::FirstRun(answer) => {
+                give(&mut reply, answer).await && { reply.end(false, trailer).await.is_ok() }
+            }
+            ClaimEnd::Replay(answer) => {
+                give(&mut reply, answer).await && { reply.end(true, trailer).await.is_ok() }
+            }
             ClaimEnd::NotRun { reason, home } => {
                 let mut refusal = Refusal::new(reason);
                 refusal.try_instead = home;
--- a/crates/oriole_agent/src/main.rs
+++ b/crates/oriole_agent/src/main.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use oriole_kernel::{logging, settings, signals, telemetry};
 use oriole_agent::prelude::{AgentDaemon, AgentSettings};
+use oriole_kernel::{logging, settings, signals, telemetry};
 
 /// An agent daemon of oriolefield.
 #[derive(FromArgs)]
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use oriole_catalog::spread::ConfigFollower;
+use oriole_catalog::prelude::ConfigFollower;
 use oriole_kernel::app::{App, Plugin, RunningApp, Service};
 use oriole_kernel::clock::Clock;
 use oriole_kernel::error::KernelError;
--- a/crates/oriole_entry/src/main.rs
+++ b/crates/oriole_entry/src/main.rs
@@ -4,8 +4,8 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use oriole_kernel::{logging, settings, signals, telemetry};
 use oriole_entry::prelude::{EntryDaemon, EntrySettings};
+use oriole_kernel::{logging, settings, signals, telemetry};
 
 /// An entry daemon of oriolefield.
 #[derive(FromArgs)]
--- a/crates/oriole_entry/src/settings.rs
+++ b/crates/oriole_entry/src/settings.rs
@@ -80,7 +80,11 @@
     fn check(&self) -> Result<(), String> {
         self.secrets()?;
         check_range("vm_list_period_ms", self.vm_list_period_ms, 100..=60_000)?;
-        check_range("endpoint_ttl_ms", self.endpoint_ttl_ms.into(), 500..=300_000)?;
+        check_range(
+            "endpoint_ttl_ms",
+            self.endpoint_ttl_ms.into(),
+            500..=300_000,
+        )?;
         oriole_kernel::logging::parse_level(&self.log_level)
             .map(|_| ())
             .map_err(|e| format!("log_level: {e}"))
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -7,7 +7,7 @@
 
 use dropshot::Body;
 use http::Response;
-use oriole_catalog::spread::ConfigFollower;
+use oriole_catalog::prelude::ConfigFollower;
 use oriole_kernel::clock::Clock;
 use oriole_peers::pool::ChannelPool;
 use oriole_routing::endpoints::EndpointAnswers;
--- a/crates/oriole_peers/src/config_peer.rs
+++ b/crates/oriole_peers/src/config_peer.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use oriole_catalog::spread::{ConfigFollower, ConfigPeer, Member, PeerAnswer, PeerError};
+use oriole_catalog::prelude::{ConfigFollower, ConfigPeer, Member, PeerAnswer, PeerError};
 use oriole_types::fleet::VmList;
 use oriole_types::ids::{Revision, VmName};
 use prost::Message;
--- a/crates/oriole_peers/src/platform.rs
+++ b/crates/oriole_peers/src/platform.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use oriole_catalog::spread::{ConfigEvent, ConfigFollower, ConfigPeer, FollowerConfig, Member};
+use oriole_catalog::prelude::{ConfigEvent, ConfigFollower, ConfigPeer, FollowerConfig, Member};
 use oriole_kernel::app::{App, Plugin, Service};
 use oriole_kernel::error::KernelError;
 use oriole_kernel::registry::Registry;
