Run non-idempotent requests through their key's home; mint bound keys

Cause: a key must run at most once whichever entry is asked. Change: the entry follows a claim over agents; POST /v1/entries/E/keys mints a key bound to one agent, which needs no store.

--- a/crates/oriole_entry/src/api/mod.rs
+++ b/crates/oriole_entry/src/api/mod.rs
@@ -3,6 +3,7 @@
 pub mod endpoints;
 pub mod errors;
 pub mod headers;
+pub mod keys;
 pub mod requests;
 pub mod status;
 pub mod whole;
@@ -36,6 +37,7 @@
     let registered = [
         api.register(endpoints::get_endpoints),
         api.register(requests::post_request),
+        api.register(keys::post_key),
         api.register(status::get_status),
         api.register(status::get_metrics),
         api.register(status::get_openapi),
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use async_trait::async_trait;
 use oriole_catalog::prelude::ConfigFollower;
+use oriole_claims::ticket::TicketSecret;
 use oriole_kernel::app::{App, Plugin, RunningApp, Service};
 use oriole_kernel::clock::Clock;
 use oriole_kernel::error::KernelError;
@@ -167,6 +168,11 @@
         let config: Arc<ConfigFollower> = registry.get(CONFIG)?;
         let channels: Arc<ChannelPool> = registry.get(CHANNELS)?;
         let clock = Clock::start();
+        let secret = self
+            .settings
+            .fleet_secrets
+            .first()
+            .map_or("", String::as_str);
         let answers = AnswerConfig {
             ttl_ms: self.settings.endpoint_ttl_ms,
             ..AnswerConfig::default()
@@ -180,6 +186,7 @@
             config,
             fleet: Fleet::default(),
             poison: Poison::open(clock),
+            ticket_secret: TicketSecret::new(secret.as_bytes()),
             traffic: Traffic::open(clock, self.settings.domain.clone()),
             channels,
             endpoints: EndpointAnswers::new(answers),
--- a/crates/oriole_entry/src/dispatch.rs
+++ b/crates/oriole_entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriole_peers::note::encode_age;
 use oriole_routing::queue::Waiting;
 use oriole_routing::retry::{AttemptEnd, RetryAsk, RetryDecision};
 use oriole_types::prelude::*;
@@ -38,6 +39,7 @@
     let request = accepted.request;
     let account = accepted.head.account.clone();
     let idempotent = accepted.head.idempotent;
+    let content = accepted.head.content;
     let mut dispatch = Dispatch::new(state, accepted, tx);
     let end = if idempotent {
         tokio::select! {
@@ -49,11 +51,14 @@
         }
     } else {
         // Such a request runs to its end, so that a later one with its key can be answered.
-        dispatch.run().await
+        dispatch.run_claimed().await
     };
     if let AnswerEvent::NotRun(refusal) = &end {
         state.count_refusal(request, refusal);
     }
+    if end.outcome() == Some(Outcome::Complete) {
+        state.poison.completed(&content);
+    }
     let outcome = end.outcome().map_or("none", outcome_name);
     metrics::counter!("oriole_requests_total", "outcome" => outcome).increment(1);
     info!(state.log, "request ended";
@@ -67,11 +72,11 @@
 }
 
 /// One request on its way.
-struct Dispatch<'a> {
-    state: &'a Arc<EntryState>,
-    accepted: Accepted,
+pub(crate) struct Dispatch<'a> {
+    pub(crate) state: &'a Arc<EntryState>,
+    pub(crate) accepted: Accepted,
     tx: &'a mpsc::Sender<AnswerEvent>,
-    attempts: Attempt,
+    pub(crate) attempts: Attempt,
     position: u64,
     exclude: Vec<VmName>,
 }
@@ -117,7 +122,7 @@
                     (AttemptEnd::Unknown(reason), AnswerEvent::Unknown { reason })
                 }
             };
-            match self.state.traffic.decide_retry(&self.retry_ask(end)) {
+            match self.decide_retry(end) {
                 RetryDecision::Retry { after } => tokio::time::sleep(after).await,
                 RetryDecision::GiveUp(_) => return event,
             }
@@ -136,7 +141,7 @@
 
     async fn attempt(&mut self, guard: AttemptGuard) -> AttemptOutcome {
         let vm = guard.vm().clone();
-        let mut exchange = match self.open(&vm).await {
+        let mut exchange = match self.open(&vm, 0).await {
             Ok(exchange) => exchange,
             Err(refusal) => {
                 self.exclude.push(vm);
@@ -203,7 +208,8 @@
         }
     }
 
-    async fn open(&self, vm: &VmName) -> Result<Exchange, Refusal> {
+    /// Sends the request to an agent; an error means that nothing of it was sent.
+    pub(crate) async fn open(&self, vm: &VmName, recall: u64) -> Result<Exchange, Refusal> {
         let unreachable = |message: String| Refusal::new(RefusalReason::AgentUnreachable, message);
         let addr = self
             .state
@@ -218,7 +224,11 @@
             .map_err(|e| unreachable(format!("agent {vm}: {e}")))?;
         let body = self.accepted.body.clone();
         let mut open = Open::new(self.accepted.request.0, self.attempts, &self.head(), body);
-        open.revision = self.state.revision().0;
+        let status = self.state.config.status();
+        open.revision = status.revision.0;
+        open.confirmed_ms = encode_age(status.confirmed_age);
+        open.recall = recall;
+        open.proven = self.state.poison.is_proven(&self.accepted.head.content);
         channel
             .open(open)
             .await
@@ -226,7 +236,7 @@
     }
 
     /// Hands an event to the reader; `false` if the reader is too slow.
-    async fn deliver(&self, event: AnswerEvent) -> bool {
+    pub(crate) async fn deliver(&self, event: AnswerEvent) -> bool {
         let sent = self.tx.send_timeout(event, SLOW_READER_TIMEOUT).await;
         match sent {
             Err(mpsc::error::SendTimeoutError::Timeout(_)) => {
@@ -238,7 +248,7 @@
         }
     }
 
-    fn note_load(&self, vm: &VmName, load: Option<LoadReport>) {
+    pub(crate) fn note_load(&self, vm: &VmName, load: Option<LoadReport>) {
         if let Some(load) = load {
             self.state.fleet.set_load(vm, load);
         }
@@ -255,7 +265,7 @@
         head
     }
 
-    fn deadline(&self) -> Instant {
+    pub(crate) fn deadline(&self) -> Instant {
         let left = self
             .accepted
             .deadline
@@ -283,14 +293,15 @@
         }
     }
 
-    fn retry_ask(&self, end: AttemptEnd) -> RetryAsk {
-        RetryAsk {
+    pub(crate) fn decide_retry(&self, end: AttemptEnd) -> RetryDecision {
+        let ask = RetryAsk {
             attempts: self.attempts,
             idempotent: self.accepted.head.idempotent,
             end,
             deadline: self.accepted.deadline,
             service: ASSUMED_SERVICE,
-        }
+        };
+        self.state.traffic.decide_retry(&ask)
     }
 }
 
--- a/crates/oriole_entry/src/fleet.rs
+++ b/crates/oriole_entry/src/fleet.rs
@@ -143,6 +143,19 @@
         self.lock().homes.get(vm).copied()
     }
 
+    /// Those of some agents that told of themselves and take new work.
+    #[must_use]
+    pub fn ready_homes(&self, vms: &[VmName]) -> Vec<(VmName, DomainName, Home)> {
+        let inner = self.lock();
+        let ready = |vm: &VmName| {
+            let load = inner.loads.get(vm)?;
+            let home = inner.homes.get(vm)?;
+            let domain = inner.by_name.get(vm)?.domain.clone();
+            (!load.leaving).then(|| (vm.clone(), domain, *home))
+        };
+        vms.iter().filter_map(ready).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/oriole_entry/src/intake.rs
+++ b/crates/oriole_entry/src/intake.rs
@@ -153,7 +153,12 @@
         })
 }
 
-fn find_entry(catalog: &Catalog, name: &str) -> Result<(EntryName, CatalogEntry), Refusal> {
+/// The catalog entry of some name.
+///
+/// # Errors
+///
+/// Refuses a name that the catalog does not have.
+pub fn find_entry(catalog: &Catalog, name: &str) -> Result<(EntryName, CatalogEntry), Refusal> {
     catalog
         .entries
         .get_key_value(name)
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`intake`]: who asks, for what, and by when; limits.
 //! - [`traffic`]: the routing machines behind one lock, and waiting for an upstream.
 //! - [`dispatch`]: attempts, retries and the single end.
+//! - `claimed`: the way of a request that must run at most once.
 //! - [`answer`]: the events of an answer.
 //!
 //! Around it:
@@ -21,6 +22,7 @@
 
 pub mod answer;
 pub mod api;
+mod claimed;
 pub mod daemon;
 pub mod dispatch;
 pub mod fleet;
--- a/crates/oriole_entry/src/poison.rs
+++ b/crates/oriole_entry/src/poison.rs
@@ -49,10 +49,15 @@
         Err(Refusal::new(RefusalReason::Quarantined, message))
     }
 
-    /// How a content stands.
+    /// Whether content is known to have completed before.
     #[must_use]
-    pub fn standing(&self, content: &Digest) -> Standing {
-        self.lock().ledger.standing(content)
+    pub fn is_proven(&self, content: &Digest) -> bool {
+        self.lock().ledger.standing(content) == Standing::Proven
+    }
+
+    /// Notes that content completed.
+    pub fn completed(&self, content: &Digest) {
+        self.lock().ledger.completed(content, false);
     }
 
     /// What an agent should learn since it was last told; empty if nothing.
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -8,6 +8,7 @@
 use dropshot::Body;
 use http::Response;
 use oriole_catalog::prelude::ConfigFollower;
+use oriole_claims::ticket::TicketSecret;
 use oriole_kernel::clock::Clock;
 use oriole_peers::pool::ChannelPool;
 use oriole_routing::endpoints::EndpointAnswers;
@@ -50,6 +51,8 @@
     pub fleet: Fleet,
     /// Suspect and quarantined content.
     pub poison: Poison,
+    /// Secret that minted keys are signed with.
+    pub ticket_secret: TicketSecret,
     /// Routing machines.
     pub traffic: Traffic,
     /// Channels to agents and other entries.
--- a/crates/oriole_entry/src/traffic.rs
+++ b/crates/oriole_entry/src/traffic.rs
@@ -203,21 +203,13 @@
         }
     }
 
-    /// Takes an upstream that the request is bound to.
-    ///
-    /// # Errors
-    ///
-    /// Refuses if it takes no new work.
-    pub fn acquire_bound(&self, vm: &VmName) -> Result<AttemptGuard, Refusal> {
+    /// Counts an attempt at an upstream that the request is bound to, whatever its state: its
+    /// agent alone says whether it may still run there.
+    #[must_use]
+    pub fn count_bound(&self, vm: &VmName) -> AttemptGuard {
         let now = self.clock.now();
-        let mut machines = self.lock();
-        machines
-            .router
-            .check(now, vm)
-            .map_err(|reason| Refusal::new(reason, format!("upstream {vm} takes no new work")))?;
-        machines.router.started(now, vm, None);
-        drop(machines);
-        Ok(self.guard(vm.clone()))
+        self.lock().router.started(now, vm, None);
+        self.guard(vm.clone())
     }
 
     /// Capacity of all pools as this entry believes it.
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -62,6 +62,7 @@
         state.fleet.set_list(Arc::clone(&list));
         if let Some(catalog) = catalog {
             state.traffic.fleet_changed(&list, &catalog);
+            state.poison.configure(&catalog.released_digests);
             share_limits(&state, &list, &catalog);
         }
         state.channels.retain(|addr| {
