--- /dev/null
+++ b/crates/oriole_local/src/deployment.rs
@@ -0,0 +1,346 @@
+//! A whole deployment, started and stopped together.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::eyre;
+use oriole_agent::prelude::{AgentDaemon, AgentSettings};
+use oriole_entry::prelude::{EntryDaemon, EntrySettings};
+use oriole_kernel::logging;
+use oriole_standins::faults::ControlServer;
+use oriole_types::prelude::*;
+use serde::Serialize;
+use slog::Logger;
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+
+use crate::faults::LocalFaults;
+use crate::platform::{Platform, loopback};
+use crate::spec::DeploymentSpec;
+use crate::vm::Vm;
+
+/// Longest time from the start to the point where every entry knows every upstream.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at whether the deployment is ready.
+const READY_PERIOD: Duration = Duration::from_millis(20);
+
+/// Time between two reads of the VM list by each daemon, in milliseconds.
+const VM_LIST_PERIOD_MS: u64 = 300;
+
+/// An agent with what is needed to start it again.
+pub(crate) struct AgentVm {
+    pub(crate) settings: AgentSettings,
+    pub(crate) vm: Vm<AgentDaemon>,
+}
+
+/// An entry with what is needed to start it again.
+pub(crate) struct EntryVm {
+    pub(crate) settings: EntrySettings,
+    pub(crate) vm: Vm<EntryDaemon>,
+}
+
+/// The parts of a deployment, shared with the faults.
+pub(crate) struct Parts {
+    pub(crate) platform: Platform,
+    pub(crate) agents: Vec<AgentVm>,
+    pub(crate) entries: Vec<EntryVm>,
+    pub(crate) log: Logger,
+}
+
+/// A catalog entry as [`Ready`] lists it.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReadyEntry {
+    /// Name.
+    pub name: EntryName,
+    /// Class: its priority.
+    pub class: Priority,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+}
+
+/// What an outside driver needs to know, printed as one JSON line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Ready {
+    /// Addresses that callers may use.
+    pub caller_addresses: Vec<SocketAddr>,
+    /// Account keys by account name.
+    pub accounts: BTreeMap<AccountName, String>,
+    /// Catalog entries.
+    pub entries: Vec<ReadyEntry>,
+    /// Path of the settings for `oriolectl`.
+    pub operator: String,
+    /// Address of the stand-ins' control.
+    pub standins: SocketAddr,
+}
+
+/// A running deployment.
+pub struct Deployment {
+    parts: Arc<Parts>,
+    control: ControlServer,
+    ready: Ready,
+    _settings: TempDir,
+}
+
+impl Deployment {
+    /// Starts everything and waits until every entry knows every upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part does not start, or if the deployment is not ready in time.
+    pub async fn start(spec: &DeploymentSpec) -> eyre::Result<Self> {
+        let log = logging::open("oriole-local", spec.log_level);
+        let platform = Platform::bind(spec).await?;
+        let secret = format!(
+            "{:016x}{:016x}",
+            rand::random::<u64>(),
+            rand::random::<u64>()
+        );
+        let agents = start_agents(spec, &platform, &secret, &log).await?;
+        let entries = start_entries(spec, &platform, &secret, &log).await?;
+        platform.vm_list.set(vm_records(&agents, &entries)?);
+        let parts = Arc::new(Parts {
+            platform,
+            agents,
+            entries,
+            log,
+        });
+        parts.wait_until_ready().await?;
+        let faults = Arc::new(LocalFaults::new(Arc::clone(&parts)));
+        let control = ControlServer::bind(parts.platform.ledger.clone(), faults).await?;
+        let settings = operator_settings(&parts.platform)?;
+        let ready = parts.ready(spec, &settings, control.addr());
+        Ok(Self {
+            parts,
+            control,
+            ready,
+            _settings: settings,
+        })
+    }
+
+    /// What an outside driver needs to know.
+    #[must_use]
+    pub fn ready(&self) -> &Ready {
+        &self.ready
+    }
+
+    /// The platform's stand-ins and the upstreams.
+    #[must_use]
+    pub fn platform(&self) -> &Platform {
+        &self.parts.platform
+    }
+
+    /// Runs a look at each running entry daemon.
+    pub fn each_entry<T>(&self, look: impl Fn(&EntryDaemon) -> T) -> Vec<T> {
+        let entries = self.parts.entries.iter();
+        entries.filter_map(|e| e.vm.with(&look)).collect()
+    }
+
+    /// Runs a look at each running agent daemon.
+    pub fn each_agent<T>(&self, look: impl Fn(&AgentDaemon) -> T) -> Vec<T> {
+        let agents = self.parts.agents.iter();
+        agents.filter_map(|a| a.vm.with(&look)).collect()
+    }
+
+    /// The faults that an outside driver may ask for.
+    #[must_use]
+    pub fn faults(&self) -> LocalFaults {
+        LocalFaults::new(Arc::clone(&self.parts))
+    }
+
+    /// Shuts down gracefully: entries first, then agents.
+    pub async fn shutdown(self) {
+        self.control.shutdown().await;
+        let entries = self.parts.entries.iter();
+        futures::future::join_all(entries.map(|e| e.vm.shutdown(EntryDaemon::shutdown))).await;
+        let agents = self.parts.agents.iter();
+        futures::future::join_all(agents.map(|a| a.vm.shutdown(AgentDaemon::shutdown))).await;
+    }
+
+    /// Shuts one entry down gracefully; `false` if it does not run.
+    pub async fn shutdown_entry(&self, address: SocketAddr) -> bool {
+        let entry = self
+            .parts
+            .entries
+            .iter()
+            .find(|e| e.settings.address == address && e.vm.is_running());
+        match entry {
+            Some(entry) => {
+                entry.vm.shutdown(EntryDaemon::shutdown).await;
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+impl Parts {
+    async fn wait_until_ready(&self) -> eyre::Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !self.is_ready() {
+            if Instant::now() > deadline {
+                return Err(eyre!("the deployment is not ready in time"));
+            }
+            sleep(READY_PERIOD).await;
+        }
+        Ok(())
+    }
+
+    /// Whether every entry has heard of the load of every upstream.
+    fn is_ready(&self) -> bool {
+        let upstreams = self.platform.upstreams.len();
+        self.entries.iter().all(|entry| {
+            let known = entry.vm.with(|d| {
+                let state = d.state();
+                state.catalog().is_ok() && admitting(&state.fleet.loads()) == upstreams
+            });
+            known.unwrap_or(false)
+        })
+    }
+
+    fn ready(&self, spec: &DeploymentSpec, settings: &TempDir, standins: SocketAddr) -> Ready {
+        let entries = spec.catalog.entries.iter();
+        Ready {
+            caller_addresses: self.entries.iter().map(|e| e.settings.address).collect(),
+            accounts: spec.keys.clone(),
+            entries: entries
+                .map(|(name, entry)| ReadyEntry {
+                    name: name.clone(),
+                    class: entry.class.priority,
+                    idempotent: entry.class.idempotent,
+                })
+                .collect(),
+            operator: operator_path(settings).display().to_string(),
+            standins,
+        }
+    }
+}
+
+/// Number of upstreams that told that they admit work.
+fn admitting(loads: &BTreeMap<VmName, LoadReport>) -> usize {
+    loads.values().filter(|l| l.limit > 0 && !l.leaving).count()
+}
+
+async fn start_agents(
+    spec: &DeploymentSpec,
+    platform: &Platform,
+    secret: &str,
+    log: &Logger,
+) -> eyre::Result<Vec<AgentVm>> {
+    let mut agents = Vec::new();
+    for placed in &platform.upstreams {
+        let mut settings = AgentSettings {
+            name: placed.name.clone(),
+            domain: placed.domain.clone(),
+            pool: placed.pool.clone(),
+            address: loopback(),
+            upstream: placed.upstream.addr(),
+            store: platform.store.addr(),
+            vm_list: platform.vm_list.addr(),
+            fleet_secrets: vec![secret.to_owned()],
+            vm_list_period_ms: VM_LIST_PERIOD_MS,
+            log_level: "warning".into(),
+        };
+        let vm = Vm::start(spec.daemon_threads, start_agent(&settings, log)).await?;
+        if let Some(address) = vm.with(AgentDaemon::address) {
+            settings.address = address;
+        }
+        agents.push(AgentVm { settings, vm });
+    }
+    Ok(agents)
+}
+
+async fn start_entries(
+    spec: &DeploymentSpec,
+    platform: &Platform,
+    secret: &str,
+    log: &Logger,
+) -> eyre::Result<Vec<EntryVm>> {
+    let domains = spec.catalog.domains.keys().cycle();
+    let mut entries = Vec::new();
+    for (i, domain) in (1..=spec.entries).zip(domains) {
+        let mut settings = EntrySettings {
+            name: VmName::new(&format!("entry-{i}")),
+            domain: domain.clone(),
+            address: loopback(),
+            peer_address: loopback(),
+            store: platform.store.addr(),
+            vm_list: platform.vm_list.addr(),
+            fleet_secrets: vec![secret.to_owned()],
+            vm_list_period_ms: VM_LIST_PERIOD_MS,
+            endpoint_ttl_ms: spec.endpoint_ttl_ms,
+            log_level: "warning".into(),
+        };
+        let vm = Vm::start(spec.daemon_threads, start_entry(&settings, log)).await?;
+        if let Some((address, peer)) = vm.with(|d| (d.address(), d.peer_address())) {
+            settings.address = address;
+            settings.peer_address = peer;
+        }
+        entries.push(EntryVm { settings, vm });
+    }
+    Ok(entries)
+}
+
+/// Starts an agent daemon with some settings.
+pub(crate) fn start_agent(
+    settings: &AgentSettings,
+    log: &Logger,
+) -> impl Future<Output = eyre::Result<AgentDaemon>> + Send + 'static {
+    let log = log.new(slog::o!("vm" => settings.name.to_string()));
+    let settings = settings.clone();
+    async move { AgentDaemon::bind(&settings, log).await }
+}
+
+/// Starts an entry daemon with some settings.
+pub(crate) fn start_entry(
+    settings: &EntrySettings,
+    log: &Logger,
+) -> impl Future<Output = eyre::Result<EntryDaemon>> + Send + 'static {
+    let log = log.new(slog::o!("vm" => settings.name.to_string()));
+    let settings = settings.clone();
+    async move { EntryDaemon::bind(&settings, log).await }
+}
+
+fn vm_records(agents: &[AgentVm], entries: &[EntryVm]) -> eyre::Result<Vec<VmRecord>> {
+    let agents = agents.iter().map(|a| VmRecord {
+        name: a.settings.name.clone(),
+        domain: a.settings.domain.clone(),
+        role: VmRole::Upstream {
+            pool: a.settings.pool.clone(),
+        },
+        address: a.settings.address,
+        peer_address: a.settings.address,
+        state: VmState::Live,
+    });
+    let entries = entries.iter().map(|e| VmRecord {
+        name: e.settings.name.clone(),
+        domain: e.settings.domain.clone(),
+        role: VmRole::Entry,
+        address: e.settings.address,
+        peer_address: e.settings.peer_address,
+        state: VmState::Live,
+    });
+    let records: Vec<VmRecord> = agents.chain(entries).collect();
+    if records.iter().any(|r| r.address.port() == 0) {
+        return Err(eyre!("a daemon has no address"));
+    }
+    Ok(records)
+}
+
+fn operator_path(dir: &TempDir) -> std::path::PathBuf {
+    dir.path().join("oriolectl.toml")
+}
+
+/// Writes the settings that `oriolectl` needs to reach this deployment.
+fn operator_settings(platform: &Platform) -> eyre::Result<TempDir> {
+    let dir = tempfile::tempdir()?;
+    let text = format!(
+        "store = \"{}\"\nvm_list = \"{}\"\nauthor = \"local\"\n",
+        platform.store.addr(),
+        platform.vm_list.addr()
+    );
+    std::fs::write(operator_path(&dir), text)?;
+    Ok(dir)
+}
