Add oriolectl: documents, drain and return, blocks, history, rollback, status

Operators drive the system only by the catalog and by taking failure domains and VMs in and out of service, by hand and from scripts.

--- a/crates/oriole_catalog/src/document/mod.rs
+++ b/crates/oriole_catalog/src/document/mod.rs
@@ -2,6 +2,7 @@
 
 mod position;
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use oriole_types::prelude::*;
@@ -28,6 +29,10 @@
     pub base: Option<Revision>,
     /// What it says; its revision is the base or zero.
     pub catalog: Catalog,
+    /// Sections it names. What it does not name stays as it is.
+    pub sections: BTreeSet<Section>,
+    /// Failure domains whose state it does not name.
+    pub unstated_domains: BTreeSet<DomainName>,
 }
 
 /// One error in a document.
@@ -89,6 +94,37 @@
             _ => Err(reader.finish()),
         }
     }
+
+    /// The catalog that the document makes of another one.
+    ///
+    /// Sections that the document does not name stay, and so does the state of a failure domain
+    /// without one: applying a document from a repository must not bring back what an operator took
+    /// out of service. An empty section, such as `[blocks]`, empties it.
+    #[must_use]
+    pub fn over(&self, base: &Catalog) -> Catalog {
+        let mut catalog = self.catalog.clone();
+        macro_rules! keep {
+            ($section:ident, $field:ident) => {
+                if !self.sections.contains(&Section::$section) {
+                    catalog.$field = base.$field.clone();
+                }
+            };
+        }
+        keep!(Entries, entries);
+        keep!(Accounts, accounts);
+        keep!(Pools, pools);
+        keep!(Domains, domains);
+        keep!(Vms, vms);
+        keep!(Groups, groups);
+        keep!(Blocks, blocks);
+        keep!(ReleasedDigests, released_digests);
+        for name in &self.unstated_domains {
+            if let Some(domain) = catalog.domains.get_mut(name) {
+                domain.state = base.domain_state(name);
+            }
+        }
+        catalog
+    }
 }
 
 /// Writes a catalog as a document, with its revision as the base of changes to it.
@@ -105,6 +141,7 @@
     positions: Positions,
     items: Items,
     base: Option<Revision>,
+    sections: BTreeSet<Section>,
     errors: Vec<DocumentError>,
 }
 
@@ -115,6 +152,7 @@
             positions: Positions::new(text),
             items: Items::new(),
             base: None,
+            sections: BTreeSet::new(),
             errors: Vec::new(),
         }
     }
@@ -161,8 +199,14 @@
             let line = self.positions.line_of_key(&v.key);
             self.report(line, v.key, v.message);
         }
-        let base = self.base;
-        Some(Document { base, catalog })
+        let stated = |name: &DomainName| self.positions.has_key(&format!("domains.{name}.state"));
+        let domains = catalog.domains.keys();
+        Some(Document {
+            base: self.base,
+            unstated_domains: domains.filter(|d| !stated(d)).cloned().collect(),
+            catalog,
+            sections: std::mem::take(&mut self.sections),
+        })
     }
 
     fn read_top(&mut self, key: &str, value: Spanned<DeValue<'_>>) {
@@ -180,6 +224,7 @@
             );
             return;
         };
+        self.sections.insert(section);
         if section == Section::ReleasedDigests {
             self.read_released(value);
         } else {
--- a/crates/oriole_catalog/src/document/position.rs
+++ b/crates/oriole_catalog/src/document/position.rs
@@ -56,6 +56,11 @@
         self.line_starts.partition_point(|start| *start <= byte)
     }
 
+    /// Whether the document has a key.
+    pub(super) fn has_key(&self, key: &str) -> bool {
+        self.keys.contains_key(key)
+    }
+
     /// Line of a key, or of the nearest key above it.
     pub(super) fn line_of_key(&self, key: &str) -> usize {
         let mut path = key;
--- /dev/null
+++ b/crates/oriole_ctl/src/commands/status.rs
@@ -0,0 +1,243 @@
+//! What the entries say.
+
+use std::collections::BTreeMap;
+
+use oriole_types::prelude::*;
+use serde::Serialize;
+
+use crate::args::StatusArgs;
+use crate::ctl::Ctl;
+use crate::error::CtlError;
+use crate::fleet::{AskedEntry, UpstreamStatus};
+use crate::reply::{Reply, table};
+
+/// One entry in the reply.
+#[derive(Serialize)]
+struct EntryRow {
+    name: String,
+    domain: String,
+    state: String,
+    revision: Option<Revision>,
+    config_age_ms: Option<u64>,
+    service: ServiceState,
+}
+
+/// One upstream in the reply, put together from what all entries say.
+#[derive(Clone, Serialize)]
+pub(crate) struct UpstreamRow {
+    name: String,
+    pool: String,
+    domain: String,
+    service: ServiceState,
+    /// Entries that use it.
+    entries: usize,
+    cold: bool,
+    limit: u32,
+    in_flight: u32,
+    leaving: bool,
+}
+
+impl UpstreamRow {
+    pub(crate) fn pool(&self) -> &str {
+        &self.pool
+    }
+
+    pub(crate) fn takes_work(&self) -> bool {
+        self.service == ServiceState::InService && !self.leaving
+    }
+}
+
+#[derive(Serialize)]
+struct StatusReply {
+    revision: Revision,
+    entries: Vec<EntryRow>,
+    upstreams: Vec<UpstreamRow>,
+}
+
+#[derive(Serialize)]
+struct GroupReply<'a> {
+    group: &'a str,
+    settings: &'a Group,
+    upstreams: Vec<UpstreamRow>,
+}
+
+/// Shows entries and upstreams, or the ranks of a group.
+pub(crate) async fn status(ctl: &Ctl, args: &StatusArgs) -> Result<Reply, CtlError> {
+    match args.scope.as_slice() {
+        [] => fleet_status(ctl).await,
+        [kind, name] if kind == "group" => group_status(ctl, name).await,
+        _ => Err(CtlError::Argument(
+            "allowed: status, status group NAME".to_owned(),
+        )),
+    }
+}
+
+async fn fleet_status(ctl: &Ctl) -> Result<Reply, CtlError> {
+    let catalog = ctl.catalog().await?;
+    let asked = ctl.fleet.entries().await?;
+    let entries: Vec<_> = asked.iter().map(|e| entry_row(&catalog, e)).collect();
+    let upstreams = upstream_rows(&catalog, &asked);
+    let text = format!(
+        "catalog revision {}\n\n{}\n\n{}",
+        catalog.revision,
+        entry_table(&entries),
+        upstream_table(&upstreams)
+    );
+    let revision = catalog.revision;
+    Reply::new(
+        text,
+        &StatusReply {
+            revision,
+            entries,
+            upstreams,
+        },
+    )
+}
+
+async fn group_status(ctl: &Ctl, name: &str) -> Result<Reply, CtlError> {
+    let catalog = ctl.catalog().await?;
+    let Some(group) = catalog.groups.get(name) else {
+        return Err(CtlError::NotFound {
+            what: "group",
+            name: name.to_owned(),
+            known: catalog.groups.keys().map(ToString::to_string).collect(),
+        });
+    };
+    let asked = ctl.fleet.entries().await?;
+    let mut upstreams = upstream_rows(&catalog, &asked);
+    upstreams.retain(|u| u.pool == group.pool.as_str());
+    let text = format!(
+        "group {name}: {} ranks in pool {}, {} experts x {} layers, {} slots a rank\n\n{}",
+        group.ranks,
+        group.pool,
+        group.experts,
+        group.layers,
+        group.slots_per_rank,
+        upstream_table(&upstreams)
+    );
+    Reply::new(
+        text,
+        &GroupReply {
+            group: name,
+            settings: group,
+            upstreams,
+        },
+    )
+}
+
+fn entry_row(catalog: &Catalog, asked: &AskedEntry) -> EntryRow {
+    let status = asked.status.as_ref();
+    let state = match status {
+        Ok(status) => status.state.clone(),
+        Err(reason) => reason.to_string(),
+    };
+    EntryRow {
+        name: asked.vm.name.to_string(),
+        domain: asked.vm.domain.to_string(),
+        state,
+        revision: status.ok().map(|s| s.revision),
+        config_age_ms: status.ok().and_then(|s| s.config_age_ms),
+        service: service_of(catalog, &asked.vm.name, &asked.vm.domain),
+    }
+}
+
+fn service_of(catalog: &Catalog, vm: &VmName, domain: &DomainName) -> ServiceState {
+    if catalog.takes_work(vm, domain) {
+        ServiceState::InService
+    } else {
+        ServiceState::Drained
+    }
+}
+
+/// Upstreams by name; the load is what the entry with the most in flight saw.
+pub(crate) fn upstream_rows(catalog: &Catalog, asked: &[AskedEntry]) -> Vec<UpstreamRow> {
+    let mut rows: BTreeMap<String, UpstreamRow> = BTreeMap::new();
+    let statuses = asked.iter().filter_map(|e| e.status.as_ref().ok());
+    for u in statuses.flat_map(|s| &s.upstreams) {
+        let row = rows
+            .entry(u.name.clone())
+            .or_insert_with(|| upstream_row(catalog, u));
+        row.entries += 1;
+        row.cold |= u.cold;
+        row.leaving |= u.leaving;
+        row.limit = row.limit.min(u.limit);
+        row.in_flight = row.in_flight.max(u.in_flight);
+    }
+    rows.into_values().collect()
+}
+
+fn upstream_row(catalog: &Catalog, u: &UpstreamStatus) -> UpstreamRow {
+    let vm = VmName::new(&u.name);
+    let domain = DomainName::new(&u.domain);
+    UpstreamRow {
+        name: u.name.clone(),
+        pool: u.pool.clone(),
+        domain: u.domain.clone(),
+        service: service_of(catalog, &vm, &domain),
+        entries: 0,
+        cold: u.cold,
+        limit: u.limit,
+        in_flight: u.in_flight,
+        leaving: u.leaving,
+    }
+}
+
+fn entry_table(rows: &[EntryRow]) -> String {
+    let header = [
+        "entry",
+        "domain",
+        "state",
+        "revision",
+        "config age",
+        "service",
+    ];
+    let rows = rows.iter().map(|r| {
+        vec![
+            r.name.clone(),
+            r.domain.clone(),
+            r.state.clone(),
+            r.revision.map_or("-".into(), |v| v.to_string()),
+            r.config_age_ms.map_or("-".into(), |ms| format!("{ms} ms")),
+            service_text(r.service).to_owned(),
+        ]
+    });
+    table(&header, rows)
+}
+
+pub(crate) fn upstream_table(rows: &[UpstreamRow]) -> String {
+    let header = [
+        "upstream",
+        "pool",
+        "domain",
+        "service",
+        "entries",
+        "state",
+        "limit",
+        "in flight",
+    ];
+    let rows = rows.iter().map(|r| {
+        let state = match (r.leaving, r.cold) {
+            (true, _) => "leaving",
+            (false, true) => "cold",
+            (false, false) => "warm",
+        };
+        vec![
+            r.name.clone(),
+            r.pool.clone(),
+            r.domain.clone(),
+            service_text(r.service).to_owned(),
+            r.entries.to_string(),
+            state.to_owned(),
+            r.limit.to_string(),
+            r.in_flight.to_string(),
+        ]
+    });
+    table(&header, rows)
+}
+
+fn service_text(state: ServiceState) -> &'static str {
+    match state {
+        ServiceState::InService => "in service",
+        ServiceState::Drained => "drained",
+    }
+}
--- /dev/null
+++ b/crates/oriole_ctl/src/ctl.rs
@@ -0,0 +1,154 @@
+//! Running commands.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriole_catalog::edit::Edit;
+use oriole_catalog::stored::{ChangeMeta, Repository, RepositoryConfig};
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+
+use crate::args::{Args, Command};
+use crate::commands;
+use crate::error::{CtlError, Exit};
+use crate::fleet::FleetClient;
+use crate::reply::Reply;
+use crate::settings::Settings;
+
+/// Wall clock in milliseconds since 1970.
+pub type WallClock = fn() -> u64;
+
+/// Runs operators' commands against a store and a fleet.
+#[derive(Clone)]
+pub struct Ctl {
+    pub(crate) settings: Settings,
+    pub(crate) repository: Repository,
+    pub(crate) fleet: FleetClient,
+    clock: WallClock,
+}
+
+impl Ctl {
+    /// Opens the store and the VM list that the settings name. Must be called within a tokio
+    /// runtime.
+    #[must_use]
+    pub fn open(settings: Settings) -> Self {
+        let store = HttpStore::open(settings.store, StoreClientConfig::default());
+        Self::over(settings, Arc::new(store), unix_ms)
+    }
+
+    /// Runs over a store that is open already, with a clock for the history.
+    #[must_use]
+    pub fn over(settings: Settings, store: Arc<dyn Store>, clock: WallClock) -> Self {
+        let cfg = RepositoryConfig {
+            settle_timeout: Duration::from_millis(settings.settle_timeout_ms),
+            ..RepositoryConfig::default()
+        };
+        Self {
+            repository: Repository::open(store, cfg),
+            fleet: FleetClient::new(settings.vm_list, settings.answer_timeout()),
+            settings,
+            clock,
+        }
+    }
+
+    /// Runs one command.
+    ///
+    /// # Errors
+    ///
+    /// Fails with an error whose exit code says what is known.
+    pub async fn run(&self, command: &Command) -> Result<Reply, CtlError> {
+        match command {
+            Command::Apply(args) => commands::catalog::apply(self, args).await,
+            Command::Get(args) => commands::catalog::get(self, args).await,
+            Command::Diff(args) => commands::catalog::diff(self, args).await,
+            Command::History(args) => commands::catalog::history(self, args).await,
+            Command::Rollback(args) => commands::catalog::rollback(self, args).await,
+            Command::Domain(args) => commands::service::domain(self, args).await,
+            Command::Vm(args) => commands::service::vm(self, args).await,
+            Command::Block(args) => commands::block::block(self, args).await,
+            Command::Release(args) => commands::block::release(self, args).await,
+            Command::Status(args) => commands::status::status(self, args).await,
+            Command::Explain(args) => commands::explain::explain(self, args).await,
+            Command::AccountKey(_) => commands::account_key::account_key(),
+        }
+    }
+
+    pub(crate) fn meta(&self, message: &str) -> ChangeMeta {
+        ChangeMeta {
+            author: self.settings.author.clone(),
+            message: message.to_owned(),
+            at_unix_ms: (self.clock)(),
+        }
+    }
+
+    /// The newest catalog.
+    pub(crate) async fn catalog(&self) -> Result<Arc<Catalog>, CtlError> {
+        Ok(Arc::clone(self.repository.read().await?.catalog()))
+    }
+
+    /// Makes a change and, if wanted, waits until it is in force.
+    pub(crate) async fn change(
+        &self,
+        edit: &Edit,
+        message: &str,
+        wait: bool,
+    ) -> Result<Reply, CtlError> {
+        let accepted = self.repository.change(edit, &self.meta(message)).await?;
+        commands::accepted(self, accepted, wait).await
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |d| d.as_millis() as u64)
+}
+
+/// An error for scripts.
+#[derive(serde::Serialize)]
+struct ErrorReply {
+    outcome: Exit,
+    message: String,
+}
+
+/// Runs a command line without the program's name; gives what to print and how it ended.
+pub async fn run_words(words: &[&str]) -> (String, Exit) {
+    let (args, json) = match Args::parse(words) {
+        Ok(parsed) => parsed,
+        Err(e) if e.status.is_ok() => return (e.output, Exit::Done),
+        Err(e) => return (e.output, Exit::Invalid),
+    };
+    finish(run_args(&args).await, json)
+}
+
+/// What to print of a result, and its exit code.
+#[must_use]
+pub fn finish(end: Result<Reply, CtlError>, json: bool) -> (String, Exit) {
+    match end {
+        Ok(reply) => (reply.render(json), Exit::Done),
+        Err(e) if json => {
+            let outcome = e.exit();
+            let message = e.to_string();
+            let reply = serde_json::to_string(&ErrorReply { outcome, message });
+            (reply.unwrap_or_default(), outcome)
+        }
+        Err(e) => (e.to_string(), e.exit()),
+    }
+}
+
+async fn run_args(args: &Args) -> Result<Reply, CtlError> {
+    // A fresh key needs neither store nor fleet.
+    if let Some(Command::AccountKey(_)) = args.command {
+        return commands::account_key::account_key();
+    }
+    let settings = Settings::read(&args.settings)?;
+    if args.check {
+        let text = toml::to_string(&settings).map_err(|e| CtlError::Reply(e.to_string()))?;
+        return Reply::new(text, &settings);
+    }
+    match &args.command {
+        Some(command) => Ctl::open(settings).run(command).await,
+        None => Err(CtlError::Argument(
+            "no command; see oriolectl --help".to_owned(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/oriole_ctl/src/fleet.rs
@@ -0,0 +1,164 @@
+//! What the VM list and the entries say.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::{StreamExt as _, stream};
+use oriole_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use crate::error::CtlError;
+use crate::http_get::{GetError, Getter};
+
+/// Path of the VM list.
+const VMS_PATH: &str = "/vms";
+/// Path of an entry's status.
+const STATUS_PATH: &str = "/v1/status";
+/// Entries asked at once.
+const CONCURRENT_ASKS: usize = 32;
+/// Pause between two rounds of questions.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+
+/// Status of an entry as far as operators' commands use it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EntryStatus {
+    /// VM name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// State of the process.
+    pub state: String,
+    /// Revision in force.
+    pub revision: Revision,
+    /// Time since the store last confirmed the configuration, in milliseconds.
+    pub config_age_ms: Option<u64>,
+    /// Upstreams it uses.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// One upstream as an entry sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct UpstreamStatus {
+    /// VM name.
+    pub name: String,
+    /// Pool.
+    pub pool: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether it is in cold start.
+    pub cold: bool,
+    /// Most requests in flight that its agent admits.
+    pub limit: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// An entry of the VM list and its answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AskedEntry {
+    /// The VM.
+    pub vm: VmRecord,
+    /// Its answer.
+    pub status: Result<EntryStatus, GetError>,
+}
+
+/// How a revision came into force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct InForce {
+    /// Entries that hold it; all of them.
+    pub entries: usize,
+    /// Time from the first question to the last answer, in milliseconds.
+    pub after_ms: u64,
+}
+
+/// Asks the VM list and the entries.
+#[derive(Clone, Debug)]
+pub struct FleetClient {
+    vm_list: SocketAddr,
+    getter: Getter,
+}
+
+impl FleetClient {
+    /// A client of the VM list at an address, with a timeout for each answer.
+    #[must_use]
+    pub fn new(vm_list: SocketAddr, longest: Duration) -> Self {
+        let getter = Getter::new(longest);
+        Self { vm_list, getter }
+    }
+
+    /// The VM list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer in time.
+    pub async fn vms(&self) -> Result<VmList, StepError<GetError>> {
+        let list = self.getter.get(self.vm_list, VMS_PATH).await;
+        list.map_err(|e| StepError::new("read VMs", Peer::VmList, e))
+    }
+
+    /// All entries that are not leaving, with what they say.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM list does not answer; an entry that does not is listed with the reason.
+    pub async fn entries(&self) -> Result<Vec<AskedEntry>, StepError<GetError>> {
+        let vms = self.vms().await?.vms.into_iter();
+        let entries = vms.filter(|vm| vm.role == VmRole::Entry && vm.state == VmState::Live);
+        let asked = entries.map(|vm| async move {
+            let status = self.getter.get(vm.address, STATUS_PATH).await;
+            AskedEntry { vm, status }
+        });
+        let mut asked: Vec<_> = stream::iter(asked)
+            .buffer_unordered(CONCURRENT_ASKS)
+            .collect()
+            .await;
+        asked.sort_by(|a, b| a.vm.name.cmp(&b.vm.name));
+        Ok(asked)
+    }
+
+    /// Waits until every entry holds a revision or a newer one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with those that do not when the time is over.
+    pub async fn wait_for(
+        &self,
+        revision: Revision,
+        longest: Duration,
+    ) -> Result<InForce, CtlError> {
+        let began = Instant::now();
+        loop {
+            let missing = match self.entries().await {
+                Ok(entries) => {
+                    let missing = missing(&entries, revision);
+                    if missing.is_empty() {
+                        return Ok(InForce {
+                            entries: entries.len(),
+                            after_ms: began.elapsed().as_millis() as u64,
+                        });
+                    }
+                    missing
+                }
+                Err(e) => vec![e.to_string()],
+            };
+            if began.elapsed() + ROUND_PAUSE > longest {
+                return Err(CtlError::NotInForce { revision, missing });
+            }
+            sleep(ROUND_PAUSE).await;
+        }
+    }
+}
+
+fn missing(entries: &[AskedEntry], revision: Revision) -> Vec<String> {
+    let lacks = entries.iter().filter_map(|e| match &e.status {
+        Ok(status) if status.revision >= revision => None,
+        Ok(status) => Some(format!("{} (revision {})", e.vm.name, status.revision)),
+        Err(reason) => Some(format!("{} ({reason})", e.vm.name)),
+    });
+    lacks.collect()
+}
