--- a/crates/oriole_routing/src/limits/limiter.rs
+++ b/crates/oriole_routing/src/limits/limiter.rs
@@ -16,6 +16,13 @@
 /// Offered requests a second below which an account counts as idle.
 const IDLE_BELOW_PER_S: f64 = 0.01;
 
+/// Slack for rounding where shares are compared with counts.
+const ROUNDING: f64 = 1e-6;
+
+/// Part of an even share of a limit from which peers are told of the usage. Below it at every
+/// entry, the limit is not in question.
+const TELL_FROM: f64 = 0.5;
+
 /// Settings of a [`Limiter`].
 #[derive(Clone, Debug)]
 pub struct LimiterConfig {
@@ -77,9 +84,17 @@
     offered: Rate,
     in_flight: u32,
     holders: usize,
+    even: EvenShare,
     peers: PeerUsage,
 }
 
+/// An even share of a limit.
+#[derive(Clone, Copy, Debug, Default)]
+struct EvenShare {
+    per_s: f64,
+    in_flight: f64,
+}
+
 impl Limiter {
     /// A limiter that has admitted nothing yet.
     #[must_use]
@@ -134,7 +149,7 @@
         }
     }
 
-    /// What to tell the peers.
+    /// What to tell the peers: usage that is far enough below its limit everywhere is left out.
     #[must_use]
     pub fn digest(&self, now: Duration) -> LimitDigest {
         LimitDigest {
@@ -213,6 +228,7 @@
         held.offered.add(now, 1.0);
         let peers = held.fresh_peers(now, ttl);
         let rate = f64::from(limits.requests_per_s);
+        held.even = EvenShare::new(rate, limits.max_in_flight.into(), held.holders);
         let share = share_of(rate, held.holders, held.offered.per_s(now), peers.0);
         let depth = f64::from(limits.burst) * share / rate.max(1.0);
         held.bucket.set(now, share, depth.max(1.0));
@@ -223,7 +239,7 @@
             f64::from(held.in_flight) + 1.0,
             peers.1,
         );
-        if f64::from(held.in_flight) >= slots.max(1.0) {
+        if f64::from(held.in_flight) + 1.0 > slots.max(1.0) + ROUNDING {
             return Err(refusal(RefusalReason::AccountLimit, Duration::from_secs(1)));
         }
         if !held.bucket.take(now, 0.0) {
@@ -250,6 +266,7 @@
         held.offered.add(now, 1.0);
         let peers = held.fresh_peers(now, ttl);
         let rate = f64::from(limits.requests_per_s);
+        held.even = EvenShare::new(rate, f64::INFINITY, holders);
         let share = share_of(rate, holders, held.offered.per_s(now), peers.0);
         held.bucket.set(now, share, (share * burst).max(1.0));
         let is_large = of_account > share * fair;
@@ -308,7 +325,27 @@
     }
 }
 
+impl EvenShare {
+    fn new(per_s: f64, in_flight: f64, holders: usize) -> Self {
+        let holders = holders.max(1) as f64;
+        Self {
+            per_s: per_s / holders,
+            in_flight: in_flight / holders,
+        }
+    }
+}
+
 impl Held {
+    fn usage(&self, now: Duration) -> Usage {
+        Usage::new(self.offered.per_s(now), self.in_flight)
+    }
+
+    /// Whether the usage is large enough that peers must know of it.
+    fn is_worth_telling(&self, now: Duration) -> bool {
+        self.offered.per_s(now) >= self.even.per_s * TELL_FROM
+            || f64::from(self.in_flight) >= self.even.in_flight * TELL_FROM
+    }
+
     fn fresh_peers(&mut self, now: Duration, ttl: Duration) -> (f64, f64) {
         self.peers.expire(now, ttl);
         self.peers.total()
@@ -326,13 +363,15 @@
         offered: Rate::new(cfg.smoothing),
         in_flight: 0,
         holders: 1,
+        even: EvenShare::default(),
         peers: PeerUsage::default(),
     })
 }
 
 fn usages<K: Ord + Clone>(map: &BTreeMap<K, Held>, now: Duration) -> BTreeMap<K, Usage> {
     map.iter()
-        .map(|(name, h)| (name.clone(), Usage::new(h.offered.per_s(now), h.in_flight)))
+        .filter(|(_, h)| h.is_worth_telling(now))
+        .map(|(name, h)| (name.clone(), h.usage(now)))
         .filter(|(_, u)| u.in_flight > 0 || u.offered() >= IDLE_BELOW_PER_S)
         .collect()
 }
--- a/crates/oriole_routing/src/limits/share.rs
+++ b/crates/oriole_routing/src/limits/share.rs
@@ -21,7 +21,7 @@
 }
 
 domain_type! {
-    /// What one entry tells its peers about limits; names without usage are left out.
+    /// What one entry tells its peers about limits; names with little usage are left out.
     #[derive(Default)]
     pub struct LimitDigest {
         /// Usage by account.
--- a/crates/oriole_routing/src/queue/wait_queue.rs
+++ b/crates/oriole_routing/src/queue/wait_queue.rs
@@ -266,28 +266,26 @@
         self.per_account.get(account).copied().unwrap_or(0)
     }
 
-    /// Time after which a request would be sent if it were queued now.
+    /// Time after which a request would be sent if it were queued now: what waits in more urgent
+    /// classes leaves at the full rate, the rest at what their arrivals leave of it.
     #[must_use]
     pub fn forecast_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
         if self.is_empty() {
             return Duration::ZERO;
         }
         let drained = self.drained.per_s(self.busy_clock(now));
-        let urgent: f64 = self
+        let urgent = self
             .classes
             .range(..waiting.priority)
-            .map(|(_, class)| class.arrived.per_s(now))
-            .sum();
+            .map(|(_, class)| class);
+        let (ahead, arriving) = urgent.fold((0, 0.0), |(ahead, arriving), class| {
+            (ahead + class.waiting, arriving + class.arrived.per_s(now))
+        });
         let least = drained / f64::from(self.cfg.yield_every.max(1));
-        let rate = (drained - urgent).max(least);
-        let ahead = self.ahead_of(waiting) as f64;
-        if ahead == 0.0 {
-            return Duration::ZERO;
-        }
-        if rate <= 0.0 {
-            return Duration::MAX;
-        }
-        Duration::try_from_secs_f64(ahead / rate).unwrap_or(Duration::MAX)
+        let left = (drained - arriving).max(least);
+        let in_class = self.classes[&waiting.priority].ahead_of(waiting) + 1;
+        let wait_s = ahead as f64 / drained + in_class as f64 / left;
+        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
     }
 
     fn admits(&self, now: Duration, waiting: &Waiting) -> Result<(), RefusalReason> {
@@ -307,7 +305,7 @@
         if wait > self.cfg.max_wait {
             return Err(RefusalReason::QueueFull);
         }
-        if now + wait + waiting.service > waiting.deadline {
+        if now.saturating_add(wait) + waiting.service > waiting.deadline {
             return Err(RefusalReason::Deadline);
         }
         Ok(())
@@ -320,17 +318,6 @@
         })
     }
 
-    /// Requests that will be sent before this one: all of more urgent classes, and of its own
-    /// class those that weighted sharing puts first.
-    fn ahead_of(&self, waiting: &Waiting) -> usize {
-        let urgent: usize = self
-            .classes
-            .range(..waiting.priority)
-            .map(|(_, c)| c.waiting)
-            .sum();
-        urgent + self.classes[&waiting.priority].ahead_of(waiting)
-    }
-
     fn can_displace(&self, priority: Priority) -> bool {
         self.classes
             .iter()
--- /dev/null
+++ b/crates/oriole_routing/tests/retry.rs
@@ -0,0 +1,96 @@
+//! Cases of retries.
+
+mod common;
+
+use common::*;
+use oriole_routing::prelude::*;
+use oriole_types::prelude::*;
+use rstest::rstest;
+
+fn not_run(reason: RefusalReason) -> AttemptEnd {
+    AttemptEnd::NotRun {
+        reason,
+        retry_after: None,
+    }
+}
+
+fn ask(end: AttemptEnd) -> RetryAsk {
+    RetryAsk {
+        attempts: 1,
+        idempotent: false,
+        end,
+        deadline: secs(10),
+        service: ms(100),
+    }
+}
+
+fn decide(ask: &RetryAsk) -> RetryDecision {
+    RetryBudget::new(RetryConfig::default()).decide(secs(1), ask, &mut rng(1))
+}
+
+#[rstest]
+#[case::full(RefusalReason::UpstreamFull, None)]
+#[case::unreachable(RefusalReason::AgentUnreachable, None)]
+#[case::quarantined(RefusalReason::Quarantined, Some(GiveUp::Final))]
+#[case::key_reused(RefusalReason::KeyReused, Some(GiveUp::Final))]
+fn decide_not_run(#[case] reason: RefusalReason, #[case] give_up: Option<GiveUp>) {
+    let decision = decide(&ask(not_run(reason)));
+    match give_up {
+        Some(expected) => assert_eq!(decision, RetryDecision::GiveUp(expected)),
+        None => assert!(matches!(decision, RetryDecision::Retry { .. })),
+    }
+}
+
+#[test]
+fn decide_unknown_only_if_idempotent() {
+    let lost = ask(AttemptEnd::Unknown(UnknownReason::AgentLost));
+    assert_eq!(decide(&lost), RetryDecision::GiveUp(GiveUp::NotIdempotent));
+    let idempotent = RetryAsk {
+        idempotent: true,
+        ..lost
+    };
+    assert!(matches!(decide(&idempotent), RetryDecision::Retry { .. }));
+}
+
+#[test]
+fn decide_limits() {
+    let tried = RetryAsk {
+        attempts: 4,
+        ..ask(not_run(RefusalReason::UpstreamFull))
+    };
+    assert_eq!(decide(&tried), RetryDecision::GiveUp(GiveUp::Attempts));
+    let late = RetryAsk {
+        deadline: ms(1050),
+        ..ask(not_run(RefusalReason::UpstreamFull))
+    };
+    assert_eq!(decide(&late), RetryDecision::GiveUp(GiveUp::Deadline));
+}
+
+#[test]
+fn decide_honours_retry_after() {
+    let retry_after = Some(secs(3));
+    let end = AttemptEnd::NotRun {
+        reason: RefusalReason::UpstreamCold,
+        retry_after,
+    };
+    assert!(matches!(decide(&ask(end)), RetryDecision::Retry { after } if after >= secs(3)));
+}
+
+#[test]
+fn decide_budget_bounds_attempts() {
+    let mut budget = RetryBudget::new(RetryConfig::default());
+    let (requests, mut attempts, mut rng) = (10_000, 0, rng(1));
+    for _ in 0..requests {
+        budget.request();
+        attempts += 1;
+        let mut ask = ask(not_run(RefusalReason::UpstreamFull));
+        while let RetryDecision::Retry { .. } = budget.decide(secs(1), &ask, &mut rng) {
+            attempts += 1;
+            ask.attempts += 1;
+        }
+    }
+    assert!(
+        attempts * 10 <= requests * 11,
+        "{attempts} attempts for {requests} requests"
+    );
+}
