--- a/crates/oriole_admission/src/gate/mod.rs
+++ b/crates/oriole_admission/src/gate/mod.rs
@@ -34,6 +34,8 @@
 
 /// Weight of a new service time in the smoothed one.
 const SERVICE_WEIGHT: f64 = 0.1;
+/// Silence of the daemon itself, in warm times, after which what it hears may be old.
+const PAUSE_FACTOR: f64 = 1.5;
 /// Time after which asking again may help where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -61,7 +63,8 @@
 pub struct Gate {
     cfg: GateConfig,
     link: Link,
-    service_state: ServiceState,
+    /// Absent until the first configuration was applied.
+    service_state: Option<ServiceState>,
     leaving: bool,
     confirmation: ConfirmationWatch,
     warmth: Warmth,
@@ -73,15 +76,18 @@
     pool: Vec<VmName>,
     crashes: u64,
     service_s: Option<f64>,
+    heard_at: Duration,
+    awake_since: Duration,
 }
 
 impl Gate {
-    /// A gate that admits nothing until it has heard of the configuration and the upstream.
+    /// A gate that admits nothing until it knows its service state, a confirmation of the
+    /// configuration, and what runs at the upstream.
     #[must_use]
     pub fn new(cfg: GateConfig, now: Duration) -> Self {
         Self {
             link: Link::Unknown,
-            service_state: ServiceState::InService,
+            service_state: None,
             leaving: false,
             confirmation: ConfirmationWatch::new(cfg.configuration_bound),
             warmth: Warmth::new(cfg.cold_concurrency, cfg.warm_concurrency),
@@ -93,6 +99,8 @@
             pool: Vec::new(),
             crashes: 0,
             service_s: None,
+            heard_at: now,
+            awake_since: now,
             cfg,
         }
     }
@@ -112,17 +120,27 @@
 
     /// Notes output of running work: the first, and each later one with the tokens it held.
     pub fn output(&mut self, now: Duration, id: WorkId, tokens: u32) -> Vec<Action> {
+        let in_time = self.hears_in_time(now);
         let Some(work) = self.running.get_mut(id) else {
             return Vec::new();
         };
-        let before = work.last_output.replace(now);
+        work.last_output = Some(now);
         work.first_output = work.first_output.or(Some(now));
         work.tokens += tokens;
-        let Some(from) = before else {
+        let before = work.reference.take();
+        let sample = before.map(|from| Sample {
+            from,
+            to: now,
+            tokens,
+        });
+        let burst = sample.as_ref().is_some_and(|s| self.warmth.is_burst(s));
+        if !in_time || burst {
             return Vec::new();
-        };
-        let to = now;
-        self.warmth.output(Sample { from, to, tokens });
+        }
+        work.reference = Some(now);
+        if let Some(sample) = sample {
+            self.warmth.output(sample);
+        }
         self.start_waiting(now)
     }
 
@@ -152,6 +170,7 @@
 
     /// Lets time pass: call it every few milliseconds while anything runs or waits.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.hears_in_time(now);
         if let Some(since) = self.running.newest_output() {
             self.warmth.silence(now, since);
         }
@@ -187,8 +206,8 @@
     /// Says whether operators let this VM and its failure domain take work. What waits is refused
     /// when it goes out of service; what runs goes on. It comes back as if cold.
     pub fn set_service_state(&mut self, now: Duration, state: ServiceState) -> Vec<Action> {
-        let was = std::mem::replace(&mut self.service_state, state);
-        if was == ServiceState::Drained && state == ServiceState::InService {
+        let was = self.service_state.replace(state);
+        if was == Some(ServiceState::Drained) && state == ServiceState::InService {
             self.warmth.collapse(now, ColdSign::Return);
         }
         self.tick(now)
@@ -277,12 +296,27 @@
         self.confirmation.age(now)
     }
 
+    /// Whether what is heard now was made just now. After a pause of this process it was not, and
+    /// what was heard last before the pause may have been late as well.
+    fn hears_in_time(&mut self, now: Duration) -> bool {
+        let Some(pace) = self.warmth.pace() else {
+            return true;
+        };
+        let since = std::mem::replace(&mut self.heard_at, now);
+        if now.saturating_sub(since) > pace.mul_f64(PAUSE_FACTOR) {
+            self.awake_since = now;
+            self.running.distrust_outputs();
+        }
+        now > self.awake_since + pace
+    }
+
     /// Why nothing may start at all.
     fn closed(&self, now: Duration) -> Option<RefusalReason> {
-        if self.leaving || self.service_state == ServiceState::Drained {
+        let drained = self.service_state == Some(ServiceState::Drained);
+        if self.leaving || drained {
             return Some(RefusalReason::Draining);
         }
-        if !self.confirmation.may_act(now) {
+        if self.service_state.is_none() || !self.confirmation.may_act(now) {
             return Some(RefusalReason::NoConfiguration);
         }
         match self.link {
@@ -357,7 +391,7 @@
     }
 
     fn has_room(&self) -> bool {
-        let exposed = self.running.started_after(self.warmth.warm_at());
+        let exposed = self.running.started_since(self.warmth.warm_at());
         self.solo.is_none()
             && self.running.in_flight() < self.warmth.limit()
             && exposed < self.warmth.exposure()
--- a/crates/oriole_admission/src/gate/running.rs
+++ b/crates/oriole_admission/src/gate/running.rs
@@ -19,6 +19,8 @@
     pub(super) started: Duration,
     pub(super) first_output: Option<Duration>,
     pub(super) last_output: Option<Duration>,
+    /// The last output, if it was heard in time.
+    pub(super) reference: Option<Duration>,
     pub(super) tokens: u32,
 }
 
@@ -46,9 +48,10 @@
         self.left_behind
     }
 
-    /// Requests in flight that started after some time.
-    pub(super) fn started_after(&self, at: Option<Duration>) -> u32 {
-        let after = |started: Duration| at.is_none_or(|at| started > at);
+    /// Requests in flight that started at some time or later. What started at that very time counts,
+    /// since the upstream may have turned cold between the two.
+    pub(super) fn started_since(&self, at: Option<Duration>) -> u32 {
+        let after = |started: Duration| at.is_none_or(|at| started >= at);
         let own = self.work.values().filter(|w| after(w.started)).count() as u32;
         let left = if after(self.left_behind_since) {
             self.left_behind
@@ -64,6 +67,7 @@
             started: now,
             first_output: None,
             last_output: None,
+            reference: None,
             tokens: 0,
         };
         self.work.insert(offer.id, work);
@@ -74,6 +78,13 @@
         self.work.get_mut(&id)
     }
 
+    /// Forgets when the last outputs were heard, since they may have been heard late.
+    pub(super) fn distrust_outputs(&mut self) {
+        for work in self.work.values_mut() {
+            work.reference = None;
+        }
+    }
+
     pub(super) fn finish(&mut self, now: Duration, id: WorkId) -> Option<Work> {
         let work = self.work.remove(&id)?;
         self.note(now);
--- a/crates/oriole_admission/src/lib.rs
+++ b/crates/oriole_admission/src/lib.rs
@@ -19,6 +19,7 @@
 //!
 //! let now = Duration::ZERO;
 //! let mut gate = Gate::new(GateConfig::default(), now);
+//! gate.set_service_state(now, ServiceState::InService);
 //! gate.upstream_found(now, 0);
 //! gate.heard_configuration(now, &Confirmation::fresh("south".into()));
 //! let offer = Offer::new(WorkId(1), Digest::of(b"body"), Duration::from_secs(30));
--- a/crates/oriole_admission/src/warmth.rs
+++ b/crates/oriole_admission/src/warmth.rs
@@ -19,8 +19,8 @@
 
 /// An output time up to this multiple of the warm time is evidence of warmth.
 const WARM_FACTOR: f64 = 2.0;
-/// An output time below this multiple of the warm time is none: the outputs had been made earlier
-/// and waited, for instance while this process was paused.
+/// An output time below this multiple of the warm time is no time at all: the outputs had been made
+/// earlier and waited.
 const BURST_FACTOR: f64 = 0.4;
 /// An output time, or a silence, beyond this multiple of the warm time is a sign of cold.
 const COLD_FACTOR: f64 = 3.0;
@@ -134,7 +134,7 @@
         self.limit
     }
 
-    /// Most requests in flight that started after [`Warmth::warm_at`].
+    /// Most requests in flight that started at [`Warmth::warm_at`] or later.
     #[must_use]
     pub fn exposure(&self) -> u32 {
         self.cold_concurrency
@@ -146,6 +146,19 @@
         self.warm_at
     }
 
+    /// Time of one token or answer while warm, once it is known.
+    #[must_use]
+    pub fn pace(&self) -> Option<Duration> {
+        self.pace.map(Duration::from_secs_f64)
+    }
+
+    /// Whether an output came so soon after the one before that both had waited to be heard.
+    #[must_use]
+    pub fn is_burst(&self, sample: &Sample) -> bool {
+        let soon = |pace: f64| sample.pace() < pace * BURST_FACTOR;
+        self.pace.is_some_and(soon)
+    }
+
     /// Whether nothing proves the upstream warm since the last sign of cold.
     #[must_use]
     pub fn is_cold(&self) -> bool {
@@ -163,15 +176,15 @@
         self.sign_at = self.sign_at.max(Some(now));
     }
 
-    /// Takes in one output.
+    /// Takes in one output. The output before must have been heard in time: heard late, it makes a
+    /// cold upstream look warm.
     pub fn output(&mut self, sample: Sample) {
         self.note(sample);
         let Some(pace) = self.pace else { return };
         // Another request's output within that time says that the upstream is not the cause.
         let alone = self.warm_at.is_none_or(|at| at <= sample.from);
         let slow = alone && self.is_silence(sample.pace(), pace);
-        let warm = pace * BURST_FACTOR..=pace * WARM_FACTOR;
-        if warm.contains(&sample.pace()) {
+        if sample.pace() <= pace * WARM_FACTOR {
             self.evidence(sample.from);
         } else if slow {
             self.collapse(sample.to, ColdSign::Pace);
