--- a/crates/oriole_admission/src/gate/mod.rs
+++ b/crates/oriole_admission/src/gate/mod.rs
@@ -36,6 +36,8 @@
 const SERVICE_WEIGHT: f64 = 0.1;
 /// Silence of the daemon itself, in warm times, after which what it hears may be old.
 const PAUSE_FACTOR: f64 = 1.5;
+/// Silence of the daemon itself after which the silence of others means nothing: several ticks.
+const PAUSE: Duration = Duration::from_millis(20);
 /// Time after which asking again may help where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -78,6 +80,7 @@
     service_s: Option<f64>,
     heard_at: Duration,
     awake_since: Duration,
+    paused_until: Duration,
 }
 
 impl Gate {
@@ -101,6 +104,7 @@
             service_s: None,
             heard_at: now,
             awake_since: now,
+            paused_until: now,
             cfg,
         }
     }
@@ -168,11 +172,13 @@
         solo.is_some() || self.queue.withdraw(id)
     }
 
-    /// Lets time pass: call it every few milliseconds while anything runs or waits.
+    /// Lets time pass: call it every 5 ms while anything runs or waits. A longer time between calls
+    /// is taken as a pause of this process, whose observations then count for nothing.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         self.hears_in_time(now);
         if let Some(since) = self.running.newest_output() {
-            self.warmth.silence(now, since);
+            // While this process itself paused, it could hear nothing.
+            self.warmth.silence(now, since.max(self.paused_until));
         }
         self.poison.tick(now);
         let mut actions = self.expire(now);
@@ -250,15 +256,14 @@
     pub fn upstream_lost(&mut self, now: Duration) -> Vec<Action> {
         self.link = Link::Down;
         self.warmth.collapse(now, ColdSign::Failure);
-        self.solo.take_if(|s| s.running);
-        let others = self.running.left_behind() > 0;
+        let solo = self.solo.take_if(|s| s.running).is_some();
         let (lost, contents) = self.running.lose(now);
         self.crashes += 1;
         let id = CrashId {
             vm: self.cfg.vm.clone(),
             number: self.cfg.first_crash_number.wrapping_add(self.crashes),
         };
-        self.poison.crashed(now, &id, &contents, others);
+        self.poison.crashed(now, &id, &contents, solo);
         let mut actions: Vec<_> = lost.into_iter().map(Action::Lost).collect();
         actions.extend(self.refuse_waiting(RefusalReason::UpstreamUnreachable));
         actions
@@ -299,11 +304,15 @@
     /// Whether what is heard now was made just now. After a pause of this process it was not, and
     /// what was heard last before the pause may have been late as well.
     fn hears_in_time(&mut self, now: Duration) -> bool {
+        let before = std::mem::replace(&mut self.heard_at, now);
+        let deaf = now.saturating_sub(before);
+        if deaf > PAUSE {
+            self.paused_until = now;
+        }
         let Some(pace) = self.warmth.pace() else {
             return true;
         };
-        let since = std::mem::replace(&mut self.heard_at, now);
-        if now.saturating_sub(since) > pace.mul_f64(PAUSE_FACTOR) {
+        if deaf > pace.mul_f64(PAUSE_FACTOR) {
             self.awake_since = now;
             self.running.distrust_outputs();
         }
@@ -405,10 +414,11 @@
         }
     }
 
+    /// Time until a place is free for work that has so many others ahead of it.
     fn expected_wait(&self, ahead: u32) -> Duration {
         let service = self.service_s.unwrap_or(0.0);
         let limit = f64::from(self.warmth.limit().max(1));
-        Duration::from_secs_f64(service * f64::from(ahead) / limit)
+        Duration::from_secs_f64(service * f64::from(ahead + 1) / limit)
     }
 
     fn refusal(&self, reason: RefusalReason) -> Refusal {
--- a/crates/oriole_admission/src/gate/running.rs
+++ b/crates/oriole_admission/src/gate/running.rs
@@ -44,10 +44,6 @@
         self.in_flight() == 0
     }
 
-    pub(super) fn left_behind(&self) -> u32 {
-        self.left_behind
-    }
-
     /// Requests in flight that started at some time or later. What started at that very time counts,
     /// since the upstream may have turned cold between the two.
     pub(super) fn started_since(&self, at: Option<Duration>) -> u32 {
--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -9,7 +9,7 @@
 
 use super::record::{Crash, CrashId, CrashNote, PoisonDigest, PoisonRecord};
 
-/// Crashes that condemn a content if it was alone in one of them.
+/// Crashes that condemn a content if one of them was in its solo run.
 const CRASHES_TO_QUARANTINE: usize = 2;
 /// Crashes that condemn a content whoever ran beside it: nobody may cause more.
 const CRASHES_AT_MOST: usize = 3;
@@ -70,25 +70,23 @@
         }
     }
 
-    /// Notes that an upstream crashed while it ran some contents.
-    ///
-    /// `others` says whether something unknown ran too. Contents that have completed before are not
-    /// suspected, unless one of them was alone.
+    /// Notes that an upstream crashed while it ran some contents; `solo` says that the one content
+    /// was a suspect that ran alone on purpose. Contents that have completed before are not
+    /// suspected.
     pub fn crashed(
         &mut self,
         now: Duration,
         id: &CrashId,
         contents: &BTreeSet<Digest>,
-        others: bool,
+        solo: bool,
     ) {
-        let alone = contents.len() == 1 && !others;
         for content in contents {
-            if !alone && self.standing(content) == Standing::Proven {
+            if self.standing(content) == Standing::Proven {
                 continue;
             }
             let crash = Crash {
                 at: now,
-                alone,
+                solo,
                 excused: false,
             };
             self.insert(*content, id.clone(), crash);
@@ -181,7 +179,7 @@
         }
         let crash = Crash {
             at: now.saturating_sub(age),
-            alone: note.alone,
+            solo: note.solo,
             excused: note.excused,
         };
         self.insert(content, note.id.clone(), crash);
@@ -229,9 +227,9 @@
     fn standing(&self) -> Standing {
         let held = || self.crashes.values().filter(|c| !c.excused);
         let crashes = held().count();
-        let was_alone = held().any(|c| c.alone);
+        let was_solo = held().any(|c| c.solo);
         let condemned =
-            crashes >= CRASHES_AT_MOST || (crashes >= CRASHES_TO_QUARANTINE && was_alone);
+            crashes >= CRASHES_AT_MOST || (crashes >= CRASHES_TO_QUARANTINE && was_solo);
         match crashes {
             0 => Standing::Unproven,
             _ if condemned => Standing::Quarantined,
--- a/crates/oriole_admission/src/poison/record.rs
+++ b/crates/oriole_admission/src/poison/record.rs
@@ -23,8 +23,8 @@
     pub struct CrashNote {
         /// The crash.
         pub id: CrashId,
-        /// Whether nothing else ran.
-        pub alone: bool,
+        /// Whether the content ran alone on purpose, being suspect.
+        pub solo: bool,
         /// Whether the content was cleared of it by completing alone.
         pub excused: bool,
         /// Time since the crash, in milliseconds.
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Crash {
     pub(super) at: Duration,
-    pub(super) alone: bool,
+    pub(super) solo: bool,
     pub(super) excused: bool,
 }
 
@@ -64,7 +64,7 @@
     pub(super) fn note(&self, id: &CrashId, now: Duration) -> CrashNote {
         CrashNote {
             id: id.clone(),
-            alone: self.alone,
+            solo: self.solo,
             excused: self.excused,
             age_ms: now.saturating_sub(self.at).as_millis() as u64,
         }
