--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,10 +2,13 @@
 
 use crate::experiment::Experiment;
 
+pub mod skew;
+pub mod skew_large;
+
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![]
+    vec![Box::new(skew::Skew), Box::new(skew_large::SkewLarge)]
 }
 
 /// The experiment of some name.
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/skew.rs
@@ -0,0 +1,133 @@
+//! Step-time skew of a group over a day of drifting demand.
+//!
+//! All contenders see the same demand and the same reports. The bound is a perfect balance for
+//! the loads and speeds of each tick: no placement can be faster.
+
+mod contender;
+mod trace;
+
+use std::collections::VecDeque;
+
+use async_trait::async_trait;
+use oriole_placement::prelude::{GroupShape, Planner, PlannerConfig};
+
+use crate::prelude::{Experiment, Limit, Report, RunOptions};
+use contender::{Contender, Periodic, Planned, Static, first_map};
+use trace::{DAY_S, Demand, LAG_TICKS, Reports, TICK_S};
+
+/// Most that the step time may exceed the bound, on average.
+const RATIO_MEAN_TARGET: f64 = 1.05;
+/// Most that the step time may exceed the bound in 99 of 100 ticks.
+const RATIO_P99_TARGET: f64 = 1.15;
+/// Most that the step time may exceed the bound while a straggler is slow.
+const STRAGGLER_TARGET: f64 = 1.15;
+/// Most bytes moved, relative to the periodic rebalance.
+const BYTES_TARGET: f64 = 0.25;
+/// Points that are plotted of each contender.
+const PLOT_POINTS: usize = 720;
+
+/// Skew of a group of today's size: 16 ranks, 64 experts.
+pub struct Skew;
+
+#[async_trait]
+impl Experiment for Skew {
+    fn name(&self) -> &'static str {
+        "skew"
+    }
+
+    fn about(&self) -> &'static str {
+        "step-time skew of 16 ranks and 64 experts over a day of drifting demand"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        run_day(&today(), options)
+    }
+}
+
+fn today() -> GroupShape {
+    GroupShape {
+        ranks: 16,
+        experts: 64,
+        layers: 8,
+        slots_per_rank: 5,
+        expert_bytes: 40_000_000,
+        weight_bytes_per_s: 2_000_000_000,
+        domains: (0..16).map(|r| r % 3).collect(),
+    }
+}
+
+/// Runs all contenders over one day.
+pub(super) fn run_day(shape: &GroupShape, options: &RunOptions) -> eyre::Result<Report> {
+    let length = options.duration.map_or(DAY_S, |d| d.as_secs_f64());
+    let ticks = (length / TICK_S) as usize;
+    let mut demand = Demand::new(shape, ticks, options.seed);
+    let (truth, reports) = demand.advance().ok_or_else(|| eyre::eyre!("no ticks"))?;
+    let first = first_map(shape, &truth);
+    let planner = Planner::new(PlannerConfig::default(), shape.clone())?;
+    let mut ours = Contender::new(shape, &first, Box::new(Planned::new(planner)));
+    let mut fixed = Contender::new(shape, &first, Box::new(Static));
+    let mut periodic = Contender::new(shape, &first, Box::new(Periodic::new(shape)));
+    let mut straggler = Vec::new();
+    let mut late: VecDeque<Reports> = VecDeque::from([reports]);
+    for tick in 0.. {
+        let Some((truth, reports)) = demand.advance() else {
+            break;
+        };
+        late.push_back(reports);
+        let seen = (late.len() > LAG_TICKS).then(|| late.pop_front()).flatten();
+        for c in [&mut ours, &mut fixed, &mut periodic] {
+            c.tick(tick, &truth, seen.as_ref());
+        }
+        straggler.push(truth.straggler);
+    }
+    Ok(report(&ours, &fixed, &periodic, &straggler))
+}
+
+fn report(ours: &Contender, fixed: &Contender, periodic: &Contender, straggler: &[bool]) -> Report {
+    let mut report = Report::default();
+    for (name, c) in [("", ours), ("static_", fixed), ("periodic_", periodic)] {
+        report.figure(&format!("{name}skew_mean"), mean(&c.skew));
+        report.figure(&format!("{name}skew_p99"), p99(&c.skew));
+        report.figure(&format!("{name}ratio_to_bound"), mean(&c.ratio));
+        report.figure(&format!("{name}ratio_to_bound_p99"), p99(&c.ratio));
+        report.figure(&format!("{name}gb_moved"), c.bytes_moved as f64 / 1e9);
+        report.figure(&format!("{name}map_changes"), c.map_changes.len() as f64);
+        let slow = c.ratio.iter().zip(straggler).filter(|(_, s)| **s);
+        let slow: Vec<f64> = slow.map(|(r, _)| *r).collect();
+        report.figure(&format!("{name}straggler_ratio_to_bound"), mean(&slow));
+    }
+    let of_periodic = ours.bytes_moved as f64 / periodic.bytes_moved.max(1) as f64;
+    report
+        .figure("bytes_moved_ratio", of_periodic)
+        .figure("skew_to_periodic", mean(&ours.skew) / mean(&periodic.skew))
+        .bound("ratio_to_bound", Limit::AtMost(RATIO_MEAN_TARGET))
+        .bound("ratio_to_bound_p99", Limit::AtMost(RATIO_P99_TARGET))
+        .bound("bytes_moved_ratio", Limit::AtMost(BYTES_TARGET))
+        .bound("skew_to_periodic", Limit::AtMost(1.0))
+        .bound("straggler_ratio_to_bound", Limit::AtMost(STRAGGLER_TARGET));
+    for (label, c) in [("planned", ours), ("static", fixed), ("periodic", periodic)] {
+        report.curve(label, curve(&c.skew));
+        report.curve(&format!("{label} to bound"), curve(&c.ratio));
+    }
+    report
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+fn p99(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let i = (sorted.len() as f64 * 0.99).ceil() as usize;
+    sorted[i.clamp(1, sorted.len()) - 1]
+}
+
+/// Means over equal parts of the day, by hour.
+fn curve(values: &[f64]) -> Vec<(f64, f64)> {
+    let chunk = values.len().div_ceil(PLOT_POINTS).max(1);
+    let hour = |i: usize| (i * chunk) as f64 * TICK_S / 3600.0;
+    (values.chunks(chunk).enumerate())
+        .map(|(i, c)| (hour(i), mean(c)))
+        .collect()
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/skew/contender.rs
@@ -0,0 +1,195 @@
+//! The ways to place experts that are compared.
+
+use oriole_placement::balance::LayerWork;
+use oriole_placement::greedy;
+use oriole_placement::prelude::*;
+use oriole_placement::speeds::SpeedConfig;
+
+use super::trace::{Reports, TICK_S, Truth};
+
+/// Time between two full rebalances of the periodic contender, in seconds.
+const REBALANCE_S: f64 = 600.0;
+/// Ticks for switching maps once all weights are read.
+const SWITCH_TICKS: usize = 1;
+
+/// A way to place experts.
+pub trait Policy {
+    /// Takes in the reports of one tick; returns the map to change to, if any.
+    fn step(&mut self, reports: &Reports, in_force: &ExpertMap) -> Option<ExpertMap>;
+}
+
+/// Keeps the first map.
+pub struct Static;
+
+impl Policy for Static {
+    fn step(&mut self, _: &Reports, _: &ExpertMap) -> Option<ExpertMap> {
+        None
+    }
+}
+
+/// The planner.
+pub struct Planned {
+    planner: Planner,
+}
+
+impl Planned {
+    pub fn new(planner: Planner) -> Self {
+        Self { planner }
+    }
+}
+
+impl Policy for Planned {
+    fn step(&mut self, reports: &Reports, in_force: &ExpertMap) -> Option<ExpertMap> {
+        self.planner.observe_loads(&reports.loads(in_force));
+        for (rank, speed) in reports.speeds() {
+            self.planner.observe_speed(rank, speed);
+        }
+        if self
+            .planner
+            .map()
+            .is_none_or(|m| m.version != in_force.version)
+        {
+            self.planner.set_map(in_force.clone());
+        }
+        self.planner.plan().map(|p| p.map)
+    }
+}
+
+/// Rebalances everything from scratch at fixed intervals, by the mean load since the last time.
+pub struct Periodic {
+    shape: GroupShape,
+    speeds: SpeedEstimator,
+    sums: Vec<Vec<(f32, f32)>>,
+    ticks: usize,
+}
+
+impl Periodic {
+    pub fn new(shape: &GroupShape) -> Self {
+        Self {
+            shape: shape.clone(),
+            speeds: SpeedEstimator::new(SpeedConfig::default(), shape.ranks),
+            sums: vec![vec![(0.0, 0.0); shape.experts]; shape.layers],
+            ticks: 0,
+        }
+    }
+
+    fn rebalance(&mut self, in_force: &ExpertMap) -> ExpertMap {
+        let speeds = self.speeds.speeds();
+        let mean = |(sum, n): &(f32, f32)| if *n > 0.0 { sum / n } else { 0.0 };
+        let layer = |sums: &Vec<(f32, f32)>| {
+            let loads: Vec<f32> = sums.iter().map(mean).collect();
+            greedy::place_layer(&self.shape, &loads, &speeds)
+        };
+        let map = ExpertMap {
+            version: in_force.version.next(),
+            slots_per_rank: self.shape.slots_per_rank,
+            layers: self.sums.iter().map(layer).collect(),
+        };
+        self.sums.iter_mut().flatten().for_each(|s| *s = (0.0, 0.0));
+        map
+    }
+}
+
+impl Policy for Periodic {
+    fn step(&mut self, reports: &Reports, in_force: &ExpertMap) -> Option<ExpertMap> {
+        for (rank, speed) in reports.speeds() {
+            self.speeds.observe(rank, speed);
+        }
+        let sample = reports.loads(in_force);
+        let cells = self.sums.iter_mut().flatten();
+        for (sum, load) in cells.zip(sample.layers.iter().flatten()) {
+            if let Some(load) = load {
+                sum.0 += load;
+                sum.1 += 1.0;
+            }
+        }
+        self.ticks += 1;
+        let due = (REBALANCE_S / TICK_S) as usize;
+        (self.ticks.is_multiple_of(due)).then(|| self.rebalance(in_force))
+    }
+}
+
+/// One contender's run over the trace.
+pub struct Contender {
+    policy: Box<dyn Policy + Send>,
+    shape: GroupShape,
+    map: ExpertMap,
+    pending: Option<(usize, ExpertMap)>,
+    pub bytes_moved: u64,
+    pub map_changes: Vec<usize>,
+    pub skew: Vec<f64>,
+    pub ratio: Vec<f64>,
+}
+
+impl Contender {
+    pub fn new(shape: &GroupShape, first: &ExpertMap, policy: Box<dyn Policy + Send>) -> Self {
+        Self {
+            policy,
+            shape: shape.clone(),
+            map: first.clone(),
+            pending: None,
+            bytes_moved: 0,
+            map_changes: Vec::new(),
+            skew: Vec::new(),
+            ratio: Vec::new(),
+        }
+    }
+
+    /// One tick: what the map in force costs, then what the policy makes of the reports.
+    pub fn tick(&mut self, tick: usize, truth: &Truth, reports: Option<&Reports>) {
+        self.put_in_force(tick);
+        self.measure(truth);
+        let (Some(reports), None) = (reports, &self.pending) else {
+            return;
+        };
+        let Some(next) = self.policy.step(reports, &self.map) else {
+            return;
+        };
+        let bytes = self.map.moves_to(&next).len() as u64 * self.shape.expert_bytes;
+        self.bytes_moved += bytes;
+        let read_s = bytes as f64 / self.shape.weight_bytes_per_s as f64;
+        let ticks = (read_s / TICK_S).ceil() as usize + SWITCH_TICKS;
+        self.pending = Some((tick + ticks, next));
+    }
+
+    fn put_in_force(&mut self, tick: usize) {
+        if let Some((_, map)) = self.pending.take_if(|(at, _)| *at <= tick) {
+            self.map = map;
+            self.map_changes.push(tick);
+        }
+    }
+
+    fn measure(&mut self, truth: &Truth) {
+        let (mut slowest, mut mean, mut bound) = (0.0, 0.0, 0.0);
+        let speed_sum: f32 = truth.speeds.iter().sum();
+        for (layer, loads) in self.map.layers.iter().zip(&truth.loads) {
+            let ranks = layer.rank_loads(loads, self.shape.slots_per_rank);
+            let times = || {
+                ranks
+                    .iter()
+                    .zip(&truth.speeds)
+                    .map(|(l, s)| f64::from(l / s))
+            };
+            slowest += times().fold(0.0, f64::max);
+            mean += times().sum::<f64>() / ranks.len() as f64;
+            bound += f64::from(loads.iter().sum::<f32>() / speed_sum);
+        }
+        self.skew.push(slowest / mean);
+        self.ratio.push(slowest / bound);
+    }
+}
+
+/// The best map of the greedy rebalance with the best shares, for loads that are known.
+pub fn first_map(shape: &GroupShape, truth: &Truth) -> ExpertMap {
+    let layer = |loads: &Vec<f32>| {
+        let placed = greedy::place_layer(shape, loads, &truth.speeds);
+        let mut work = LayerWork::new(&placed, loads, &truth.speeds, shape.slots_per_rank);
+        work.balance();
+        work.to_layer()
+    };
+    ExpertMap {
+        version: MapVersion(1),
+        slots_per_rank: shape.slots_per_rank,
+        layers: truth.loads.iter().map(layer).collect(),
+    }
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/skew/trace.rs
@@ -0,0 +1,302 @@
+//! A day of demand for the experts of a group, with the faults of its ranks and reports.
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution as _, StandardNormal};
+
+use oriole_placement::prelude::{ExpertMap, GroupShape, LoadSample};
+
+/// Length of a tick: the interval at which ranks report, in seconds.
+pub const TICK_S: f64 = 10.0;
+/// Length of a day in seconds.
+pub const DAY_S: f64 = 86_400.0;
+
+/// Spread of the popularity of experts, in logarithms.
+const POPULARITY_SPREAD: f32 = 0.8;
+/// Spread of the slow drift of one expert's popularity, in logarithms.
+const DRIFT_SPREAD: f32 = 0.5;
+/// Shortest and longest period of the slow drift, in seconds.
+const DRIFT_PERIODS_S: std::ops::Range<f64> = 2.0 * 3600.0..8.0 * 3600.0;
+/// Spread of the random walk on top of the slow drift, in logarithms.
+const WALK_SPREAD: f32 = 0.15;
+/// Time after which the random walk has forgotten its past, in seconds.
+const WALK_TIME_S: f64 = 3600.0;
+/// Part of the experts whose popularity the sudden jump draws anew.
+const JUMP_PART: f64 = 0.3;
+/// Factor on the load of the hot expert.
+const HOT_FACTOR: f32 = 6.0;
+/// Variation of the load of one expert from tick to tick that nobody can foresee.
+const BURST_SPREAD: f32 = 0.01;
+/// Noise of a report.
+const REPORT_SPREAD: f32 = 0.1;
+/// Noise of a rank's measured speed.
+const SPEED_SPREAD: f32 = 0.03;
+/// Ticks by which a report is late.
+pub const LAG_TICKS: usize = 2;
+/// Probability that a rank's report of one tick is lost.
+const LOST_REPORT: f64 = 0.05;
+/// Speed of the straggler.
+const STRAGGLER_SPEED: f32 = 0.6;
+/// Speed of the stalled rank.
+const STALL_SPEED: f32 = 0.1;
+
+/// Part of the day during which something happens.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    from: f64,
+    to: f64,
+}
+
+impl Window {
+    fn holds(self, part: f64) -> bool {
+        (self.from..self.to).contains(&part)
+    }
+}
+
+/// Start of the jump.
+const JUMP_AT: f64 = 0.30;
+/// The hot expert: half an hour.
+const HOT: Window = Window {
+    from: 0.55,
+    to: 0.55 + 1800.0 / DAY_S,
+};
+/// The straggler: forty minutes.
+const STRAGGLER: Window = Window {
+    from: 0.75,
+    to: 0.75 + 2400.0 / DAY_S,
+};
+/// The stall: one tick.
+const STALL: Window = Window {
+    from: 0.85,
+    to: 0.85 + TICK_S / DAY_S,
+};
+/// No reports at all: three minutes.
+const OUTAGE: Window = Window {
+    from: 0.45,
+    to: 0.45 + 180.0 / DAY_S,
+};
+
+/// What really happened in one tick.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// Load of each expert, layer by layer.
+    pub loads: Vec<Vec<f32>>,
+    /// Speed of each rank.
+    pub speeds: Vec<f32>,
+    /// Whether the straggler was slow.
+    pub straggler: bool,
+}
+
+/// What the ranks reported about one tick.
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    noisy_loads: Vec<Vec<f32>>,
+    speeds: Vec<f32>,
+    lost: Vec<bool>,
+}
+
+impl Reports {
+    /// The loads as far as the ranks that hold the experts reported them.
+    pub fn loads(&self, map: &ExpertMap) -> LoadSample {
+        let layers = map.layers.iter().zip(&self.noisy_loads);
+        let layers = layers.map(|(layer, loads)| {
+            let mut seen = vec![None; loads.len()];
+            for (slot, expert) in layer.experts.iter().enumerate() {
+                let e = usize::from(*expert);
+                if !self.lost[slot / map.slots_per_rank] {
+                    seen[e] = Some(loads[e]);
+                }
+            }
+            seen
+        });
+        LoadSample {
+            layers: layers.collect(),
+        }
+    }
+
+    /// The speeds that were reported, by rank.
+    pub fn speeds(&self) -> impl Iterator<Item = (usize, f32)> + '_ {
+        let all = self.speeds.iter().copied().enumerate();
+        all.filter(|(rank, _)| !self.lost[*rank])
+    }
+}
+
+/// One user's taste for one expert of one layer, in logarithms.
+struct Taste {
+    base: f32,
+    drift: Wave,
+    walk: f32,
+}
+
+impl Taste {
+    fn draw(rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            base: POPULARITY_SPREAD * normal(rng),
+            drift: Wave::draw(rng),
+            walk: WALK_SPREAD * normal(rng),
+        }
+    }
+
+    fn weight(&self) -> f32 {
+        (self.base + self.drift.sine + self.walk).exp()
+    }
+}
+
+/// A slow oscillation, advanced by rotation.
+struct Wave {
+    sine: f32,
+    cosine: f32,
+    turn: (f32, f32),
+}
+
+impl Wave {
+    fn draw(rng: &mut ChaCha8Rng) -> Self {
+        let phase = rng.random_range(0.0..std::f32::consts::TAU);
+        let turn = std::f64::consts::TAU * TICK_S / rng.random_range(DRIFT_PERIODS_S);
+        let height = DRIFT_SPREAD * std::f32::consts::SQRT_2;
+        Self {
+            sine: height * phase.sin(),
+            cosine: height * phase.cos(),
+            turn: (turn.sin() as f32, turn.cos() as f32),
+        }
+    }
+
+    fn advance(&mut self) {
+        let (sin, cos) = self.turn;
+        let sine = self.sine * cos + self.cosine * sin;
+        self.cosine = self.cosine * cos - self.sine * sin;
+        self.sine = sine;
+    }
+}
+
+/// The demand, tick after tick.
+pub struct Demand {
+    shape: GroupShape,
+    rng: ChaCha8Rng,
+    ticks: usize,
+    tick: usize,
+    jumped: bool,
+    users: Vec<Vec<Vec<Taste>>>,
+    hot: Vec<usize>,
+}
+
+fn normal(rng: &mut ChaCha8Rng) -> f32 {
+    StandardNormal.sample(rng)
+}
+
+impl Demand {
+    /// Two users' demand on a group over so many ticks, which stand for one day.
+    pub fn new(shape: &GroupShape, ticks: usize, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut layer = || (0..shape.experts).map(|_| Taste::draw(&mut rng)).collect();
+        let mut user = || (0..shape.layers).map(|_| layer()).collect();
+        let users = vec![user(), user()];
+        let hot = (0..shape.layers)
+            .map(|_| rng.random_range(0..shape.experts))
+            .collect();
+        Self {
+            shape: shape.clone(),
+            rng,
+            ticks,
+            tick: 0,
+            jumped: false,
+            users,
+            hot,
+        }
+    }
+
+    /// The next tick, or `None` when the day is over.
+    pub fn advance(&mut self) -> Option<(Truth, Reports)> {
+        if self.tick == self.ticks {
+            return None;
+        }
+        let part = self.tick as f64 / self.ticks as f64;
+        self.tick += 1;
+        self.drift();
+        if part >= JUMP_AT && !self.jumped {
+            self.jump();
+        }
+        let truth = self.truth(part);
+        let reports = self.reports(&truth, part);
+        Some((truth, reports))
+    }
+
+    fn drift(&mut self) {
+        let keep = (-TICK_S / WALK_TIME_S).exp() as f32;
+        let step = WALK_SPREAD * (1.0 - keep * keep).sqrt();
+        for taste in self.users.iter_mut().flatten().flatten() {
+            taste.drift.advance();
+            taste.walk = keep * taste.walk + step * normal(&mut self.rng);
+        }
+    }
+
+    fn jump(&mut self) {
+        self.jumped = true;
+        for taste in self.users[1].iter_mut().flatten() {
+            if self.rng.random_bool(JUMP_PART) {
+                taste.base = POPULARITY_SPREAD * normal(&mut self.rng);
+            }
+        }
+    }
+
+    fn truth(&mut self, part: f64) -> Truth {
+        let rates = [daily_rate(part, 0.35, 0.8), daily_rate(part, 0.65, 0.5)];
+        let mut speeds = vec![1.0; self.shape.ranks];
+        let straggler = STRAGGLER.holds(part);
+        if straggler {
+            speeds[self.shape.ranks / 3] = STRAGGLER_SPEED;
+        }
+        if STALL.holds(part) {
+            speeds[self.shape.ranks / 2] = STALL_SPEED;
+        }
+        let loads = (0..self.shape.layers).map(|l| self.layer_loads(l, rates, part));
+        Truth {
+            loads: loads.collect(),
+            speeds,
+            straggler,
+        }
+    }
+
+    fn layer_loads(&mut self, layer: usize, rates: [f32; 2], part: f64) -> Vec<f32> {
+        let mut loads = vec![0.0; self.shape.experts];
+        for (user, rate) in self.users.iter().zip(rates) {
+            let weights: Vec<f32> = user[layer].iter().map(Taste::weight).collect();
+            let total: f32 = weights.iter().sum();
+            for (load, w) in loads.iter_mut().zip(&weights) {
+                *load += rate * w / total;
+            }
+        }
+        if HOT.holds(part) {
+            loads[self.hot[layer]] *= HOT_FACTOR;
+        }
+        for load in &mut loads {
+            *load *= 1.0 + BURST_SPREAD * normal(&mut self.rng);
+        }
+        loads
+    }
+
+    fn reports(&mut self, truth: &Truth, part: f64) -> Reports {
+        let rng = &mut self.rng;
+        let noisy = |rng: &mut ChaCha8Rng, x: f32, spread: f32| x * (spread * normal(rng)).exp();
+        let loads = truth.loads.iter();
+        let noisy_loads = loads
+            .map(|l| l.iter().map(|x| noisy(rng, *x, REPORT_SPREAD)).collect())
+            .collect();
+        let speeds = truth.speeds.iter();
+        let outage = OUTAGE.holds(part);
+        Reports {
+            noisy_loads,
+            speeds: speeds.map(|s| noisy(rng, *s, SPEED_SPREAD)).collect(),
+            lost: truth
+                .speeds
+                .iter()
+                .map(|_| rng.random_bool(LOST_REPORT) || outage)
+                .collect(),
+        }
+    }
+}
+
+/// Rate of one user at some part of the day: a wave with a peak.
+fn daily_rate(part: f64, peak: f64, swing: f64) -> f32 {
+    (1.0 + swing * ((part - peak) * std::f64::consts::TAU).cos()) as f32
+}
--- a/crates/oriole_placement/src/planner.rs
+++ b/crates/oriole_placement/src/planner.rs
@@ -103,9 +103,14 @@
     loads: LoadEstimator,
     speeds: SpeedEstimator,
     planned_speeds: Vec<f32>,
+    settled: Vec<f32>,
     map: Option<ExpertMap>,
 }
 
+/// How much worse a layer has to get before it is searched again without success.
+const RESEARCH_ABOVE: f32 = 0.005;
+/// Part by which the memory of a search without success fades with each plan.
+const RESEARCH_FADE: f32 = 0.02;
 /// Part of its planned speed by which a rank has to change for the change to be the reason.
 const SPEED_CHANGE: f32 = 0.1;
 
@@ -121,6 +126,7 @@
             loads: LoadEstimator::new(cfg.loads, shape.layers, shape.experts),
             speeds: SpeedEstimator::new(cfg.speeds, shape.ranks),
             planned_speeds: vec![1.0; shape.ranks],
+            settled: vec![0.0; shape.layers],
             cfg,
             shape,
             map: None,
@@ -178,11 +184,13 @@
 
     /// A map that pays, if there is one.
     #[must_use]
-    pub fn plan(&self) -> Option<Plan> {
-        match &self.map {
-            None => Some(self.first_plan()),
-            Some(map) => self.next_plan(map),
-        }
+    pub fn plan(&mut self) -> Option<Plan> {
+        let Some(map) = self.map.take() else {
+            return Some(self.first_plan());
+        };
+        let plan = self.next_plan(&map);
+        self.map = Some(map);
+        plan
     }
 
     fn work(&self, map: &ExpertMap, layer: usize, speeds: &[f32]) -> LayerWork {
@@ -216,7 +224,7 @@
         }
     }
 
-    fn next_plan(&self, map: &ExpertMap) -> Option<Plan> {
+    fn next_plan(&mut self, map: &ExpertMap) -> Option<Plan> {
         let speeds = self.speeds.speeds();
         let mut layers = LayerPlans::default();
         for l in 0..map.layers.len() {
@@ -229,16 +237,22 @@
         self.finish(map, &layers, &speeds)
     }
 
-    /// Searches the worst layers first, until the byte budget is spent.
-    fn search_layers(&self, layers: &mut LayerPlans) {
+    /// Searches the worst layers first, until the byte budget is spent. A layer in which a search
+    /// found nothing that pays is left alone until it is worse or some time has passed.
+    fn search_layers(&mut self, layers: &mut LayerPlans) {
         let mut budget = (self.cfg.max_bytes / self.shape.expert_bytes.max(1)) as usize;
         for l in layers.worst_first() {
-            if layers.works[l].peak() <= 1.0 + self.cfg.move_above || budget == 0 {
-                break;
+            let peak = layers.works[l].peak();
+            self.settled[l] -= RESEARCH_FADE * (self.settled[l] - 1.0).max(0.0);
+            if peak <= (1.0 + self.cfg.move_above).max(self.settled[l]) || budget == 0 {
+                continue;
             }
             let cfg = self.search_config(budget, self.price_per_read());
             let reads = search::improve(&mut layers.works[l], &cfg, &self.shape.domains);
             budget -= reads.min(budget);
+            if layers.works[l].peak() > 1.0 + self.cfg.move_above {
+                self.settled[l] = layers.works[l].peak() + RESEARCH_ABOVE;
+            }
         }
     }
 
--- a/crates/oriole_placement/src/search.rs
+++ b/crates/oriole_placement/src/search.rs
@@ -24,6 +24,8 @@
 
 /// Passes of share balancing in a trial.
 const TRIAL_SWEEPS: usize = 8;
+/// Candidates of a round that are tried in full.
+const SHORTLIST: usize = 16;
 
 /// One change of a placement.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -85,17 +87,14 @@
 ) -> Option<Change> {
     let before = work.smooth_peak();
     let mut best: Option<(f32, usize, Change)> = None;
-    for change in candidates(work, cfg) {
-        if change.reads() > budget {
-            continue;
-        }
+    for change in shortlist(work, trial, cfg, budget) {
         trial.clone_from(work);
         change.apply(trial);
         trial.balance_for(TRIAL_SWEEPS);
         let gain = before - trial.smooth_peak() - cfg.price_per_read * change.reads() as f32;
         let spread = domain_spread(work, change, domains);
         let better = match best {
-            None => gain > 0.0,
+            None => true,
             Some((g, s, _)) => gain > g + TIE || (gain > g - TIE && spread > s),
         };
         if better && gain > 0.0 {
@@ -105,6 +104,28 @@
     best.map(|(_, _, change)| change)
 }
 
+/// The candidates that look best while only the loads of their own experts are spread anew.
+fn shortlist(
+    work: &LayerWork,
+    trial: &mut LayerWork,
+    cfg: &SearchConfig,
+    budget: usize,
+) -> Vec<Change> {
+    let mut scored: Vec<(f32, Change)> = candidates(work, cfg)
+        .into_iter()
+        .filter(|change| change.reads() <= budget)
+        .map(|change| {
+            trial.clone_from(work);
+            change.apply(trial);
+            let price = cfg.price_per_read * change.reads() as f32;
+            (trial.smooth_peak() + price, change)
+        })
+        .collect();
+    scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+    scored.truncate(SHORTLIST);
+    scored.into_iter().map(|(_, change)| change).collect()
+}
+
 /// Gains closer than this count as equal, and the wider spread over failure domains wins.
 const TIE: f32 = 1e-4;
 
@@ -167,8 +188,14 @@
     let load = slot_load(work, from);
     for to in rank * work.slots_per_rank..(rank + 1) * work.slots_per_rank {
         let other = work.slots[to];
-        let spare = work.replicas[usize::from(other)].len > 1;
-        if spare && !work.replicas[usize::from(expert)].is_full() {
+        let (had, gets) = (
+            &work.replicas[usize::from(other)],
+            &work.replicas[usize::from(expert)],
+        );
+        if gets.is_full() || had.is_full() {
+            continue;
+        }
+        if had.len > 1 {
             changes.push(Change::Copy { expert, slot: to });
         }
         if !work.holds(source, usize::from(other)) && slot_load(work, to) < load {
--- a/crates/oriole_placement/src/speeds.rs
+++ b/crates/oriole_placement/src/speeds.rs
@@ -23,7 +23,7 @@
     fn default() -> Self {
         Self {
             window: 5,
-            gain: 0.05,
+            gain: 0.01,
             jump: 0.12,
             floor: 0.05,
         }
