--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,13 +2,23 @@
 
 use crate::experiment::Experiment;
 
-pub mod skew;
-pub mod skew_large;
+mod claims;
+mod claims_baseline;
+mod claims_fleet;
+mod claims_history;
+mod skew;
+mod skew_large;
+mod store_outage;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(skew::Skew), Box::new(skew_large::SkewLarge)]
+    vec![
+        Box::new(claims::Claims),
+        Box::new(skew::Skew),
+        Box::new(skew_large::SkewLarge),
+        Box::new(store_outage::StoreOutage),
+    ]
 }
 
 /// The experiment of some name.
