--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod claims_baseline;
 mod claims_fleet;
 mod claims_history;
+mod path;
 mod skew;
 mod skew_large;
 mod store_outage;
@@ -15,6 +16,7 @@
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
         Box::new(claims::Claims),
+        Box::new(path::Path),
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/path.rs
@@ -0,0 +1,292 @@
+//! Latency that the daemons add to a stream, and the rate they hold.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use oriole_local::prelude::*;
+use oriole_standins::vitals::VitalsState;
+use tokio::sync::mpsc;
+
+use crate::prelude::*;
+use crate::process;
+
+/// Requests a second at the peak.
+const REQUESTS_PER_S: u32 = 1_400;
+
+/// Tokens a second at the peak.
+const TOKENS_PER_S: u32 = 530_000;
+
+/// Time of one token at the engine, at this scale: streams are as long as at the peak and as many
+/// a second, but each is faster, so that fewer run at once.
+const TOKEN_TIME: Duration = Duration::from_millis(1);
+
+/// Time of the measured part of each phase.
+const PHASE: Duration = Duration::from_secs(12);
+
+/// Time before each phase that is not measured.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Requests in flight that one engine bears.
+const ENGINE_CONCURRENCY: u32 = 200;
+
+/// Time between two starts of requests.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Added latency and top rate of the whole path.
+pub struct Path;
+
+#[async_trait]
+impl Experiment for Path {
+    fn name(&self) -> &'static str {
+        "path"
+    }
+
+    fn about(&self) -> &'static str {
+        "latency added by the daemons at the peak rate, against the engines asked directly"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let deployment = Arc::new(Deployment::start(&spec()?).await?);
+        let phase = options.duration_or(PHASE);
+        let direct = measure(&deployment, Way::Direct, phase).await?;
+        let through = measure(&deployment, Way::Through, phase).await?;
+        Ok(report(&direct, &through, phase))
+    }
+}
+
+/// How requests go to the engines.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Direct,
+    Through,
+}
+
+/// What one request showed.
+struct Sample {
+    first_byte: Duration,
+    tokens: u64,
+    complete: bool,
+    measured: bool,
+}
+
+/// What a phase showed.
+struct Phase {
+    first_byte_us: Histogram<u64>,
+    complete: u64,
+    failed: u64,
+    tokens: u64,
+    cpu: Duration,
+    resident_mb: f64,
+}
+
+fn spec() -> eyre::Result<DeploymentSpec> {
+    let mut spec = DeploymentSpec::named(DeploymentName::Grucce)?;
+    spec.engines = 12;
+    for pool in spec.catalog.pools.values_mut() {
+        pool.warm_concurrency = ENGINE_CONCURRENCY;
+    }
+    for account in spec.catalog.accounts.values_mut() {
+        account.requests_per_s = REQUESTS_PER_S * 10;
+        account.burst = REQUESTS_PER_S * 10;
+        account.max_in_flight = REQUESTS_PER_S * 100;
+    }
+    spec.engine.vitals.initial = VitalsState::Ok;
+    spec.service.vitals.initial = VitalsState::Ok;
+    spec.engine.token_time = TOKEN_TIME;
+    spec.engine.prefill_time = Duration::from_millis(5);
+    Ok(spec)
+}
+
+async fn measure(deployment: &Arc<Deployment>, way: Way, length: Duration) -> eyre::Result<Phase> {
+    let sender = Arc::new(Sender::open(deployment, way)?);
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let started = Instant::now();
+    let mut interval = tokio::time::interval(TICK);
+    let mut sent: u32 = 0;
+    let cpu_before = process::cpu_time()?;
+    while started.elapsed() < WARM_UP + length {
+        interval.tick().await;
+        let due = started.elapsed().as_secs_f64() * f64::from(REQUESTS_PER_S);
+        while f64::from(sent) < due {
+            let (sender, tx) = (Arc::clone(&sender), tx.clone());
+            let measured = started.elapsed() >= WARM_UP;
+            let number = sent;
+            tokio::spawn(async move {
+                let sample = sender.send(number, measured).await;
+                // The receiver lives as long as the phase.
+                let _ = tx.send(sample);
+            });
+            sent += 1;
+        }
+    }
+    drop(tx);
+    let mut phase = Phase::new();
+    while let Some(sample) = rx.recv().await {
+        phase.add(&sample);
+    }
+    phase.cpu = process::cpu_time()?.saturating_sub(cpu_before);
+    phase.resident_mb = process::resident_mb()?;
+    Ok(phase)
+}
+
+/// Sends requests to the engines in one way.
+struct Sender {
+    way: Way,
+    engines: Vec<SocketAddr>,
+    entries: Vec<SocketAddr>,
+    caller: Caller,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Sender {
+    fn open(deployment: &Deployment, way: Way) -> eyre::Result<Self> {
+        let ready = deployment.ready();
+        let key = ready.accounts.values().next();
+        let key = key.ok_or_else(|| eyre::eyre!("no account"))?;
+        let upstreams = deployment.platform().upstreams.iter();
+        let engines = upstreams.filter(|u| u.pool.as_str() == "dispatch");
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Ok(Self {
+            way,
+            engines: engines.map(|u| u.upstream.addr()).collect(),
+            entries: ready.caller_addresses.clone(),
+            caller: Caller::open(key),
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        })
+    }
+
+    async fn send(&self, number: u32, measured: bool) -> Sample {
+        let sent = match self.way {
+            Way::Direct => self.send_direct(number).await,
+            Way::Through => self.send_through(number).await,
+        };
+        let (first_byte, tokens, complete) = sent.unwrap_or((Duration::ZERO, 0, false));
+        Sample {
+            first_byte,
+            tokens,
+            complete,
+            measured,
+        }
+    }
+
+    async fn send_through(&self, number: u32) -> eyre::Result<(Duration, u64, bool)> {
+        let addr = self.entries[number as usize % self.entries.len()];
+        let req = CallerRequest {
+            entry: "pickup-notes",
+            body: body(number),
+            stream: true,
+            ..CallerRequest::default()
+        };
+        let answer = self.caller.send(addr, &req).await?;
+        let complete = answer.outcome == "complete" && answer.tokens == tokens_per_request();
+        Ok((answer.first_byte, answer.tokens, complete))
+    }
+
+    async fn send_direct(&self, number: u32) -> eyre::Result<(Duration, u64, bool)> {
+        let addr = self.engines[number as usize % self.engines.len()];
+        let req =
+            Request::post(format!("http://{addr}/v1/generate")).body(Full::new(body(number)))?;
+        let started = Instant::now();
+        let mut response = self.client.request(req).await?;
+        let first = response.body_mut().frame().await;
+        let first_byte = started.elapsed();
+        let first = first.and_then(Result::ok).and_then(|f| f.into_data().ok());
+        let rest = response.into_body().collect().await?.to_bytes();
+        let lines = |data: &[u8]| data.iter().filter(|b| **b == b'\n').count() as u64;
+        let tokens = first.map_or(0, |data| lines(&data)) + lines(&rest);
+        // One line closes the answer.
+        let tokens = tokens.saturating_sub(1);
+        Ok((first_byte, tokens, tokens == tokens_per_request()))
+    }
+}
+
+fn tokens_per_request() -> u64 {
+    u64::from(TOKENS_PER_S.div_ceil(REQUESTS_PER_S))
+}
+
+fn body(number: u32) -> Bytes {
+    let tokens = tokens_per_request();
+    format!(r#"{{"prompt":"note {number}","max_tokens":{tokens}}}"#).into()
+}
+
+impl Phase {
+    fn new() -> Self {
+        Self {
+            first_byte_us: Histogram::new(3).expect("3 digits are allowed"),
+            complete: 0,
+            failed: 0,
+            tokens: 0,
+            cpu: Duration::ZERO,
+            resident_mb: 0.0,
+        }
+    }
+
+    fn add(&mut self, sample: &Sample) {
+        if !sample.measured {
+            return;
+        }
+        if !sample.complete {
+            self.failed += 1;
+            return;
+        }
+        self.complete += 1;
+        self.tokens += sample.tokens;
+        let us = u64::try_from(sample.first_byte.as_micros()).unwrap_or(u64::MAX);
+        // The histogram grows with its values.
+        let _ = self.first_byte_us.record(us);
+    }
+
+    fn quantile_us(&self, quantile: f64) -> f64 {
+        self.first_byte_us.value_at_quantile(quantile) as f64
+    }
+}
+
+fn report(direct: &Phase, through: &Phase, length: Duration) -> Report {
+    let added = |q: f64| through.quantile_us(q) - direct.quantile_us(q);
+    let seconds = length.as_secs_f64();
+    let mut report = Report::default();
+    report
+        .figure("direct_p50_us", direct.quantile_us(0.5))
+        .figure("direct_p99_us", direct.quantile_us(0.99))
+        .figure("through_p50_us", through.quantile_us(0.5))
+        .figure("through_p99_us", through.quantile_us(0.99))
+        .figure("added_p50_us", added(0.5))
+        .figure("added_p99_us", added(0.99))
+        .figure("requests_per_s", through.complete as f64 / seconds)
+        .figure("tokens_per_s", through.tokens as f64 / seconds)
+        .figure("not_complete", through.failed as f64)
+        .figure("cpu_cores_direct", direct.cpu.as_secs_f64() / seconds)
+        .figure("cpu_cores_through", through.cpu.as_secs_f64() / seconds)
+        .figure("resident_mb_all_daemons", through.resident_mb)
+        .bound("added_p50_us", Limit::AtMost(300.0))
+        .bound("added_p99_us", Limit::AtMost(2_000.0))
+        .bound("not_complete", Limit::AtMost(0.0))
+        .bound(
+            "requests_per_s",
+            Limit::AtLeast(f64::from(REQUESTS_PER_S) * 0.99),
+        )
+        .bound(
+            "tokens_per_s",
+            Limit::AtLeast(f64::from(TOKENS_PER_S) * 0.99),
+        )
+        .curve("direct", quantile_curve(direct))
+        .curve("through", quantile_curve(through));
+    report
+}
+
+/// First-byte latency in microseconds over the percentile.
+fn quantile_curve(phase: &Phase) -> Vec<(f64, f64)> {
+    (1..100)
+        .map(|p| (f64::from(p), phase.quantile_us(f64::from(p) / 100.0)))
+        .collect()
+}
--- a/crates/oriole_bench/src/lib.rs
+++ b/crates/oriole_bench/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`experiment`]: what an experiment is and the options of a run.
 //! - [`report`]: its figures, the bounds they are held to, and the series that are plotted.
 //! - [`plot`]: drawing series as SVG.
+//! - [`process`]: processor time and memory of this process.
 //! - [`experiments`]: all experiments by name.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
 pub mod experiments;
 pub mod plot;
+pub mod process;
 pub mod report;
 
 /// Everything an experiment needs.
--- a/crates/oriole_entry/src/dispatch.rs
+++ b/crates/oriole_entry/src/dispatch.rs
@@ -194,7 +194,7 @@
                     self.note_load(&vm, load);
                     guard.refused(reason, retry_after_ms, load.as_ref());
                     self.exclude.push(vm.clone());
-                    let message = format!("upstream {vm} refused: {reason}");
+                    let message = format!("the upstream refused the request: {reason}");
                     let refusal = Refusal::new(reason, message).retry_after(retry_after_ms);
                     return AttemptOutcome::NotRun(refusal);
                 }
--- a/crates/oriole_local/src/deployment.rs
+++ b/crates/oriole_local/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eyre::eyre;
+use futures::future::BoxFuture;
 use oriole_agent::prelude::{AgentDaemon, AgentSettings};
 use oriole_entry::prelude::{EntryDaemon, EntrySettings};
 use oriole_kernel::logging;
@@ -91,6 +92,13 @@
     ///
     /// Fails if a part does not start, or if the deployment is not ready in time.
     pub async fn start(spec: &DeploymentSpec) -> eyre::Result<Self> {
+        let spec = spec.clone();
+        let runtime = tokio::runtime::Handle::current();
+        // The start borrows across its awaits in ways that keep its future from being `Send`.
+        tokio::task::spawn_blocking(move || runtime.block_on(Self::start_here(&spec))).await?
+    }
+
+    async fn start_here(spec: &DeploymentSpec) -> eyre::Result<Self> {
         let log = logging::open("oriole-local", spec.log_level);
         let platform = Platform::bind(spec).await?;
         let secret = format!(
@@ -98,8 +106,14 @@
             rand::random::<u64>(),
             rand::random::<u64>()
         );
-        let agents = start_agents(spec, &platform, &secret, &log).await?;
-        let entries = start_entries(spec, &platform, &secret, &log).await?;
+        let boot = Boot {
+            spec,
+            platform: &platform,
+            secret: &secret,
+            log: &log,
+        };
+        let agents = start_agents(boot).await?;
+        let entries = start_entries(boot).await?;
         platform.vm_list.set(vm_records(&agents, &entries)?);
         let parts = Arc::new(Parts {
             platform,
@@ -223,12 +237,22 @@
     loads.values().filter(|l| l.limit > 0 && !l.leaving).count()
 }
 
-async fn start_agents(
-    spec: &DeploymentSpec,
-    platform: &Platform,
-    secret: &str,
-    log: &Logger,
-) -> eyre::Result<Vec<AgentVm>> {
+/// What the start of the daemons needs.
+#[derive(Clone, Copy)]
+struct Boot<'a> {
+    spec: &'a DeploymentSpec,
+    platform: &'a Platform,
+    secret: &'a str,
+    log: &'a Logger,
+}
+
+async fn start_agents(cx: Boot<'_>) -> eyre::Result<Vec<AgentVm>> {
+    let Boot {
+        spec,
+        platform,
+        secret,
+        log,
+    } = cx;
     let mut agents = Vec::new();
     for placed in &platform.upstreams {
         let mut settings = AgentSettings {
@@ -252,12 +276,13 @@
     Ok(agents)
 }
 
-async fn start_entries(
-    spec: &DeploymentSpec,
-    platform: &Platform,
-    secret: &str,
-    log: &Logger,
-) -> eyre::Result<Vec<EntryVm>> {
+async fn start_entries(cx: Boot<'_>) -> eyre::Result<Vec<EntryVm>> {
+    let Boot {
+        spec,
+        platform,
+        secret,
+        log,
+    } = cx;
     let domains = spec.catalog.domains.keys().cycle();
     let mut entries = Vec::new();
     for (i, domain) in (1..=spec.entries).zip(domains) {
@@ -287,20 +312,20 @@
 pub(crate) fn start_agent(
     settings: &AgentSettings,
     log: &Logger,
-) -> impl Future<Output = eyre::Result<AgentDaemon>> + Send + 'static {
+) -> BoxFuture<'static, eyre::Result<AgentDaemon>> {
     let log = log.new(slog::o!("vm" => settings.name.to_string()));
     let settings = settings.clone();
-    async move { AgentDaemon::bind(&settings, log).await }
+    Box::pin(async move { AgentDaemon::bind(&settings, log).await })
 }
 
 /// Starts an entry daemon with some settings.
 pub(crate) fn start_entry(
     settings: &EntrySettings,
     log: &Logger,
-) -> impl Future<Output = eyre::Result<EntryDaemon>> + Send + 'static {
+) -> BoxFuture<'static, eyre::Result<EntryDaemon>> {
     let log = log.new(slog::o!("vm" => settings.name.to_string()));
     let settings = settings.clone();
-    async move { EntryDaemon::bind(&settings, log).await }
+    Box::pin(async move { EntryDaemon::bind(&settings, log).await })
 }
 
 fn vm_records(agents: &[AgentVm], entries: &[EntryVm]) -> eyre::Result<Vec<VmRecord>> {
--- a/crates/oriole_local/src/vm.rs
+++ b/crates/oriole_local/src/vm.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use eyre::eyre;
+use futures::future::BoxFuture;
 use tokio::runtime::Runtime;
 
 /// A daemon on a runtime of its own.
@@ -27,10 +28,10 @@
     /// # Errors
     ///
     /// Fails if the daemon does not start.
-    pub async fn start<F>(threads: usize, start: F) -> eyre::Result<Self>
-    where
-        F: Future<Output = eyre::Result<D>> + Send + 'static,
-    {
+    pub async fn start(
+        threads: usize,
+        start: BoxFuture<'static, eyre::Result<D>>,
+    ) -> eyre::Result<Self> {
         let vm = Self {
             threads,
             running: Mutex::new(None),
@@ -44,10 +45,7 @@
     /// # Errors
     ///
     /// Fails if one runs already, or if it does not start.
-    pub async fn restart<F>(&self, start: F) -> eyre::Result<()>
-    where
-        F: Future<Output = eyre::Result<D>> + Send + 'static,
-    {
+    pub async fn restart(&self, start: BoxFuture<'static, eyre::Result<D>>) -> eyre::Result<()> {
         if self.lock().is_some() {
             return Err(eyre!("the daemon runs already"));
         }
