Prove drains, shutdown, kills and pauses over real sockets

Cause: the faults that the deployment can bring about were not yet tested. Change: five sessions under faults.

--- a/crates/oriole_bench/src/experiments/path.rs
+++ b/crates/oriole_bench/src/experiments/path.rs
@@ -29,6 +29,10 @@
 /// a second, but each is faster, so that fewer run at once.
 const TOKEN_TIME: Duration = Duration::from_millis(1);
 
+/// Tokens that an engine sends at once. One by one, the loopback device and the stand-ins alone
+/// would take more than the machine has.
+const TOKENS_PER_CHUNK: u32 = 8;
+
 /// Time of the measured part of each phase.
 const PHASE: Duration = Duration::from_secs(12);
 
@@ -102,6 +106,7 @@
     spec.engine.vitals.initial = VitalsState::Ok;
     spec.service.vitals.initial = VitalsState::Ok;
     spec.engine.token_time = TOKEN_TIME;
+    spec.engine.tokens_per_chunk = TOKENS_PER_CHUNK;
     spec.engine.prefill_time = Duration::from_millis(5);
     Ok(spec)
 }
--- /dev/null
+++ b/crates/oriole_local/tests/faults.rs
@@ -0,0 +1,224 @@
+//! Sessions under faults: kills, pauses, drains and graceful shutdown.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Session, eventually, keyed, request, start, streamed};
+use oriole_catalog::prelude::{ChangeMeta, Edit, Repository, RepositoryConfig};
+use oriole_local::prelude::*;
+use oriole_standins::faults::{AgentFault, EntryFault, Faults};
+use oriole_types::prelude::*;
+
+const CREDIT: &str = r#"{"slip":4471,"amount_cents":18460}"#;
+const SLIP: &str = r#"{"prompt":"slip","max_tokens":2}"#;
+const LONG: &str = r#"{"prompt":"long","max_tokens":150}"#;
+
+/// Longest time after an accepted drain in which new work may still reach the domain.
+const DRAIN_TARGET: Duration = Duration::from_secs(3);
+
+async fn change(deployment: &Deployment, change: impl FnOnce(&mut Catalog)) {
+    let store = std::sync::Arc::new(deployment.platform().store.store().clone());
+    let repository = Repository::open(store, RepositoryConfig::default());
+    let held = repository.read().await.expect("catalog");
+    let meta = ChangeMeta {
+        author: "test".into(),
+        message: "fault".into(),
+        at_unix_ms: 0,
+    };
+    let edit = Edit::by(held.catalog(), change);
+    repository.change(&edit, &meta).await.expect("accepted");
+}
+
+fn set_domain(catalog: &mut Catalog, name: &str, state: ServiceState) {
+    let domain = catalog.domains.get_mut(name).expect("domain");
+    domain.state = state;
+}
+
+/// Requests started so far at the upstreams of a domain.
+fn started_in(deployment: &Deployment, domain: &str) -> u64 {
+    let upstreams = deployment.platform().upstreams.iter();
+    upstreams
+        .filter(|u| u.domain.as_str() == domain)
+        .map(|u| u.upstream.view().started)
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_sends_no_new_work_and_cuts_nothing() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let s = Session::open(&deployment);
+    let streams: Vec<_> = (0..6)
+        .map(|_| {
+            let (caller, entry) = (s.caller.clone(), s.entry);
+            tokio::spawn(async move { caller.send(entry, &streamed("pickup-notes", LONG)).await })
+        })
+        .collect();
+    eventually("streams run in the domain", || {
+        started_in(&deployment, "gela") > 0
+    })
+    .await;
+    change(&deployment, |c| {
+        set_domain(c, "gela", ServiceState::Drained)
+    })
+    .await;
+    tokio::time::sleep(DRAIN_TARGET).await;
+    let before = started_in(&deployment, "gela");
+    for _ in 0..30 {
+        let answer = s
+            .caller
+            .send(s.entry, &request("sorting-slips", SLIP))
+            .await;
+        assert_eq!(answer.expect("answer").outcome, "complete");
+    }
+    assert_eq!(started_in(&deployment, "gela"), before);
+    let endpoints = s.caller.endpoints(s.entry).await.expect("endpoints");
+    assert!(endpoints.endpoints.iter().all(|e| e.domain != "gela"));
+    for stream in streams {
+        let answer = stream.await.expect("task").expect("answer");
+        assert_eq!(answer.outcome, "complete");
+        assert_eq!(answer.tokens, 150);
+    }
+    change(&deployment, |c| {
+        set_domain(c, "gela", ServiceState::InService)
+    })
+    .await;
+    // Prompts differ, or the upstream that holds their prefix would get them all.
+    let returned = async {
+        for n in 0_u64.. {
+            if started_in(&deployment, "gela") > before {
+                return;
+            }
+            let body = format!(r#"{{"prompt":"slip {n}","max_tokens":2}}"#);
+            let req = request("sorting-slips", &body);
+            let answer = s.caller.send(s.entry, &req).await;
+            assert_eq!(answer.expect("answer").outcome, "complete");
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), returned)
+        .await
+        .expect("the domain gets work again");
+    deployment.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_of_entry_cuts_nothing() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let s = Session::open(&deployment);
+    let entry = s.entry;
+    let streams: Vec<_> = (0..6)
+        .map(|_| {
+            let caller = s.caller.clone();
+            tokio::spawn(async move { caller.send(entry, &streamed("pickup-notes", LONG)).await })
+        })
+        .collect();
+    eventually("streams run", || {
+        deployment.each_entry(|e| running(e)).iter().sum::<usize>() == 6
+    })
+    .await;
+    assert!(deployment.shutdown_entry(entry).await);
+    for stream in streams {
+        let answer = stream.await.expect("task").expect("answer");
+        assert_eq!(answer.outcome, "complete");
+        assert_eq!(answer.tokens, 150);
+    }
+    let after = s.caller.send(entry, &request("sorting-slips", SLIP)).await;
+    assert!(after.is_err(), "the entry has ended");
+    let other = deployment.ready().caller_addresses[1];
+    let answer = s.caller.send(other, &request("sorting-slips", SLIP)).await;
+    assert_eq!(answer.expect("answer").outcome, "complete");
+    deployment.shutdown().await;
+}
+
+fn running(entry: &oriole_entry::daemon::EntryDaemon) -> usize {
+    let running = &entry.state().running;
+    running.load(std::sync::atomic::Ordering::Relaxed)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_agents_never_double_a_key() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let s = Session::open(&deployment);
+    let faults = deployment.faults();
+    for round in 0..6 {
+        let key = format!("round-{round}");
+        let victim = VmName::new(&format!("ledger-{}", round % 3 + 1));
+        let req = keyed("credits", CREDIT, &key);
+        let kill = faults.agent(&victim, AgentFault::Kill);
+        let (first, killed) = tokio::join!(s.caller.send(s.entry, &req), kill);
+        killed.expect("kill");
+        let second = s.caller.send(s.entry, &req).await.expect("answer");
+        faults
+            .agent(&victim, AgentFault::Restart)
+            .await
+            .expect("restart");
+        let third = s.caller.send(s.entry, &req).await.expect("answer");
+        let first = first.expect("answer");
+        let runs = deployment.platform().ledger.runs();
+        let ran = runs.get(&key).copied().unwrap_or(0);
+        assert!(ran <= 1, "round {round}: {ran} runs");
+        for answer in [&first, &second, &third] {
+            if answer.outcome == "complete" {
+                assert_eq!(ran, 1, "round {round}: a complete answer without a run");
+            }
+        }
+    }
+    deployment.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_agent_never_doubles_a_key() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let s = Session::open(&deployment);
+    let faults = deployment.faults();
+    for i in 1..=3 {
+        let vm = VmName::new(&format!("ledger-{i}"));
+        faults.agent(&vm, AgentFault::Pause).await.expect("pause");
+    }
+    let req = CallerRequest {
+        timeout_ms: Some(1_000),
+        ..keyed("credits", CREDIT, "paused")
+    };
+    let first = s.caller.send(s.entry, &req).await.expect("answer");
+    assert_ne!(first.outcome, "complete");
+    let patient = keyed("credits", CREDIT, "paused");
+    let second = s.caller.send(s.entry, &patient).await.expect("answer");
+    let runs = deployment.platform().ledger.runs();
+    let ran = runs.get("paused").copied().unwrap_or(0);
+    assert!(ran <= 1, "{ran} runs");
+    if second.outcome == "complete" {
+        assert_eq!(ran, 1);
+    }
+    deployment.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_entry_others_serve() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let s = Session::open(&deployment);
+    let faults = deployment.faults();
+    faults.entry(s.entry, EntryFault::Kill).await.expect("kill");
+    let other = deployment.ready().caller_addresses[1];
+    let answer = s.caller.send(other, &request("sorting-slips", SLIP)).await;
+    assert_eq!(answer.expect("answer").outcome, "complete");
+    faults
+        .entry(s.entry, EntryFault::Restart)
+        .await
+        .expect("restart");
+    let served = async {
+        loop {
+            let answer = s
+                .caller
+                .send(s.entry, &request("sorting-slips", SLIP))
+                .await;
+            if answer.is_ok_and(|a| a.outcome == "complete") {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), served)
+        .await
+        .expect("the restarted entry serves");
+    deployment.shutdown().await;
+}
