Fuzz the catalog's spread against the list of accepted revisions

Operators race and lose answers, processes restart and lose relays, watches are missed, the store is down, slow or silent: whatever happens, a process may only hold accepted catalogs, never an older one than before, and all are equal once quiet.

--- a/crates/oriole_catalog/tests/common/mod.rs
+++ b/crates/oriole_catalog/tests/common/mod.rs
@@ -95,6 +95,8 @@
 pub struct Link {
     store: MemoryStore,
     net: Net,
+    /// Broken on purpose: a lost answer is reported as a failed write.
+    pub lost_is_failed: bool,
     state: Arc<Mutex<LinkState>>,
 }
 
@@ -111,7 +113,13 @@
 impl Link {
     pub fn new(store: MemoryStore, net: Net) -> Self {
         let state = Arc::default();
-        Self { store, net, state }
+        let lost_is_failed = false;
+        Self {
+            store,
+            net,
+            lost_is_failed,
+            state,
+        }
     }
 
     pub fn set(&self, state: LinkState) {
@@ -149,7 +157,10 @@
         self.pass().await?;
         let end = self.store.put(key, value, expect).await;
         sleep(self.net.delay()).await;
-        end
+        match end {
+            Err(StoreError::Ambiguous) if self.lost_is_failed => Err(StoreError::Unavailable),
+            end => end,
+        }
     }
 
     async fn put_leased(
@@ -273,7 +284,7 @@
     }
 }
 
-pub fn repository(store: &MemoryStore, seed: u64) -> Repository {
+pub fn repository<S: Store + Clone>(store: &S, seed: u64) -> Repository {
     let cfg = RepositoryConfig {
         kept_revisions: 8,
         seed: Some(seed),
--- a/crates/oriole_store/src/memory/fault.rs
+++ b/crates/oriole_store/src/memory/fault.rs
@@ -22,6 +22,8 @@
 oriole_types::value_type! {
     /// A fault of one write, scripted by a test.
     pub enum WriteFault {
+        /// None: the fault that follows is for a later write.
+        Pass,
         /// The write takes effect; its answer is lost.
         LoseAnswer,
         /// The write is lost on its way, which its caller cannot tell from a lost answer.
