Measure overload, a hot account and a retry storm with the real machines

Cause: the machines had never met load. An event loop now drives 18 entries with views of their own against 16 upstreams behind agents with a short queue by class, and two simple balancers beside them.

--- /dev/null
+++ b/crates/oriole_bench/src/experiments/hot_account.rs
@@ -0,0 +1,127 @@
+//! Service of all other accounts while one asks far too much.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::prelude::*;
+use crate::service::outcome::{Ended, is_completed};
+use crate::service::setup::unlimited;
+use crate::service::{Contender, Outcomes, Setup, Traffic, run};
+
+/// Load of the other accounts as a part of the capacity.
+const OTHERS: f64 = 0.6;
+
+/// What the hot account offers, as a multiple of the capacity.
+const HOT: f64 = 2.0;
+
+/// What the hot account may have, as a part of the capacity.
+const HOT_LIMIT: f64 = 0.2;
+
+/// Default length of the measured part.
+const MEASURED: Duration = Duration::from_secs(20);
+
+/// Compares the other accounts' service with and without the hot account; the hot one asks for
+/// many things, or for one thing again and again, and its limit is kept or was never set.
+pub struct HotAccount;
+
+/// How the hot account misbehaves.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    one_key: bool,
+    limited: bool,
+}
+
+const CASES: [Case; 3] = [
+    Case {
+        name: "",
+        one_key: false,
+        limited: true,
+    },
+    Case {
+        name: "one_key_",
+        one_key: true,
+        limited: true,
+    },
+    Case {
+        name: "no_limit_",
+        one_key: true,
+        limited: false,
+    },
+];
+
+#[async_trait]
+impl Experiment for HotAccount {
+    fn name(&self) -> &'static str {
+        "hot-account"
+    }
+
+    fn about(&self) -> &'static str {
+        "service of all other accounts while one asks for twice the capacity"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let measured = options.duration_or(MEASURED);
+        let mut calm = Setup {
+            seed: options.seed,
+            measured,
+            ..Setup::default()
+        };
+        calm.offer(calm.capacity() * OTHERS);
+        let mut report = Report::default();
+        for contender in Contender::ALL {
+            let without = run(&calm, contender);
+            for case in CASES {
+                let outcomes = run(&with_hot(&calm, case), contender);
+                let prefix = format!("{}{}", contender.prefix(), case.name);
+                figures(&mut report, &prefix, &calm, &outcomes, &without);
+            }
+        }
+        for case in CASES {
+            report
+                .bound(
+                    &format!("{}others_p99_ratio", case.name),
+                    Limit::AtMost(1.1),
+                )
+                .bound(
+                    &format!("{}others_completed_share", case.name),
+                    Limit::AtLeast(0.999),
+                );
+        }
+        Ok(report)
+    }
+}
+
+fn with_hot(calm: &Setup, case: Case) -> Setup {
+    let mut setup = calm.clone();
+    let mut limits = unlimited();
+    if case.limited {
+        limits.requests_per_s = (calm.capacity() * HOT_LIMIT) as u32;
+        limits.burst = limits.requests_per_s / 10;
+    }
+    let per_s = calm.capacity() * HOT;
+    let (account, high_low) = ("hot".into(), (0.0, 0.0));
+    setup.traffic.push(Traffic {
+        account,
+        per_s,
+        one_key: case.one_key,
+        high_low,
+        limits,
+    });
+    setup
+}
+
+fn figures(report: &mut Report, prefix: &str, calm: &Setup, with: &Outcomes, without: &Outcomes) {
+    let others = |e: &Ended| e.account < calm.traffic.len();
+    let p99 = |o: &Outcomes| o.latency_ms(0.99, |e| others(e) && is_completed(e));
+    let mut add = |name: &str, value: f64| {
+        report.figure(&format!("{prefix}{name}"), value);
+    };
+    add("others_p99_ratio", p99(with) / p99(without));
+    add("others_completed_share", with.share(others, is_completed));
+    add(
+        "hot_completed_share",
+        with.share(|e| !others(e), is_completed),
+    );
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/retry_storm.rs
@@ -0,0 +1,61 @@
+//! Attempts while a third of the upstreams fail.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::prelude::*;
+use crate::service::outcome::is_completed;
+use crate::service::{Contender, Fault, Outcomes, Setup, run};
+
+/// Offered load as a part of the capacity.
+const OFFERED: f64 = 0.5;
+
+/// One of so many upstreams fails.
+const ONE_FAILS_OF: usize = 3;
+
+/// Default length of the measured part, all of it with failures.
+const MEASURED: Duration = Duration::from_secs(20);
+
+/// Lets a third of the upstreams fail whatever they get.
+pub struct RetryStorm;
+
+#[async_trait]
+impl Experiment for RetryStorm {
+    fn name(&self) -> &'static str {
+        "retry-storm"
+    }
+
+    fn about(&self) -> &'static str {
+        "attempts a request while a third of the upstreams fail"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let measured = options.duration_or(MEASURED);
+        let mut setup = Setup {
+            seed: options.seed,
+            measured,
+            ..Setup::default()
+        };
+        setup.offer(setup.capacity() * OFFERED);
+        let failing = (0..setup.upstreams).filter(|i| i % ONE_FAILS_OF == 0);
+        let from = setup.warm_up;
+        setup.faults = failing.map(|i| (from, Fault::Failing(i, true))).collect();
+        let mut report = Report::default();
+        for contender in Contender::ALL {
+            let outcomes = run(&setup, contender);
+            figures(&mut report, contender.prefix(), &outcomes);
+        }
+        report.bound("attempts_ratio", Limit::AtMost(1.1));
+        Ok(report)
+    }
+}
+
+fn figures(report: &mut Report, prefix: &str, outcomes: &Outcomes) {
+    let mut add = |name: &str, value: f64| {
+        report.figure(&format!("{prefix}{name}"), value);
+    };
+    add("attempts_ratio", outcomes.attempts_ratio());
+    add("completed_share", outcomes.share(|_| true, is_completed));
+    add("p99_ms", outcomes.latency_ms(0.99, is_completed));
+}
--- a/crates/oriole_bench/src/lib.rs
+++ b/crates/oriole_bench/src/lib.rs
@@ -6,12 +6,14 @@
 //! - [`report`]: its figures, the bounds they are held to, and the series that are plotted.
 //! - [`plot`]: drawing series as SVG.
 //! - [`experiments`]: all experiments by name.
+//! - [`service`]: an event loop that drives the entry's machines against fakes of upstreams.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
 pub mod experiments;
 pub mod plot;
 pub mod report;
+pub mod service;
 
 /// Everything an experiment needs.
 pub mod prelude {
--- /dev/null
+++ b/crates/oriole_bench/src/service/contender.rs
@@ -0,0 +1,417 @@
+//! What an entry does with requests: the real machines, or one of two simple balancers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_routing::prelude::*;
+use oriole_types::prelude::*;
+use rand_chacha::ChaCha8Rng;
+
+use super::setup::{ENTRY, POOL, Setup};
+
+/// Retries of a simple balancer for each request.
+const SIMPLE_RETRIES: u32 = 3;
+
+/// Who runs the entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contender {
+    /// The machines of oriole.
+    Oriole,
+    /// Upstreams in turn; another one after each refusal or failure.
+    RoundRobin,
+    /// The upstream with the fewest requests of this entry; another one after each refusal.
+    LeastConnections,
+}
+
+impl Contender {
+    /// All contenders.
+    pub const ALL: [Self; 3] = [Self::Oriole, Self::RoundRobin, Self::LeastConnections];
+
+    /// Prefix of its figures; none for oriole itself.
+    #[must_use]
+    pub fn prefix(self) -> &'static str {
+        match self {
+            Self::Oriole => "",
+            Self::RoundRobin => "round_robin_",
+            Self::LeastConnections => "least_connections_",
+        }
+    }
+}
+
+/// A request as its entry sees it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Number in the run.
+    pub id: usize,
+    /// Account.
+    pub account: AccountName,
+    /// Urgency.
+    pub priority: Priority,
+    /// By when the whole answer must be there.
+    pub deadline: Duration,
+    /// Hash of its key and prefix, if it is asked again and again.
+    pub key: Option<u64>,
+    /// Attempts made.
+    pub attempts: u32,
+    /// Upstreams that failed it.
+    pub tried: Vec<VmName>,
+}
+
+/// How an attempt ended at the entry.
+#[derive(Clone, Copy, Debug)]
+pub enum AttemptResult {
+    /// With the whole answer.
+    Answered,
+    /// Refused by the agent.
+    Refused(RefusalReason),
+    /// The upstream failed.
+    Failed,
+}
+
+/// What an entry wants done.
+pub enum Action {
+    /// Send a request to an upstream.
+    Send(Request, VmName),
+    /// Hand a request to the entry again after some time.
+    Wake(Request, Duration),
+    /// Tell the caller that the request was not run.
+    Refuse(Request, RefusalReason),
+    /// Tell the caller that the request failed.
+    Fail(Request),
+    /// Give the caller the answer.
+    Answer(Request),
+}
+
+/// An entry of some contender.
+pub enum Entry {
+    /// One with the machines of oriole.
+    Oriole(Box<OrioleEntry>),
+    /// A simple balancer.
+    Simple(SimpleEntry),
+}
+
+/// An entry that uses the real machines.
+pub struct OrioleEntry {
+    limiter: Limiter,
+    queue: WaitQueue<Request>,
+    /// Router; open to the world, which feeds it the fleet.
+    pub router: Router,
+    budget: RetryBudget,
+    catalog: Catalog,
+    permits: BTreeMap<usize, Permit>,
+    pool: PoolName,
+    rng: ChaCha8Rng,
+}
+
+/// A balancer that knows nothing but its own requests.
+pub struct SimpleEntry {
+    least: bool,
+    upstreams: Vec<VmName>,
+    own: BTreeMap<VmName, u32>,
+    next: usize,
+}
+
+impl Entry {
+    /// An entry of a contender.
+    #[must_use]
+    pub fn new(contender: Contender, setup: &Setup, i: usize, rng: ChaCha8Rng) -> Self {
+        match contender {
+            Contender::Oriole => Self::Oriole(Box::new(OrioleEntry::new(setup, i, rng))),
+            _ => Self::Simple(SimpleEntry {
+                least: contender == Contender::LeastConnections,
+                upstreams: Vec::new(),
+                own: BTreeMap::new(),
+                next: i,
+            }),
+        }
+    }
+
+    /// The fleet or the catalog changed.
+    pub fn fleet_changed(&mut self, now: Duration, list: &VmList, catalog: &Catalog) {
+        match self {
+            Self::Oriole(e) => {
+                e.catalog = catalog.clone();
+                e.router.fleet_changed(now, list, catalog);
+            }
+            Self::Simple(e) => {
+                let usable = |r: &&VmRecord| {
+                    r.role != VmRole::Entry && catalog.takes_work(&r.name, &r.domain)
+                };
+                e.upstreams = list
+                    .vms
+                    .iter()
+                    .filter(usable)
+                    .map(|r| r.name.clone())
+                    .collect();
+            }
+        }
+    }
+
+    /// A request arrives.
+    pub fn arrived(&mut self, now: Duration, req: Request) -> Vec<Action> {
+        match self {
+            Self::Oriole(e) => e.arrived(now, req),
+            Self::Simple(e) => vec![e.send(req)],
+        }
+    }
+
+    /// A request that waited for its retry is due.
+    pub fn woken(&mut self, now: Duration, req: Request) -> Vec<Action> {
+        match self {
+            Self::Oriole(e) => e.woken(now, req),
+            Self::Simple(e) => vec![e.send(req)],
+        }
+    }
+
+    /// An attempt ended.
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        req: Request,
+        vm: &VmName,
+        result: AttemptResult,
+        took: Duration,
+        load: &LoadReport,
+    ) -> Vec<Action> {
+        match self {
+            Self::Oriole(e) => e.ended(now, req, vm, result, took, load),
+            Self::Simple(e) => vec![e.ended(req, vm, result)],
+        }
+    }
+
+    /// Some time passed.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        match self {
+            Self::Oriole(e) => e.dispatch(now),
+            Self::Simple(_) => Vec::new(),
+        }
+    }
+
+    /// What the entry tells its peers about limits.
+    #[must_use]
+    pub fn digest(&self, now: Duration) -> Option<LimitDigest> {
+        match self {
+            Self::Oriole(e) => Some(e.limiter.digest(now)),
+            Self::Simple(_) => None,
+        }
+    }
+
+    /// A peer told about limits.
+    pub fn peer_digest(&mut self, now: Duration, peer: &VmName, digest: &LimitDigest) {
+        if let Self::Oriole(e) = self {
+            e.limiter.peer_digest(now, peer, digest);
+        }
+    }
+
+    /// An agent tells its load.
+    pub fn load_told(&mut self, now: Duration, vm: &VmName, load: &LoadReport) {
+        if let Self::Oriole(e) = self {
+            e.router.report(now, vm, load);
+        }
+    }
+
+    /// The entry is one of so many that an account is steered to.
+    pub fn set_holders(&mut self, now: Duration, account: &AccountName, holders: usize) {
+        if let Self::Oriole(e) = self {
+            e.limiter.set_holders(now, account, holders);
+        }
+    }
+}
+
+impl OrioleEntry {
+    fn new(setup: &Setup, i: usize, rng: ChaCha8Rng) -> Self {
+        let domain = super::setup::domain_name(setup.domain_of(i));
+        let cfg = RouterConfig {
+            cross_domain_rtt: setup.one_way * 2,
+            ..RouterConfig::default()
+        };
+        let mut limiter = Limiter::new(LimiterConfig::default());
+        limiter.set_entry_holders(setup.entries);
+        Self {
+            limiter,
+            queue: WaitQueue::new(QueueConfig::default()),
+            router: Router::new(cfg, domain),
+            budget: RetryBudget::new(RetryConfig::default()),
+            catalog: Catalog::default(),
+            permits: BTreeMap::new(),
+            pool: POOL.into(),
+            rng,
+        }
+    }
+
+    fn arrived(&mut self, now: Duration, req: Request) -> Vec<Action> {
+        let entry = ENTRY.into();
+        match self
+            .limiter
+            .admit(now, &self.catalog, &req.account, &entry, None)
+        {
+            Ok(permit) => self.permits.insert(req.id, permit),
+            Err(refusal) => return vec![Action::Refuse(req, refusal.reason)],
+        };
+        let capacity = self.router.capacity(now, &self.pool);
+        if let Err(reason) = capacity.admit(req.priority) {
+            return vec![self.refuse(req, reason)];
+        }
+        self.budget.request();
+        let waiting = self.waiting(&req);
+        let mut out = Vec::new();
+        match self.queue.push(now, waiting, req) {
+            Ok((_, displaced)) => {
+                let displaced = displaced.map(|p| self.refuse(p.value, RefusalReason::QueueFull));
+                out.extend(displaced);
+            }
+            Err(refused) => out.push(self.refuse(refused.value, refused.reason)),
+        }
+        out.extend(self.dispatch(now));
+        out
+    }
+
+    fn woken(&mut self, now: Duration, req: Request) -> Vec<Action> {
+        let waiting = self.waiting(&req);
+        self.queue.push_back(now, waiting, req);
+        self.dispatch(now)
+    }
+
+    fn ended(
+        &mut self,
+        now: Duration,
+        mut req: Request,
+        vm: &VmName,
+        result: AttemptResult,
+        took: Duration,
+        load: &LoadReport,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        let end = match result {
+            AttemptResult::Answered => {
+                self.router.finished(now, vm, took, Some(load));
+                self.release(&req);
+                out.push(Action::Answer(req));
+                out.extend(self.dispatch(now));
+                return out;
+            }
+            AttemptResult::Refused(reason) => {
+                self.router.refused(now, vm, reason, None, Some(load));
+                AttemptEnd::NotRun {
+                    reason,
+                    retry_after: None,
+                }
+            }
+            AttemptResult::Failed => {
+                self.router.failed(now, vm, Some(load));
+                req.tried.push(vm.clone());
+                AttemptEnd::Unknown(UnknownReason::UpstreamFailed)
+            }
+        };
+        out.push(self.retry_or_give_up(now, req, end));
+        out.extend(self.dispatch(now));
+        out
+    }
+
+    fn retry_or_give_up(&mut self, now: Duration, req: Request, end: AttemptEnd) -> Action {
+        let ask = RetryAsk {
+            attempts: req.attempts,
+            priority: req.priority,
+            idempotent: true,
+            end,
+            deadline: req.deadline,
+            service: self.service(),
+        };
+        match (self.budget.decide(now, &ask, &mut self.rng), end) {
+            (RetryDecision::Retry { after }, _) => Action::Wake(req, after),
+            (_, AttemptEnd::NotRun { reason, .. }) => self.refuse(req, reason),
+            (_, AttemptEnd::Unknown(_)) => {
+                self.release(&req);
+                Action::Fail(req)
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Duration) -> Vec<Action> {
+        let mut out = Vec::new();
+        while let Some(expired) = self.queue.pop_expired(now) {
+            out.push(self.refuse(expired.value, RefusalReason::Deadline));
+        }
+        loop {
+            let (router, pool, rng) = (&self.router, &self.pool, &mut self.rng);
+            let sent = self.queue.pop_with(now, |req| {
+                let pick = PickRequest {
+                    pool,
+                    prefix: req.key,
+                    exclude: &req.tried,
+                    priority: req.priority,
+                };
+                match router.pick(now, &pick, rng) {
+                    Ok(vm) => Offer::Take(vm),
+                    Err(_) if !req.tried.is_empty() => Offer::Skip,
+                    Err(_) => Offer::Stop,
+                }
+            });
+            let Some((popped, vm)) = sent else { return out };
+            let mut req = popped.value;
+            self.router.started(now, &vm, req.key);
+            req.attempts += 1;
+            out.push(Action::Send(req, vm));
+        }
+    }
+
+    fn waiting(&self, req: &Request) -> Waiting {
+        Waiting {
+            account: req.account.clone(),
+            weight: 1,
+            priority: req.priority,
+            deadline: req.deadline,
+            service: self.service(),
+            key: req.key,
+        }
+    }
+
+    fn service(&self) -> Duration {
+        Duration::from_millis(300)
+    }
+
+    fn release(&mut self, req: &Request) {
+        if let Some(permit) = self.permits.remove(&req.id) {
+            self.limiter.release(permit);
+        }
+    }
+
+    fn refuse(&mut self, req: Request, reason: RefusalReason) -> Action {
+        self.release(&req);
+        Action::Refuse(req, reason)
+    }
+}
+
+impl SimpleEntry {
+    fn send(&mut self, mut req: Request) -> Action {
+        if self.upstreams.is_empty() {
+            return Action::Refuse(req, RefusalReason::NoUpstream);
+        }
+        self.next += 1;
+        let turn = |i: usize| &self.upstreams[(self.next + i) % self.upstreams.len()];
+        let vm = if self.least {
+            let own = |vm: &&VmName| self.own.get(*vm).copied().unwrap_or(0);
+            (0..self.upstreams.len()).map(turn).min_by_key(own)
+        } else {
+            Some(turn(0))
+        };
+        let Some(vm) = vm.cloned() else {
+            return Action::Refuse(req, RefusalReason::NoUpstream);
+        };
+        *self.own.entry(vm.clone()).or_default() += 1;
+        req.attempts += 1;
+        Action::Send(req, vm)
+    }
+
+    fn ended(&mut self, req: Request, vm: &VmName, result: AttemptResult) -> Action {
+        if let Some(own) = self.own.get_mut(vm) {
+            *own -= 1;
+        }
+        match result {
+            AttemptResult::Answered => Action::Answer(req),
+            _ if req.attempts <= SIMPLE_RETRIES => self.send(req),
+            AttemptResult::Refused(reason) => Action::Refuse(req, reason),
+            AttemptResult::Failed => Action::Fail(req),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_bench/src/service/mod.rs
@@ -0,0 +1,22 @@
+//! A small event loop that drives the entry's machines against fakes of upstreams.
+//!
+//! It has no sockets and no threads: callers, entries and upstreams exchange messages that take
+//! the stated time. Each entry has its own view, fed only by what its own attempts bring back and
+//! by the digests of its peers. Contenders differ in the entry alone.
+//!
+//! - [`setup`]: sizes, load and faults of a run.
+//! - [`world`]: the event loop.
+//! - [`contender`]: what an entry does: the real machines, or one of two simple balancers.
+//! - [`upstream`]: a fake upstream behind an agent that admits up to its limit.
+//! - [`outcome`]: what became of the requests.
+
+pub mod contender;
+pub mod outcome;
+pub mod setup;
+pub mod upstream;
+pub mod world;
+
+pub use contender::Contender;
+pub use outcome::Outcomes;
+pub use setup::{Fault, Setup, Traffic};
+pub use world::run;
--- a/crates/oriole_routing/src/picking/config.rs
+++ b/crates/oriole_routing/src/picking/config.rs
@@ -12,8 +12,16 @@
     pub assumed_service: Duration,
     /// Age at which a load report is believed half.
     pub load_half_life: Duration,
-    /// Age of a load report after which a full upstream without work of ours may be tried.
+    /// Time between two tries of upstreams that seem full, by an entry that holds its even part
+    /// of the pool's slots; also the age from which a load report may be doubted.
     pub probe_after: Duration,
+    /// The same by an entry that holds none.
+    pub probe_min: Duration,
+    /// Requests that may wait at a warm upstream as a part of its limit, high ones included, for
+    /// another high one to be sent there.
+    pub high_waiting: f64,
+    /// The same for one that is not high.
+    pub usual_waiting: f64,
     /// Time over which an upstream that returned regains its full share.
     pub slow_start: Duration,
     /// Time for which an upstream is left alone after it refused without saying how long.
@@ -43,6 +51,9 @@
             assumed_service: Duration::from_millis(500),
             load_half_life: Duration::from_millis(500),
             probe_after: Duration::from_millis(500),
+            probe_min: Duration::from_millis(25),
+            high_waiting: 0.25,
+            usual_waiting: 0.1,
             slow_start: Duration::from_secs(10),
             hold_after_refusal: Duration::from_millis(50),
             leaving_ttl: Duration::from_secs(10),
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -15,8 +15,8 @@
 /// Smallest weight of a candidate in the draw.
 const MIN_DRAW_WEIGHT: f64 = 0.01;
 
-/// Weight of the newest report in the pool's average load by other entries.
-const OTHERS_SMOOTHING: f64 = 0.1;
+/// Weight of the newest report in the pool's average load.
+const LOAD_SMOOTHING: f64 = 0.1;
 
 /// How much longer an answer takes at a full upstream than at an idle one, as a part of its
 /// service time: engines batch, so that each request slows the others.
@@ -32,8 +32,23 @@
     pub pool: &'a PoolName,
     /// Hash of the prompt prefix, if the request has one.
     pub prefix: Option<u64>,
-    /// Upstreams that already refused or failed this request.
+    /// Upstreams that already failed this request.
     pub exclude: &'a [VmName],
+    /// Urgency: the more urgent, the more requests may wait at the upstream already.
+    pub priority: Priority,
+}
+
+impl<'a> PickRequest<'a> {
+    /// Asks for any upstream of a pool for a request of the usual class.
+    #[must_use]
+    pub fn new(pool: &'a PoolName) -> Self {
+        Self {
+            pool,
+            prefix: None,
+            exclude: &[],
+            priority: Priority::Normal,
+        }
+    }
 }
 
 /// Picks an upstream for each request of one entry.
@@ -48,20 +63,40 @@
     distances: BTreeMap<DomainName, Duration>,
     pools: BTreeMap<PoolName, PoolState>,
     pool_of: BTreeMap<VmName, PoolName>,
+    entries: u32,
     synced: bool,
 }
 
 #[derive(Debug)]
 struct PoolState {
     upstreams: BTreeMap<VmName, Upstream>,
-    others: Option<f64>,
+    load: Option<f64>,
+    own: u32,
+    probed: Duration,
     prefixes: PrefixTable,
 }
 
 impl PoolState {
-    /// Average load by other entries, as a part of an upstream's limit.
-    fn average_others(&self) -> f64 {
-        self.others.unwrap_or(0.0)
+    /// Average load as a part of an upstream's limit.
+    fn average_load(&self) -> f64 {
+        self.load.unwrap_or(0.0)
+    }
+
+    /// Whether an upstream may be tried that seems full.
+    ///
+    /// An entry that holds less than its even part of the pool's slots tries often, so that it
+    /// gets its part although others refill each slot as it falls free. One that holds more hears
+    /// enough from the ends of its own requests.
+    fn is_probe_due(&self, now: Duration, entries: u32, cfg: &RouterConfig) -> bool {
+        let slots: f64 = self.upstreams.values().map(|u| f64::from(u.limit())).sum();
+        let even = (slots / f64::from(entries.max(1))).max(1.0);
+        let part = f64::from(self.own) / even;
+        let wait = if part < 1.0 {
+            cfg.probe_min + cfg.probe_after.mul_f64(part)
+        } else {
+            cfg.probe_after * (1 + self.own)
+        };
+        now.saturating_sub(self.probed) >= wait
     }
 }
 
@@ -82,6 +117,7 @@
             distances: BTreeMap::new(),
             pools: BTreeMap::new(),
             pool_of: BTreeMap::new(),
+            entries: 1,
             synced: false,
         }
     }
@@ -97,6 +133,8 @@
                 self.sync_upstream(now, record, pool, catalog);
             }
         }
+        let entries = list.vms.iter().filter(|r| r.role == VmRole::Entry);
+        self.entries = entries.filter(|r| takes_work(r, catalog)).count() as u32;
         self.synced = self.synced || !list.vms.is_empty();
     }
 
@@ -113,9 +151,9 @@
         let Some(upstream) = pool.upstreams.get_mut(vm) else {
             return;
         };
-        if let Some(others) = upstream.note_report(now, load) {
-            let held = pool.others.unwrap_or(others);
-            pool.others = Some(held + OTHERS_SMOOTHING * (others - held));
+        if let Some(part) = upstream.note_report(now, load) {
+            let held = pool.load.unwrap_or(part);
+            pool.load = Some(held + LOAD_SMOOTHING * (part - held));
         }
     }
 
@@ -147,14 +185,15 @@
         if let Some(prefix) = prefix {
             pool.prefixes.learn(now, prefix, vm);
         }
-        let others = pool.average_others();
+        let average = pool.average_load();
         let Some(upstream) = pool.upstreams.get_mut(vm) else {
             return;
         };
-        if upstream.room(now, others, &cfg) < 1.0 {
-            upstream.probed = now;
+        if upstream.room(now, average, Priority::Low, &cfg) < 1.0 {
+            pool.probed = now;
         }
         upstream.own += 1;
+        pool.own += 1;
     }
 
     /// Notes that an attempt gave its whole answer.
@@ -271,7 +310,7 @@
             }
             capacity.upstreams += 1;
             capacity.left += u64::from(u.limit());
-            capacity.in_flight += u.load(now, pool.average_others(), &self.cfg).round() as u64;
+            capacity.in_flight += u.load(now, pool.average_load(), &self.cfg).round() as u64;
         }
         capacity
     }
@@ -315,12 +354,13 @@
         pool: &'a PoolState,
         req: &PickRequest<'_>,
     ) -> Vec<Candidate<'a>> {
+        let probe_due = pool.is_probe_due(now, self.entries, &self.cfg);
         pool.upstreams
             .iter()
             .filter(|(vm, u)| self.is_usable(now, u) && !req.exclude.contains(vm))
             .filter_map(|(vm, upstream)| {
-                let room = upstream.room(now, pool.average_others(), &self.cfg);
-                let open = room >= 1.0 || upstream.may_probe(now, &self.cfg);
+                let room = upstream.room(now, pool.average_load(), req.priority, &self.cfg);
+                let open = room >= 1.0 || (probe_due && upstream.is_unknown(now, &self.cfg));
                 let weight = room.max(MIN_DRAW_WEIGHT)
                     * upstream.ramp(now, &self.cfg).max(MIN_DRAW_WEIGHT)
                     * self.near_bias(upstream);
@@ -370,7 +410,7 @@
     ) -> f64 {
         let upstream = candidate.upstream;
         let limit = f64::from(upstream.limit());
-        let load = upstream.load(now, pool.average_others(), &self.cfg);
+        let load = upstream.load(now, pool.average_load(), &self.cfg);
         let service = upstream.service(&self.cfg).as_secs_f64();
         let crowding = CROWDING * (load / limit).min(1.0);
         let waiting = (load + 1.0 - limit).max(0.0) / limit;
@@ -407,7 +447,8 @@
             .collect();
         for vm in gone {
             if let Some(pool) = self.pool_mut(&vm) {
-                pool.upstreams.remove(&vm);
+                let gone = pool.upstreams.remove(&vm);
+                pool.own -= gone.map_or(0, |u| u.own).min(pool.own);
                 pool.prefixes.forget_upstream(&vm);
             }
             self.pool_of.remove(&vm);
@@ -428,15 +469,16 @@
             cold: stated.cold_concurrency,
             warm: stated.warm_concurrency,
         };
-        let in_service =
-            record.state == VmState::Live && catalog.takes_work(&record.name, &record.domain);
+        let in_service = takes_work(record, catalog);
         let (cfg, synced) = (&self.cfg, self.synced);
         let pool = self
             .pools
             .entry(pool_name.clone())
             .or_insert_with(|| PoolState {
                 upstreams: BTreeMap::new(),
-                others: None,
+                load: None,
+                own: 0,
+                probed: Duration::ZERO,
                 prefixes: PrefixTable::new(cfg.prefixes_per_pool, cfg.prefix_half_life),
             });
         let upstream = pool
@@ -466,7 +508,9 @@
     }
 
     fn end_attempt(&mut self, vm: &VmName) -> Option<&mut Upstream> {
-        let upstream = self.pool_mut(vm)?.upstreams.get_mut(vm)?;
+        let pool = self.pool_mut(vm)?;
+        let upstream = pool.upstreams.get_mut(vm)?;
+        pool.own = pool.own.saturating_sub(1);
         upstream.own = upstream.own.saturating_sub(1);
         Some(upstream)
     }
@@ -487,6 +531,11 @@
     }
 }
 
+/// Whether list and catalog let a VM take new work.
+fn takes_work(record: &VmRecord, catalog: &Catalog) -> bool {
+    record.state == VmState::Live && catalog.takes_work(&record.name, &record.domain)
+}
+
 /// Whether a refusal says something about the upstream rather than about the request.
 fn is_about_upstream(reason: RefusalReason) -> bool {
     matches!(
--- a/crates/oriole_routing/src/picking/upstream.rs
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -36,8 +36,6 @@
     pub hold_until: Duration,
     /// Start of its slow start, if it has not passed.
     pub ramp_from: Option<Duration>,
-    /// Last time it was tried although it seemed full.
-    pub probed: Duration,
     report: Option<Report>,
     measured_service: Option<Duration>,
 }
@@ -47,7 +45,14 @@
 struct Report {
     load: LoadReport,
     made: Duration,
-    others: f64,
+    own: u32,
+}
+
+impl Report {
+    /// Requests at the upstream when the report was made.
+    fn total(&self) -> f64 {
+        f64::from(self.load.in_flight) + f64::from(self.load.queued)
+    }
 }
 
 impl Upstream {
@@ -62,27 +67,25 @@
             health: Health::default(),
             hold_until: Duration::ZERO,
             ramp_from: None,
-            probed: Duration::ZERO,
             report: None,
             measured_service: None,
         }
     }
 
-    /// Takes in a load report, unless a newer one is held; returns the load others put on the
-    /// upstream as a part of its limit.
+    /// Takes in a load report, unless a newer one is held; returns the load of the upstream as a
+    /// part of its limit.
     pub fn note_report(&mut self, now: Duration, load: &LoadReport) -> Option<f64> {
         let made = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
         if self.report.is_some_and(|r| r.made > made) {
             return None;
         }
-        let total = f64::from(load.in_flight) + f64::from(load.queued);
-        let others = (total - f64::from(self.own)).max(0.0);
-        self.report = Some(Report {
+        let report = Report {
             load: *load,
             made,
-            others,
-        });
-        Some(others / f64::from(load.limit.max(1)))
+            own: self.own,
+        };
+        self.report = Some(report);
+        Some(report.total() / f64::from(load.limit.max(1)))
     }
 
     /// Notes how long a whole answer took.
@@ -116,34 +119,56 @@
             .clamp(1, self.stated.warm.max(1))
     }
 
-    /// Requests believed at the upstream: this entry's own and those of others, of which the
-    /// belief fades to the average over the pool as the report ages.
+    /// Requests believed at the upstream: what the report said and what this entry did since, a
+    /// belief that fades to the average over the pool as the report ages.
     #[must_use]
-    pub fn load(&self, now: Duration, pool_others: f64, cfg: &RouterConfig) -> f64 {
-        let average = pool_others * f64::from(self.limit());
-        let others = self.report.map_or(average, |r| {
+    pub fn load(&self, now: Duration, pool_load: f64, cfg: &RouterConfig) -> f64 {
+        let own = f64::from(self.own);
+        let average = pool_load * f64::from(self.limit());
+        let believed = self.report.map_or(average, |r| {
             let age = now.saturating_sub(r.made).as_secs_f64();
             let belief = (-age / cfg.load_half_life.as_secs_f64()).exp2();
-            r.others * belief + average * (1.0 - belief)
+            let moved = r.total() + own - f64::from(r.own);
+            moved * belief + average * (1.0 - belief)
         });
-        f64::from(self.own) + others
+        believed.max(own)
     }
 
-    /// Requests that this entry may still send: by capacity and by slow start.
+    /// Requests of a class that this entry may still send: by capacity and by slow start.
     #[must_use]
-    pub fn room(&self, now: Duration, pool_others: f64, cfg: &RouterConfig) -> f64 {
+    pub fn room(
+        &self,
+        now: Duration,
+        pool_load: f64,
+        priority: Priority,
+        cfg: &RouterConfig,
+    ) -> f64 {
         let limit = f64::from(self.limit());
-        let by_load = limit - self.load(now, pool_others, cfg);
+        let by_load = limit + self.waiting_room(priority, cfg) - self.load(now, pool_load, cfg);
         by_load.min(self.own_cap(now, cfg) - f64::from(self.own))
     }
 
-    /// Whether a full-looking upstream may be tried, because nothing fresh is known of it and
-    /// nothing of this entry's runs there that would bring news.
+    /// Requests that may wait at the upstream when one of a class is sent. A short queue there
+    /// refills a slot at once and lets the agent put urgent requests first; a cold upstream gets
+    /// none.
+    fn waiting_room(&self, priority: Priority, cfg: &RouterConfig) -> f64 {
+        if self.limit() < self.stated.warm {
+            return 0.0;
+        }
+        let part = match priority {
+            Priority::High => cfg.high_waiting,
+            Priority::Normal | Priority::Low => cfg.usual_waiting,
+        };
+        (part * f64::from(self.limit())).floor()
+    }
+
+    /// Whether nothing fresh is known of the upstream, so that it may be tried although it seems
+    /// full.
     #[must_use]
-    pub fn may_probe(&self, now: Duration, cfg: &RouterConfig) -> bool {
+    pub fn is_unknown(&self, now: Duration, cfg: &RouterConfig) -> bool {
+        let own_cap = self.own_cap(now, cfg);
         let news = self.report.map_or(Duration::ZERO, |r| r.made);
-        let last = news.max(self.probed);
-        self.own == 0 && now.saturating_sub(last) >= cfg.probe_after
+        f64::from(self.own) + 1.0 <= own_cap && now.saturating_sub(news) >= cfg.probe_min
     }
 
     /// Part of its full share that the upstream gets during slow start, between 0 and 1.
@@ -175,6 +200,7 @@
         if self.health.on_probation() {
             return 1.0;
         }
-        (f64::from(self.limit()) * self.ramp(now, cfg)).max(1.0)
+        let most = f64::from(self.limit()) + self.waiting_room(Priority::High, cfg);
+        (most * self.ramp(now, cfg)).max(1.0)
     }
 }
--- a/crates/oriole_routing/src/queue/rate.rs
+++ b/crates/oriole_routing/src/queue/rate.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Part of the smoothing time after which a rate is known.
+const YOUNGEST: f64 = 0.1;
+
 /// Events a second, smoothed over some time.
 ///
 /// The rate is a leaky sum: each event adds to it, and all of it fades with time. Until one
@@ -40,14 +43,15 @@
         let age = now.saturating_sub(since).as_secs_f64();
         let smoothing = self.smoothing.as_secs_f64();
         let window = smoothing * (1.0 - (-age / smoothing).exp());
-        self.faded(now) / window.max(smoothing * 0.1)
+        self.faded(now) / window.max(smoothing * YOUNGEST)
     }
 
-    /// Whether events were seen for long enough to trust the rate.
+    /// Whether events were seen for long enough to give a rate.
     #[must_use]
-    pub fn is_settled(&self, now: Duration) -> bool {
+    pub fn is_known(&self, now: Duration) -> bool {
+        let least = self.smoothing.mul_f64(YOUNGEST);
         self.since
-            .is_some_and(|since| now.saturating_sub(since) >= self.smoothing)
+            .is_some_and(|since| now.saturating_sub(since) >= least)
     }
 
     /// Takes back events that were noted too early.
--- a/crates/oriole_routing/src/queue/wait_queue.rs
+++ b/crates/oriole_routing/src/queue/wait_queue.rs
@@ -12,6 +12,9 @@
 /// Classes from the most urgent one down.
 const CLASSES: [Priority; 3] = [Priority::High, Priority::Normal, Priority::Low];
 
+/// How many times its forecast a wait may last without breaking the deadline.
+const FORECAST_MARGIN: f64 = 2.0;
+
 /// Settings of a [`WaitQueue`].
 #[derive(Clone, Debug)]
 pub struct QueueConfig {
@@ -21,7 +24,9 @@
     pub per_key: usize,
     /// Most requests that wait in all.
     pub total: usize,
-    /// Longest forecast wait with which a request is taken in, whatever its deadline.
+    /// Longest forecast wait with which a request is taken in, whatever its deadline, unless
+    /// it is high; far below
+    /// usual timeouts, so that a forecast that is too short still keeps the deadline.
     pub max_wait: Duration,
     /// Time over which rates are smoothed.
     pub rate_smoothing: Duration,
@@ -37,7 +42,7 @@
             per_account: 256,
             per_key: 8,
             total: 2048,
-            max_wait: Duration::from_secs(10),
+            max_wait: Duration::from_secs(1),
             rate_smoothing: Duration::from_secs(2),
             yield_every: 16,
             offers: 8,
@@ -298,13 +303,14 @@
         if full {
             return Err(RefusalReason::QueueFull);
         }
-        if !self.drained.is_settled(self.busy_clock(now)) {
+        if !self.drained.is_known(self.busy_clock(now)) {
             return Ok(());
         }
         let wait = self.forecast_wait(now, waiting);
-        if wait > self.cfg.max_wait {
+        if wait > self.cfg.max_wait && waiting.priority != Priority::High {
             return Err(RefusalReason::QueueFull);
         }
+        let wait = wait.mul_f64(FORECAST_MARGIN);
         if now.saturating_add(wait) + waiting.service > waiting.deadline {
             return Err(RefusalReason::Deadline);
         }
--- a/crates/oriole_routing/src/retry.rs
+++ b/crates/oriole_routing/src/retry.rs
@@ -55,6 +55,8 @@
 pub struct RetryAsk {
     /// Attempts made so far.
     pub attempts: Attempt,
+    /// Urgency: less urgent requests leave a part of the budget to the others.
+    pub priority: Priority,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// How the last attempt ended.
@@ -162,13 +164,23 @@
         if now + after + ask.service > ask.deadline {
             return Err(GiveUp::Deadline);
         }
-        if self.tokens < 1.0 {
+        if self.tokens < 1.0 + self.reserve_against(ask.priority) {
             return Err(GiveUp::Budget);
         }
         self.tokens -= 1.0;
         Ok(after)
     }
 
+    /// Retries that are left to more urgent requests.
+    fn reserve_against(&self, priority: Priority) -> f64 {
+        let part = match priority {
+            Priority::High => 0.0,
+            Priority::Normal => 0.25,
+            Priority::Low => 0.5,
+        };
+        self.cfg.saved_retries * part
+    }
+
     fn backoff(&self, attempts: Attempt, rng: &mut impl Rng) -> Duration {
         const MAX_DOUBLINGS: u32 = 10;
         let doublings = attempts.saturating_sub(1).min(MAX_DOUBLINGS);
--- a/crates/oriole_routing/tests/picking.rs
+++ b/crates/oriole_routing/tests/picking.rs
@@ -23,11 +23,7 @@
 }
 
 fn request(pool: &PoolName) -> PickRequest<'_> {
-    PickRequest {
-        pool,
-        prefix: None,
-        exclude: &[],
-    }
+    PickRequest::new(pool)
 }
 
 fn shares(router: &Router, now: Duration, picks: u32, seed: u64) -> BTreeMap<VmName, u32> {
@@ -192,9 +188,8 @@
     warm(&mut router, ms(0), &list);
     let (pool, vm): (PoolName, VmName) = (POOL.into(), "u04".into());
     let req = PickRequest {
-        pool: &pool,
         prefix: Some(7),
-        exclude: &[],
+        ..PickRequest::new(&pool)
     };
     router.prefix_event(ms(1), &vm, 7, true);
     let picked = router.pick(ms(1), &req, &mut rng(1));
--- a/crates/oriole_routing/tests/queue.rs
+++ b/crates/oriole_routing/tests/queue.rs
@@ -38,6 +38,7 @@
 fn settled() -> (WaitQueue<&'static str>, Duration) {
     let mut queue = queue(QueueConfig {
         per_account: 10_000,
+        max_wait: secs(1000),
         ..QueueConfig::default()
     });
     let mut now = secs(1);
--- a/crates/oriole_routing/tests/retry.rs
+++ b/crates/oriole_routing/tests/retry.rs
@@ -17,6 +17,7 @@
 fn ask(end: AttemptEnd) -> RetryAsk {
     RetryAsk {
         attempts: 1,
+        priority: Priority::High,
         idempotent: false,
         end,
         deadline: secs(10),
