Share a pool's slots among accounts before classes, high ones aside

Change: accounts that had more than their weighted, max-min fair share are offered slots after the others; a wait is forecast from the rate that the account can count on. Conclusion: queues alone do not make up for a limit that is set too high, since the slots of an entry follow its load; limits do.

--- a/crates/oriole_routing/src/queue/lane.rs
+++ b/crates/oriole_routing/src/queue/lane.rs
@@ -59,16 +59,6 @@
             .count()
     }
 
-    /// Requests of the lane that are sent up to a point of virtual time.
-    pub fn served_by(&self, turn: f64) -> usize {
-        let Some((_, first)) = self.items.first_key_value() else {
-            return 0;
-        };
-        let weight = f64::from(first.waiting.weight.max(1));
-        let earned = ((turn - self.due) * weight).floor() + 1.0;
-        (earned.max(0.0) as usize).min(self.items.len())
-    }
-
     pub fn first_deadline(&self) -> Option<Duration> {
         self.items
             .first_key_value()
--- a/crates/oriole_routing/src/queue/wait_queue.rs
+++ b/crates/oriole_routing/src/queue/wait_queue.rs
@@ -6,8 +6,10 @@
 use metrics::counter;
 use oriole_types::prelude::*;
 
-use super::lane::{Held, Lane};
+use super::class::Class;
+use super::lane::Held;
 use super::rate::Rate;
+use super::shares::Shares;
 
 /// Classes from the most urgent one down.
 const CLASSES: [Priority; 3] = [Priority::High, Priority::Normal, Priority::Low];
@@ -109,15 +111,15 @@
 
 /// Requests that wait for a slot of one pool.
 ///
-/// The next request is taken from the most urgent class that waits (now and then from a less
-/// urgent one), there from the account that had the least of its weighted share, and there by
-/// deadline. A request is refused at once if its wait is forecast to be too long: by the rate at
-/// which requests leave, less what more urgent classes bring in.
+/// High requests are sent first. Of the others, those of accounts within their weighted share go
+/// before those of accounts that had more; then the more urgent class goes first, now and then a
+/// less urgent one; then the account whose turn it is; then the earliest deadline. A request is
+/// refused at once if its wait is forecast to be too long.
 #[derive(Clone, Debug)]
 pub struct WaitQueue<T> {
     cfg: QueueConfig,
     classes: BTreeMap<Priority, Class<T>>,
-    per_account: BTreeMap<AccountName, usize>,
+    shares: Shares,
     per_key: BTreeMap<(AccountName, u64), usize>,
     index: BTreeMap<Ticket, (Priority, AccountName, Duration)>,
     drained: Rate,
@@ -127,27 +129,28 @@
     turns: u32,
 }
 
+/// Requests that are offered slots before those of the next group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Group {
+    over: bool,
+    priority: Priority,
+}
+
+/// An account's turn at a slot.
 #[derive(Clone, Debug)]
-struct Class<T> {
-    lanes: BTreeMap<AccountName, Lane<T>>,
-    now: f64,
-    waiting: usize,
-    arrived: Rate,
+struct Turn {
+    group: Group,
+    due: f64,
+    account: AccountName,
 }
 
 impl<T> WaitQueue<T> {
     /// An empty queue.
     #[must_use]
     pub fn new(cfg: QueueConfig) -> Self {
-        let class = || Class {
-            lanes: BTreeMap::new(),
-            now: 0.0,
-            waiting: 0,
-            arrived: Rate::new(cfg.rate_smoothing),
-        };
         Self {
-            classes: CLASSES.into_iter().map(|p| (p, class())).collect(),
-            per_account: BTreeMap::new(),
+            classes: CLASSES.into_iter().map(|p| (p, Class::default())).collect(),
+            shares: Shares::new(cfg.rate_smoothing),
             per_key: BTreeMap::new(),
             index: BTreeMap::new(),
             drained: Rate::new(cfg.rate_smoothing),
@@ -173,6 +176,7 @@
         waiting: Waiting,
         value: T,
     ) -> Result<(Ticket, Option<Popped<T>>), QueueRefusal<T>> {
+        self.shares.refresh(now);
         if let Err(reason) = self.admits(now, &waiting) {
             counter!("oriole_queue_refused_total", "reason" => reason.as_str()).increment(1);
             let retry_after = self.forecast_wait(now, &waiting).min(self.cfg.max_wait);
@@ -187,15 +191,14 @@
         } else {
             None
         };
-        if let Some(class) = self.classes.get_mut(&waiting.priority) {
-            class.arrived.add(now, 1.0);
-        }
+        self.shares.arrived(now, &waiting.account, waiting.priority);
         Ok((self.insert(now, waiting, value), displaced))
     }
 
     /// Puts a request back whose attempt was refused; it was admitted before and is not refused.
     pub fn push_back(&mut self, now: Duration, waiting: Waiting, value: T) -> Ticket {
         self.drained.take_back(1.0);
+        self.shares.had_not(&waiting.account);
         self.insert(now, waiting, value)
     }
 
@@ -215,7 +218,7 @@
         now: Duration,
         mut offer: impl FnMut(&T) -> Offer<R>,
     ) -> Option<(Popped<T>, R)> {
-        for (i, (priority, account)) in self.order().into_iter().enumerate() {
+        for (i, (priority, account)) in self.order(now).into_iter().enumerate() {
             let class = self.classes.get_mut(&priority)?;
             let first = class.lanes.get(&account)?.first()?;
             match offer(&first.value) {
@@ -268,29 +271,40 @@
     /// Number of waiting requests of an account.
     #[must_use]
     pub fn waiting_for(&self, account: &AccountName) -> usize {
-        self.per_account.get(account).copied().unwrap_or(0)
+        self.shares.waiting(account)
     }
 
-    /// Time after which a request would be sent if it were queued now: what waits in more urgent
-    /// classes leaves at the full rate, the rest at what their arrivals leave of it.
+    /// Time after which a request would be sent if it were queued now.
+    ///
+    /// High requests leave at the full rate. Others wait for the high ones, and for their own
+    /// account's at the rate that the account can count on, whatever others bring meanwhile.
     #[must_use]
     pub fn forecast_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
-        if self.is_empty() {
+        let least = 1.0 / f64::from(self.cfg.yield_every.max(1));
+        let of = (&waiting.account, waiting.weight, waiting.priority);
+        let (false, Some(own_rate)) = (self.is_empty(), self.shares.counts_on(now, of, least))
+        else {
             return Duration::ZERO;
-        }
+        };
         let drained = self.drained.per_s(self.busy_clock(now));
+        let left_by_high = drained - self.shares.arriving(now, Priority::High);
+        let own_rate = own_rate.min(left_by_high.max(drained * least));
+        let high = self.classes[&Priority::High].waiting as f64 / drained;
+        let own = (self.own_ahead(waiting) + 1) as f64 / own_rate;
+        let wait_s = match waiting.priority {
+            Priority::High => high + 1.0 / drained,
+            Priority::Normal | Priority::Low => high + own,
+        };
+        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+    }
+
+    /// Requests of the same account that are sent before this one, but for high ones.
+    fn own_ahead(&self, waiting: &Waiting) -> usize {
         let urgent = self
             .classes
-            .range(..waiting.priority)
-            .map(|(_, class)| class);
-        let (ahead, arriving) = urgent.fold((0, 0.0), |(ahead, arriving), class| {
-            (ahead + class.waiting, arriving + class.arrived.per_s(now))
-        });
-        let least = drained / f64::from(self.cfg.yield_every.max(1));
-        let left = (drained - arriving).max(least);
-        let in_class = self.classes[&waiting.priority].ahead_of(waiting) + 1;
-        let wait_s = ahead as f64 / drained + in_class as f64 / left;
-        Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
+            .range(Priority::Normal..waiting.priority.max(Priority::Normal));
+        let urgent: usize = urgent.map(|(_, c)| c.waiting_for(&waiting.account)).sum();
+        urgent + self.classes[&waiting.priority].ahead_of(&waiting.account, waiting.deadline)
     }
 
     fn admits(&self, now: Duration, waiting: &Waiting) -> Result<(), RefusalReason> {
@@ -346,30 +360,54 @@
         Some(self.left(now, ticket, held))
     }
 
-    /// Accounts with waiting requests in the order in which they are offered a slot: by class,
-    /// but every so many turns a less urgent class first, and within a class by what they had.
-    fn order(&mut self) -> Vec<(Priority, AccountName)> {
-        let mut classes: Vec<Priority> = self.waiting_classes().collect();
+    /// Accounts with waiting requests in the order in which they are offered a slot.
+    ///
+    /// High requests come first, then those of accounts within their share by class, then those of
+    /// accounts that had more than their share. In each of these groups the account is first whose
+    /// turn it is. Every so many turns the next group is offered the slot first.
+    fn order(&mut self, now: Duration) -> Vec<(Priority, AccountName)> {
+        self.shares.refresh(now);
+        let mut turns: Vec<Turn> = self.turns_to_offer(now);
+        turns.sort_by(|a, b| a.group.cmp(&b.group).then(a.due.total_cmp(&b.due)));
         if self.turns >= self.cfg.yield_every {
             self.turns = 0;
-            let by = usize::from(classes.len() > 1);
-            classes.rotate_left(by);
+            let first = turns
+                .iter()
+                .take_while(|t| t.group == turns[0].group)
+                .count();
+            let by = first % turns.len().max(1);
+            turns.rotate_left(by);
         }
-        let accounts = classes.into_iter().flat_map(|p| {
-            let accounts = self.classes[&p].accounts_in_turn();
-            accounts.into_iter().map(move |account| (p, account))
-        });
-        accounts.take(self.cfg.offers).collect()
+        turns.truncate(self.cfg.offers);
+        turns
+            .into_iter()
+            .map(|t| (t.group.priority, t.account))
+            .collect()
     }
 
-    fn waiting_classes(&self) -> impl Iterator<Item = Priority> {
-        self.classes
-            .iter()
-            .filter(|(_, c)| c.waiting > 0)
-            .map(|(p, _)| *p)
+    fn turns_to_offer(&self, now: Duration) -> Vec<Turn> {
+        let classes = self.classes.iter();
+        classes
+            .flat_map(|(priority, class)| {
+                class.due().map(|(due, account)| {
+                    let high = *priority == Priority::High;
+                    let over = !high && self.shares.is_over(now, account);
+                    let group = Group {
+                        over,
+                        priority: *priority,
+                    };
+                    Turn {
+                        group,
+                        due,
+                        account: account.clone(),
+                    }
+                })
+            })
+            .collect()
     }
 
     fn sent(&mut self, now: Duration, ticket: Ticket, held: Held<T>) -> Popped<T> {
+        self.shares.had(now, &held.waiting.account);
         let busy = self.busy_clock(now);
         if held.queued < now {
             self.drained.add(busy, 1.0);
@@ -391,14 +429,13 @@
         self.next = ticket.next();
         self.busy_since.get_or_insert(now);
         let account = waiting.account.clone();
-        *self.per_account.entry(account.clone()).or_default() += 1;
+        self.shares.queued(&account, waiting.weight);
         if let Some(key) = waiting.key {
             *self.per_key.entry((account.clone(), key)).or_default() += 1;
         }
         self.index
             .insert(ticket, (waiting.priority, account, waiting.deadline));
         if let Some(class) = self.classes.get_mut(&waiting.priority) {
-            class.arrived.add(now, 1.0);
             class.insert(
                 ticket,
                 Held {
@@ -429,7 +466,7 @@
             queued,
             value,
         } = held;
-        decrement(&mut self.per_account, &waiting.account);
+        self.shares.left(&waiting.account);
         if let Some(key) = waiting.key {
             decrement(&mut self.per_key, &(waiting.account, key));
         }
@@ -442,79 +479,6 @@
     }
 }
 
-impl<T> Class<T> {
-    fn insert(&mut self, ticket: Ticket, held: Held<T>) {
-        let account = held.waiting.account.clone();
-        let now = self.now;
-        let lane = self.lanes.entry(account).or_insert_with(|| Lane::new(now));
-        if lane.is_empty() {
-            lane.due = lane.due.max(now);
-        }
-        lane.insert(ticket, held);
-        self.waiting += 1;
-    }
-
-    fn accounts_in_turn(&self) -> Vec<AccountName> {
-        let mut lanes: Vec<_> = self
-            .lanes
-            .iter()
-            .filter(|(_, lane)| !lane.is_empty())
-            .collect();
-        lanes.sort_by(|(_, a), (_, b)| a.due.total_cmp(&b.due));
-        lanes
-            .into_iter()
-            .map(|(account, _)| account.clone())
-            .collect()
-    }
-
-    fn take(&mut self, account: &AccountName) -> Option<(Ticket, Held<T>)> {
-        let lane = self.lanes.get_mut(account)?;
-        let (ticket, held) = lane.pop_first()?;
-        self.now = self.now.max(lane.due);
-        lane.due += 1.0 / f64::from(held.waiting.weight.max(1));
-        self.waiting -= 1;
-        self.drop_if_idle(account);
-        Some((ticket, held))
-    }
-
-    /// Requests sent before this one: of its own account by deadline, of each other account as
-    /// many as its weight earns meanwhile.
-    fn ahead_of(&self, waiting: &Waiting) -> usize {
-        let own = self.lanes.get(&waiting.account);
-        let before = own.map_or(0, |lane| lane.ahead_of(waiting.deadline));
-        let weight = f64::from(waiting.weight.max(1));
-        let turn = own.map_or(self.now, |lane| lane.due.max(self.now)) + before as f64 / weight;
-        let others = self
-            .lanes
-            .iter()
-            .filter(|(account, _)| **account != waiting.account);
-        let of_others: usize = others.map(|(_, lane)| lane.served_by(turn)).sum();
-        before + of_others
-    }
-
-    fn late_account(&self, now: Duration) -> Option<AccountName> {
-        self.lanes
-            .iter()
-            .find(|(_, lane)| lane.first_deadline().is_some_and(|d| d <= now))
-            .map(|(account, _)| account.clone())
-    }
-
-    /// Forgets an account that owes nothing, so that the map stays small.
-    fn drop_if_idle(&mut self, account: &AccountName) {
-        let now = self.now;
-        if self
-            .lanes
-            .get(account)
-            .is_some_and(|l| l.is_empty() && l.due <= now)
-        {
-            self.lanes.remove(account);
-        }
-        if self.waiting == 0 {
-            self.lanes.clear();
-        }
-    }
-}
-
 fn decrement<K: Ord>(counts: &mut BTreeMap<K, usize>, key: &K) {
     if let Some(n) = counts.get_mut(key) {
         *n -= 1;
