--- /dev/null
+++ b/crates/oriole_routing/tests/fuzz_queue.rs
@@ -0,0 +1,342 @@
+//! The queue against a list of what waits, over random sessions.
+
+mod common;
+#[path = "common/fuzz.rs"]
+mod fuzz;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::ms;
+use fuzz::fuzz;
+use oriole_routing::prelude::*;
+use oriole_types::prelude::*;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const ACCOUNTS: [&str; 3] = ["a", "b", "c"];
+const PER_ACCOUNT: usize = 8;
+const YIELD_EVERY: u32 = 5;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push {
+        account: usize,
+        priority: Priority,
+        timeout_ms: u64,
+    },
+    Pop,
+    Expire,
+    Cancel(usize),
+    Wait(u64),
+}
+
+struct Session;
+
+impl ReferenceStateMachine for Session {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let priority = prop_oneof![
+            Just(Priority::High),
+            Just(Priority::Normal),
+            Just(Priority::Low)
+        ];
+        let push = (0..ACCOUNTS.len(), priority, 200..5000_u64).prop_map(
+            |(account, priority, timeout_ms)| Step::Push {
+                account,
+                priority,
+                timeout_ms,
+            },
+        );
+        prop_oneof![
+            6 => push,
+            4 => Just(Step::Pop),
+            1 => Just(Step::Expire),
+            1 => (0..20_usize).prop_map(Step::Cancel),
+            2 => (0..300_u64).prop_map(Step::Wait),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+/// What the fuzz needs of a queue, so that faulty ones can stand in for the real one.
+trait Queue: Default {
+    fn push(&mut self, now: Duration, waiting: Waiting, id: u64) -> Result<Option<u64>, ()>;
+    fn pop(&mut self, now: Duration) -> Option<u64>;
+    fn expire(&mut self, now: Duration) -> Option<u64>;
+    fn cancel(&mut self, now: Duration, id: u64) -> bool;
+}
+
+struct Real {
+    queue: WaitQueue<u64>,
+    tickets: BTreeMap<u64, Ticket>,
+}
+
+impl Default for Real {
+    fn default() -> Self {
+        let cfg = QueueConfig {
+            per_account: PER_ACCOUNT,
+            yield_every: YIELD_EVERY,
+            ..QueueConfig::default()
+        };
+        Self {
+            queue: WaitQueue::new(cfg),
+            tickets: BTreeMap::new(),
+        }
+    }
+}
+
+impl Queue for Real {
+    fn push(&mut self, now: Duration, waiting: Waiting, id: u64) -> Result<Option<u64>, ()> {
+        let (ticket, displaced) = self.queue.push(now, waiting, id).map_err(|_| ())?;
+        self.tickets.insert(id, ticket);
+        Ok(displaced.map(|p| p.value))
+    }
+
+    fn pop(&mut self, now: Duration) -> Option<u64> {
+        self.queue.pop(now).map(|p| p.value)
+    }
+
+    fn expire(&mut self, now: Duration) -> Option<u64> {
+        self.queue.pop_expired(now).map(|p| p.value)
+    }
+
+    fn cancel(&mut self, now: Duration, id: u64) -> bool {
+        self.queue.cancel(now, self.tickets[&id]).is_some()
+    }
+}
+
+/// Serves by deadline alone, so that one account can hold up all others.
+#[derive(Default)]
+struct DeadlineOnly(BTreeMap<(Duration, u64), ()>);
+
+impl Queue for DeadlineOnly {
+    fn push(&mut self, _: Duration, waiting: Waiting, id: u64) -> Result<Option<u64>, ()> {
+        self.0.insert((waiting.deadline, id), ());
+        Ok(None)
+    }
+
+    fn pop(&mut self, _: Duration) -> Option<u64> {
+        self.0.pop_first().map(|((_, id), ())| id)
+    }
+
+    fn expire(&mut self, now: Duration) -> Option<u64> {
+        let first = self.0.keys().next().copied()?;
+        (first.0 <= now)
+            .then(|| self.0.remove(&first))
+            .map(|_| first.1)
+    }
+
+    fn cancel(&mut self, _: Duration, id: u64) -> bool {
+        let before = self.0.len();
+        self.0.retain(|(_, i), ()| *i != id);
+        before > self.0.len()
+    }
+}
+
+/// Loses a cancelled request's neighbour.
+#[derive(Default)]
+struct Forgetful(Real);
+
+impl Queue for Forgetful {
+    fn push(&mut self, now: Duration, waiting: Waiting, id: u64) -> Result<Option<u64>, ()> {
+        self.0.push(now, waiting, id)
+    }
+
+    fn pop(&mut self, now: Duration) -> Option<u64> {
+        self.0.pop(now)
+    }
+
+    fn expire(&mut self, now: Duration) -> Option<u64> {
+        self.0.expire(now)
+    }
+
+    fn cancel(&mut self, now: Duration, id: u64) -> bool {
+        let done = self.0.cancel(now, id);
+        self.0.queue.pop(now);
+        done
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    id: u64,
+    account: usize,
+    priority: Priority,
+    deadline: Duration,
+}
+
+/// A queue and the list of what should wait in it.
+struct Checked<Q> {
+    queue: Q,
+    now: Duration,
+    next: u64,
+    waiting: Vec<Item>,
+    pops_since_yield: u32,
+    passed_over: BTreeMap<(usize, usize), u32>,
+}
+
+impl<Q: Queue> Checked<Q> {
+    fn push(&mut self, account: usize, priority: Priority, timeout: Duration) {
+        let id = self.next;
+        self.next += 1;
+        let deadline = self.now + timeout;
+        let waiting = Waiting {
+            account: ACCOUNTS[account].into(),
+            weight: 1,
+            priority,
+            deadline,
+            service: ms(100),
+            key: None,
+        };
+        let Ok(displaced) = self.queue.push(self.now, waiting, id) else {
+            return;
+        };
+        self.waiting.push(Item {
+            id,
+            account,
+            priority,
+            deadline,
+        });
+        if let Some(id) = displaced {
+            let item = self.take(id);
+            assert!(
+                item.priority > priority,
+                "only less urgent requests give way"
+            );
+        }
+        let of_account = self.waiting.iter().filter(|i| i.account == account).count();
+        assert!(
+            of_account <= PER_ACCOUNT,
+            "an account's requests are bounded"
+        );
+    }
+
+    fn pop(&mut self) {
+        let Some(id) = self.queue.pop(self.now) else {
+            assert!(self.waiting.is_empty(), "a waiting request is offered");
+            return;
+        };
+        let item = self.take(id);
+        let same = |i: &&Item| (i.account, i.priority) == (item.account, item.priority);
+        let earliest = self.waiting.iter().filter(same).map(|i| i.deadline).min();
+        assert!(
+            earliest.is_none_or(|d| d >= item.deadline),
+            "deadline order"
+        );
+        self.check_class(&item);
+        self.check_turns(&item);
+    }
+
+    /// High requests wait for others at most once in so many turns.
+    fn check_class(&mut self, item: &Item) {
+        let high_waits = self.waiting.iter().any(|i| i.priority == Priority::High);
+        self.pops_since_yield += 1;
+        if item.priority != Priority::High && high_waits {
+            assert!(self.pops_since_yield >= YIELD_EVERY, "high first");
+            self.pops_since_yield = 0;
+        }
+    }
+
+    /// While an account has a high request, each other account gets at most two ahead of it.
+    fn check_turns(&mut self, item: &Item) {
+        self.passed_over
+            .retain(|(waits, _), _| *waits != item.account);
+        if item.priority != Priority::High {
+            return;
+        }
+        for waits in 0..ACCOUNTS.len() {
+            let high = |i: &Item| i.account == waits && i.priority == Priority::High;
+            if waits == item.account || !self.waiting.iter().any(high) {
+                self.passed_over.retain(|(w, _), _| *w != waits);
+                continue;
+            }
+            let count = self.passed_over.entry((waits, item.account)).or_default();
+            *count += 1;
+            assert!(*count <= 2, "accounts take turns");
+        }
+    }
+
+    fn expire(&mut self) {
+        let late = self.waiting.iter().any(|i| i.deadline <= self.now);
+        match self.queue.expire(self.now) {
+            Some(id) => assert!(self.take(id).deadline <= self.now, "only late ones expire"),
+            None => assert!(!late, "late requests expire"),
+        }
+    }
+
+    fn cancel(&mut self, n: usize) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let id = self.waiting[n % self.waiting.len()].id;
+        assert!(
+            self.queue.cancel(self.now, id),
+            "what waits can be cancelled"
+        );
+        self.take(id);
+    }
+
+    fn take(&mut self, id: u64) -> Item {
+        let place = self.waiting.iter().position(|i| i.id == id);
+        self.waiting.remove(place.expect("only what waits leaves"))
+    }
+}
+
+struct Test<Q>(std::marker::PhantomData<Q>);
+
+impl<Q: Queue> StateMachineTest for Test<Q> {
+    type SystemUnderTest = Checked<Q>;
+    type Reference = Session;
+
+    fn init_test((): &()) -> Checked<Q> {
+        Checked {
+            queue: Q::default(),
+            now: ms(1000),
+            next: 0,
+            waiting: Vec::new(),
+            pops_since_yield: 0,
+            passed_over: BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut checked: Checked<Q>, (): &(), step: Step) -> Checked<Q> {
+        match step {
+            Step::Push {
+                account,
+                priority,
+                timeout_ms,
+            } => {
+                checked.push(account, priority, ms(timeout_ms));
+            }
+            Step::Pop => checked.pop(),
+            Step::Expire => checked.expire(),
+            Step::Cancel(n) => checked.cancel(n),
+            Step::Wait(millis) => checked.now += ms(millis),
+        }
+        checked
+    }
+}
+
+#[test]
+fn fuzz_queue_keeps_order_and_bounds() {
+    assert_eq!(fuzz::<Test<Real>>(1), Ok(()));
+}
+
+#[test]
+fn fuzz_queue_catches_deadline_only() {
+    assert!(fuzz::<Test<DeadlineOnly>>(1).is_err());
+}
+
+#[test]
+fn fuzz_queue_catches_lost_request() {
+    assert!(fuzz::<Test<Forgetful>>(1).is_err());
+}
