--- /dev/null
+++ b/crates/oriole_agent/src/upstream/mod.rs
@@ -0,0 +1,99 @@
+//! The upstream as its agent sees it.
+
+pub mod answer;
+pub mod client;
+pub mod engine;
+pub mod service;
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use oriole_types::catalog::PoolKind;
+use oriole_types::ids::Attempt;
+use oriole_types::request::RequestHead;
+
+pub use self::answer::Answer;
+
+/// Opens a client of the upstream of some kind.
+#[must_use]
+pub fn open(kind: PoolKind, addr: SocketAddr) -> Box<dyn Upstream> {
+    match kind {
+        PoolKind::Engine => Box::new(engine::EngineUpstream::open(addr)),
+        PoolKind::Service => Box::new(service::ServiceUpstream::open(addr)),
+    }
+}
+
+/// One attempt of a request, as it is given to the upstream.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Number of the request.
+    pub request: u64,
+    /// Ordinal of the attempt.
+    pub attempt: Attempt,
+    /// Head of the request.
+    pub head: RequestHead,
+    /// Body of the request.
+    pub body: Bytes,
+}
+
+/// Why an upstream gave no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UpstreamError {
+    /// The connection could not be made; nothing was sent.
+    #[error("the upstream cannot be reached: {0}")]
+    NotSent(String),
+    /// The upstream refused the request before running it.
+    #[error("the upstream refused the request with status {0}")]
+    Refused(u16),
+    /// The upstream answered with an error status; the request may have run.
+    #[error("the upstream answered with status {0}")]
+    Error(u16),
+    /// The connection failed after the request was sent; the request may have run.
+    #[error("the upstream failed: {0}")]
+    Failed(String),
+    /// The answer ended early or out of order.
+    #[error("the upstream's answer is incomplete")]
+    Incomplete,
+}
+
+/// What an upstream says of its load, which lags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+pub struct UpstreamLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Whether it is in cold start.
+    pub cold: bool,
+    /// Age of the report, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u32,
+}
+
+/// An upstream: a model engine or a plain service.
+#[async_trait]
+pub trait Upstream: Send + Sync + 'static {
+    /// Asks for the load; fails if the upstream cannot be reached.
+    async fn load(&self) -> Result<UpstreamLoad, UpstreamError>;
+
+    /// Asks the upstream to stop a job; `true` once it confirms that nothing of it runs any more.
+    async fn cancel(&self, job: &Job) -> bool;
+
+    /// Sends a job and returns its answer once the upstream has accepted it.
+    ///
+    /// Dropping the answer cancels the work where the upstream can cancel it.
+    async fn run(&self, job: &Job) -> Result<Answer, UpstreamError>;
+}
+
+impl UpstreamError {
+    /// The label of the error in metrics.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Refused(_) => "refused",
+            Self::Error(_) => "error_status",
+            Self::Failed(_) => "connection_failed",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -5,6 +5,13 @@
 pub mod hot_account;
 pub mod overload;
 pub mod retry_storm;
+mod claims;
+mod claims_baseline;
+mod claims_fleet;
+mod claims_history;
+mod skew;
+mod skew_large;
+mod store_outage;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
@@ -13,6 +20,10 @@
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(retry_storm::RetryStorm),
+        Box::new(claims::Claims),
+        Box::new(skew::Skew),
+        Box::new(skew_large::SkewLarge),
+        Box::new(store_outage::StoreOutage),
     ]
 }
 
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`registry`]: where services find each other by name.
 //! - [`app`]: plugins register services into an [`app::App`]; starting it starts the services in
 //!   order of their dependencies and yields a [`app::RunningApp`] that stops them in reverse.
+//! - [`clock`]: time since the process started.
 //! - [`logging`]: JSON lines through `slog`.
 //! - [`telemetry`]: the process-wide metrics recorder.
 //! - [`settings`]: reading and checking a daemon's TOML settings.
+//! - [`signals`]: signals that ask a process to end.
 //!
 //! ```
 //! use oriole_kernel::prelude::*;
@@ -29,15 +31,18 @@
 #![forbid(unsafe_code)]
 
 pub mod app;
+pub mod clock;
 pub mod error;
 pub mod logging;
 pub mod registry;
 pub mod settings;
+pub mod signals;
 pub mod telemetry;
 
 /// Everything that daemons usually need from this crate.
 pub mod prelude {
     pub use crate::app::{App, Plugin, RunningApp, Service};
+    pub use crate::clock::Clock;
     pub use crate::error::KernelError;
     pub use crate::registry::Registry;
 }
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -1,7 +1,9 @@
 //! Reading and checking a daemon's TOML settings.
 
+use std::ops::RangeInclusive;
 use std::path::Path;
 
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::error::KernelError;
@@ -41,9 +43,32 @@
     Ok(settings)
 }
 
+/// The settings in force as TOML text; fields that are not serialized, such as secrets, are left
+/// out.
+///
+/// # Errors
+///
+/// Fails if the settings cannot be written as TOML.
+pub fn render(settings: &impl Serialize) -> eyre::Result<String> {
+    Ok(toml::to_string(settings)?)
+}
+
 fn settings_error(path: &Path, message: String) -> KernelError {
     KernelError::Settings {
         path: path.display().to_string(),
         message,
     }
 }
+
+/// Checks that a number lies in a range.
+///
+/// # Errors
+///
+/// Fails with the key and the allowed values.
+pub fn check_range(key: &str, value: u64, range: RangeInclusive<u64>) -> Result<(), String> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let (min, max) = range.into_inner();
+    Err(format!("{key} = {value}: allowed are {min} to {max}"))
+}
