Tell the entry's picking and retries how urgent a request is

Cause: picking lets more urgent requests wait at a full upstream, and retries reserve a part of their budget, so both need the class; the entry daemon did not build against them. Change: the daemon hands the class on, and counts requests that need not wait among what their account had of the pool. Conclusion: oriole_entry and oriole_local build and pass.

--- a/crates/oriole_entry/src/dispatch.rs
+++ b/crates/oriole_entry/src/dispatch.rs
@@ -296,6 +296,7 @@
     pub(crate) fn decide_retry(&self, end: AttemptEnd) -> RetryDecision {
         let ask = RetryAsk {
             attempts: self.attempts,
+            priority: self.accepted.head.priority,
             idempotent: self.accepted.head.idempotent,
             end,
             deadline: self.accepted.deadline,
--- a/crates/oriole_entry/src/traffic.rs
+++ b/crates/oriole_entry/src/traffic.rs
@@ -33,6 +33,7 @@
     pool: PoolName,
     prefix: Option<u64>,
     exclude: Vec<VmName>,
+    priority: Priority,
     tx: oneshot::Sender<Result<VmName, Refusal>>,
 }
 
@@ -244,8 +245,10 @@
             return Err(capacity_refusal(reason, &ask.pool, capacity));
         }
         if machines.queue_is_empty(&ask.pool) {
-            match machines.pick(now, &ask.pool, ask.prefix, &ask.exclude) {
+            let priority = ask.waiting.priority;
+            match machines.pick(now, &ask.pool, ask.prefix, &ask.exclude, priority) {
                 Ok(vm) => {
+                    machines.passed_by(now, &ask);
                     drop(machines);
                     return Ok(Acquired::Now(self.guard(vm)));
                 }
@@ -310,17 +313,28 @@
         pool: &PoolName,
         prefix: Option<u64>,
         exclude: &[VmName],
+        priority: Priority,
     ) -> Result<VmName, RefusalReason> {
         let req = PickRequest {
             pool,
             prefix,
             exclude,
+            priority,
         };
         let vm = self.router.pick(now, &req, &mut rand::rng())?;
         self.router.started(now, &vm, prefix);
         Ok(vm)
     }
 
+    /// Counts a request that did not have to wait among what its account had of the pool.
+    fn passed_by(&mut self, now: Duration, ask: &PickAsk) {
+        let queue = self
+            .queues
+            .entry(ask.pool.clone())
+            .or_insert_with(|| WaitQueue::new(QueueConfig::default()));
+        queue.passed_by(now, &ask.waiting);
+    }
+
     fn enqueue(
         &mut self,
         now: Duration,
@@ -331,6 +345,7 @@
             pool: ask.pool.clone(),
             prefix: ask.prefix,
             exclude: ask.exclude,
+            priority: ask.waiting.priority,
             tx,
         };
         let queue = self
@@ -377,7 +392,14 @@
     }
 
     fn offer(&mut self, now: Duration, waiter: &Waiter) -> Offer<VmName> {
-        match self.pick(now, &waiter.pool, waiter.prefix, &waiter.exclude) {
+        let Waiter {
+            pool,
+            prefix,
+            exclude,
+            priority,
+            ..
+        } = waiter;
+        match self.pick(now, pool, *prefix, exclude, *priority) {
             Ok(vm) => Offer::Take(vm),
             Err(_) if !waiter.exclude.is_empty() => Offer::Skip,
             Err(_) => Offer::Stop,
--- a/crates/oriole_routing/src/queue/wait_queue.rs
+++ b/crates/oriole_routing/src/queue/wait_queue.rs
@@ -195,6 +195,12 @@
         Ok((self.insert(now, waiting, value), displaced))
     }
 
+    /// Notes a request that was sent without waiting, since none waited and there was room.
+    pub fn passed_by(&mut self, now: Duration, waiting: &Waiting) {
+        self.shares.arrived(now, &waiting.account, waiting.priority);
+        self.shares.had(now, &waiting.account);
+    }
+
     /// Puts a request back whose attempt was refused; it was admitted before and is not refused.
     pub fn push_back(&mut self, now: Duration, waiting: Waiting, value: T) -> Ticket {
         self.drained.take_back(1.0);
