--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,6 +2,9 @@
 
 use crate::experiment::Experiment;
 
+pub mod hot_account;
+pub mod overload;
+pub mod retry_storm;
 mod claims;
 mod claims_baseline;
 mod claims_fleet;
@@ -15,6 +18,9 @@
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
+        Box::new(hot_account::HotAccount),
+        Box::new(overload::Overload),
+        Box::new(retry_storm::RetryStorm),
         Box::new(claims::Claims),
         Box::new(path::Path),
         Box::new(skew::Skew),
--- a/crates/oriole_bench/src/lib.rs
+++ b/crates/oriole_bench/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`plot`]: drawing series as SVG.
 //! - [`process`]: processor time and memory of this process.
 //! - [`experiments`]: all experiments by name.
+//! - [`service`]: an event loop that drives the entry's machines against fakes of upstreams.
 #![forbid(unsafe_code)]
 
 pub mod experiment;
@@ -14,6 +15,7 @@
 pub mod plot;
 pub mod process;
 pub mod report;
+pub mod service;
 
 /// Everything an experiment needs.
 pub mod prelude {
