--- a/crates/oriole_admission/src/gate/mod.rs
+++ b/crates/oriole_admission/src/gate/mod.rs
@@ -186,6 +186,7 @@
             actions.extend(self.refuse_waiting(reason));
         }
         actions.extend(self.start_waiting(now));
+        actions.extend(self.shed());
         actions
     }
 
@@ -372,7 +373,7 @@
         if now + wait >= offer.deadline {
             return Decision::Refuse(self.refusal(RefusalReason::Deadline));
         }
-        if !self.queue.has_room(offer.priority, self.cfg.queue_capacity) {
+        if !self.queue.has_room(offer.priority, self.queue_capacity()) {
             return Decision::Refuse(self.refusal(self.full_reason()));
         }
         self.queue.push(offer);
@@ -406,6 +407,27 @@
             && exposed < self.warmth.exposure()
     }
 
+    /// Room in the queue in proportion to what the upstream bears now: what would wait for a cold
+    /// upstream is served sooner elsewhere.
+    fn queue_capacity(&self) -> u32 {
+        let limit = self.warmth.limit();
+        let share = self.cfg.queue_capacity * limit / self.warmth.warm_concurrency().max(1);
+        share.max(limit).min(self.cfg.queue_capacity)
+    }
+
+    /// Refuses what no longer fits into the queue, least urgent first.
+    fn shed(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.queue.len() > self.queue_capacity() {
+            let Some(offer) = self.queue.pop_last() else {
+                break;
+            };
+            let refusal = self.refusal(self.full_reason());
+            actions.push(Action::Refuse(offer.id, refusal));
+        }
+        actions
+    }
+
     fn full_reason(&self) -> RefusalReason {
         if self.warmth.is_cold() {
             RefusalReason::UpstreamCold
--- a/crates/oriole_admission/src/gate/queue.rs
+++ b/crates/oriole_admission/src/gate/queue.rs
@@ -54,6 +54,10 @@
         self.waiting.pop_first().map(|(_, offer)| offer)
     }
 
+    pub(super) fn pop_last(&mut self) -> Option<Offer> {
+        self.waiting.pop_last().map(|(_, offer)| offer)
+    }
+
     pub(super) fn withdraw(&mut self, id: WorkId) -> bool {
         let before = self.waiting.len();
         self.waiting.retain(|_, offer| offer.id != id);
--- a/crates/oriole_admission/src/warmth.rs
+++ b/crates/oriole_admission/src/warmth.rs
@@ -134,6 +134,12 @@
         self.limit
     }
 
+    /// Most requests in flight of a warm upstream.
+    #[must_use]
+    pub fn warm_concurrency(&self) -> u32 {
+        self.warm_concurrency
+    }
+
     /// Most requests in flight that started at [`Warmth::warm_at`] or later.
     #[must_use]
     pub fn exposure(&self) -> u32 {
--- a/crates/oriole_admission/tests/common/mod.rs
+++ b/crates/oriole_admission/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A gate beside a simple model of an upstream, with an oracle of what must never happen.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fleet;
 pub mod upstream;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -69,6 +70,7 @@
     drain_heard: Option<u64>,
     suspects: BTreeSet<Digest>,
     proven: BTreeSet<Digest>,
+    shown: (u32, bool, bool),
 }
 
 impl World {
@@ -95,6 +97,7 @@
             drain_heard: None,
             suspects: BTreeSet::new(),
             proven: BTreeSet::new(),
+            shown: (COLD, true, false),
         };
         world.confirm();
         world.set_drained(false);
@@ -280,6 +283,17 @@
         }
         let actions = self.gate.tick(self.now());
         self.act(actions);
+        self.note_load();
+    }
+
+    /// Logs the load when what matters in it has changed.
+    fn note_load(&mut self) {
+        let load = self.gate.load_report(self.now());
+        let shown = (load.limit, load.cold, load.leaving);
+        if self.log.is_some() && std::mem::replace(&mut self.shown, shown) != shown {
+            let (limit, cold, leaving) = shown;
+            self.note(|| format!("limit {limit} cold {cold} leaving {leaving}"));
+        }
     }
 
     fn hear(&mut self, event: Event) {
@@ -287,6 +301,7 @@
         let actions = match event {
             Event::Output(id) => self.gate.output(now, id, 1),
             Event::Done(id) => {
+                self.note(|| format!("done {}", id.0));
                 self.complete(id);
                 self.gate.finished(now, id, FinishKind::Complete)
             }
@@ -444,7 +459,7 @@
     Gate::new(cfg, now)
 }
 
-fn show(decision: Decision) -> String {
+pub fn show(decision: Decision) -> String {
     match decision {
         Decision::Admit => "admit".into(),
         Decision::Queue => "queue".into(),
--- a/crates/oriole_admission/tests/gate.rs
+++ b/crates/oriole_admission/tests/gate.rs
@@ -144,6 +144,7 @@
 fn offer_leaves_room_for_more_urgent_classes(#[case] priority: Priority, #[case] queued: usize) {
     let mut gate = open_gate(GateConfig {
         queue_capacity: 8,
+        warm_concurrency: 2,
         ..GateConfig::default()
     });
     let decisions = (0..20).map(|n| gate.offer(T0, offer(n).with_priority(priority)));
@@ -155,6 +156,20 @@
     assert_eq!(reason(decisions[19]), Some(RefusalReason::UpstreamCold));
 }
 
+#[test]
+fn tick_sheds_what_a_cold_upstream_will_not_serve_soon() {
+    let (mut gate, now) = warm_gate();
+    let queued = (1..40).filter(|n| gate.offer(now, offer(*n)) == Decision::Queue);
+    assert_eq!(queued.count(), 37);
+    let actions = gate.upstream_report(now, report(now + ms(1), true));
+    assert_eq!(actions, []);
+    let actions = gate.tick(now + ms(5));
+    assert_eq!(actions.len(), 37 - 8);
+    let cold =
+        |a: &Action| matches!(a, Action::Refuse(_, r) if r.reason == RefusalReason::UpstreamCold);
+    assert!(actions.iter().all(cold));
+}
+
 #[test]
 fn offer_that_cannot_start_in_time_is_refused_at_once() {
     let mut gate = open_gate(GateConfig::default());
