Measure the crashes that poisonous requests cause in a fleet

Cause: the bound of three crashes was proved on small fleets only.

Change: oriole-bench run poison plays today's and the later sizes in virtual time with real gates and ledgers, lagging news and views, upstreams that leave and a caller that asks all entries at once and again; beside it the same without homes, without quarantine, and without poison. The ledger looks for crashes to forget once a minute instead of at each tick.

--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -15,6 +15,8 @@
 const CRASHES_AT_MOST: usize = 3;
 /// Time after which a crash is forgotten.
 const CRASH_RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Time between two searches for crashes to forget.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Contents a ledger keeps; beyond it the content with the oldest news is forgotten.
 const MAX_RECORDS: usize = 2048;
 /// Crashes kept of one content.
@@ -46,6 +48,7 @@
     proven: BTreeSet<Digest>,
     proven_order: VecDeque<Digest>,
     version: u64,
+    sweep_at: Duration,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -162,8 +165,12 @@
         self.records.keys().filter(refused)
     }
 
-    /// Forgets crashes that are older than the retention.
+    /// Forgets crashes that are older than the retention; cheap to call often.
     pub fn tick(&mut self, now: Duration) {
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + SWEEP_INTERVAL;
         for record in self.records.values_mut() {
             record
                 .crashes
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,11 +1,13 @@
 //! All experiments by name. Each has a module of its own.
 
+pub mod poison;
+
 use crate::experiment::Experiment;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![]
+    vec![Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/poison.rs
@@ -0,0 +1,86 @@
+//! `poison`: crashes that a poisonous request causes in a fleet, however many entries are asked.
+//!
+//! Virtual time, real admission: every agent is a gate, every entry a ledger, and news take a random
+//! time to each process. Callers send each poison to all entries at once and go on sending it, while
+//! innocent work shares the upstreams, two upstreams leave, and views of the pool lag.
+
+mod fleet;
+
+use async_trait::async_trait;
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
+
+use self::fleet::{Fleet, Policy, Sizes, Tally};
+use crate::prelude::*;
+
+/// Crashes that one poison may cause in the whole fleet.
+const CRASHES_AT_MOST: f64 = 3.0;
+/// Time within which a quarantine is in force everywhere, in seconds.
+const SPREAD_AT_MOST_S: f64 = 5.0;
+
+/// The experiment.
+pub struct Poison;
+
+#[async_trait]
+impl Experiment for Poison {
+    fn name(&self) -> &'static str {
+        "poison"
+    }
+
+    fn about(&self) -> &'static str {
+        "upstream crashes per poisonous request, innocents condemned, spread of the quarantine"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let seed = options.seed;
+        let today = [Policy::Full, Policy::NoHomes, Policy::NoQuarantine];
+        let mut runs: Vec<_> = today.map(|p| (Sizes::TODAY, p, "today")).to_vec();
+        runs.push((Sizes::LATER, Policy::Full, "later"));
+        runs.push((Sizes::CALM, Policy::Full, "calm"));
+        runs.push((Sizes::CALM, Policy::NoHomes, "calm"));
+        let tasks: Vec<_> = runs
+            .into_iter()
+            .map(|(sizes, policy, label)| {
+                let rng = ChaCha12Rng::seed_from_u64(seed);
+                let run = move || (policy, label, Fleet::new(sizes, policy, rng).run());
+                tokio::task::spawn_blocking(run)
+            })
+            .collect();
+        let mut report = Report::default();
+        for task in tasks {
+            let (policy, label, tally) = task.await?;
+            add(&mut report, policy, label, &tally);
+        }
+        Ok(report)
+    }
+}
+
+fn add(report: &mut Report, policy: Policy, label: &str, tally: &Tally) {
+    if label == "calm" {
+        // What homes cost while nothing is poisonous.
+        report.figure(&format!("calm_p99_ms_{}", policy.as_str()), tally.p99_ms());
+        return;
+    }
+    let full = policy == Policy::Full;
+    let name = |figure: &str| match (full, label) {
+        (true, "today") => figure.to_owned(),
+        (true, _) => format!("{figure}_{label}"),
+        (false, _) => format!("{figure}_{label}_{}", policy.as_str()),
+    };
+    let crashes = name("crashes_per_poison");
+    let condemned = name("innocent_condemned");
+    let spread = name("quarantine_spread_s");
+    report.figure(&crashes, f64::from(tally.worst_crashes()));
+    report.figure(&condemned, tally.innocent_condemned as f64);
+    report.figure(&name("innocent_completed_share"), tally.completed_share());
+    report.figure(&name("innocent_p99_ms"), tally.p99_ms());
+    report.curve(&name("crashes"), tally.crash_curve());
+    if policy != Policy::NoQuarantine {
+        report.figure(&spread, tally.worst_spread_s());
+    }
+    if full {
+        report.bound(&crashes, Limit::AtMost(CRASHES_AT_MOST));
+        report.bound(&condemned, Limit::AtMost(0.0));
+        report.bound(&spread, Limit::AtMost(SPREAD_AT_MOST_S));
+    }
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/poison/fleet.rs
@@ -0,0 +1,529 @@
+//! The fleet in virtual time.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_admission::poison::home_of_suspect;
+use oriole_admission::prelude::*;
+use oriole_types::prelude::*;
+use rand::RngExt;
+use rand_chacha::ChaCha12Rng;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS_PER_S: u64 = 100;
+const RUN_STEPS: u64 = 20 * STEPS_PER_S;
+/// Requests an upstream bears; warmth is left aside here.
+const SLOTS: u32 = 8;
+const RESTART_STEPS: u64 = STEPS_PER_S;
+/// Time from the start of a poison to the crash.
+const FUSE_STEPS: u64 = 3;
+/// Time of news to one process.
+const NEWS_STEPS: std::ops::Range<u64> = 5..150;
+/// Time after which a process knows that an upstream has left.
+const VIEW_STEPS: std::ops::Range<u64> = 20..300;
+/// Steps at which a poison is sent for the first time; each is sent again every `RESEND_STEPS`.
+const POISONS_AT: [u64; 4] = [200, 480, 500, 900];
+const RESEND_STEPS: u64 = 25;
+const LEAVE_AT: u64 = 490;
+const LEAVERS: usize = 2;
+const RETRY_STEPS: u64 = 10;
+const DEADLINE_STEPS: u64 = 10 * STEPS_PER_S;
+/// Work that arrives this late has no time to end within the run.
+const LAST_ARRIVAL: u64 = RUN_STEPS - DEADLINE_STEPS / 2;
+/// One request in this many is one of the popular contents.
+const POPULAR_ONE_IN: u64 = 5;
+const POPULAR: u64 = 50;
+/// Numbers of the first popular and the first unique content; poisons are below.
+const FIRST_POPULAR: u64 = 100;
+const FIRST_UNIQUE: u64 = 1000;
+
+/// How contents are treated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Policy {
+    /// Suspects, quarantine and homes.
+    Full,
+    /// Suspects and quarantine; content runs anywhere until it is suspect.
+    NoHomes,
+    /// Nothing.
+    NoQuarantine,
+}
+
+impl Policy {
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::NoHomes => "no_homes",
+            Self::NoQuarantine => "no_quarantine",
+        }
+    }
+}
+
+/// Size of the fleet and its load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sizes {
+    agents: usize,
+    entries: usize,
+    requests_per_s: u64,
+    service_steps: u64,
+    poisons: bool,
+}
+
+impl Sizes {
+    /// Today's sizes without any poison.
+    pub(super) const CALM: Self = Self {
+        poisons: false,
+        ..Self::TODAY
+    };
+    pub(super) const TODAY: Self = Self {
+        agents: 16,
+        entries: 18,
+        requests_per_s: 150,
+        service_steps: STEPS_PER_S / 2,
+        poisons: true,
+    };
+    pub(super) const LATER: Self = Self {
+        agents: 820,
+        entries: 340,
+        requests_per_s: 1400,
+        service_steps: 2 * STEPS_PER_S,
+        poisons: true,
+    };
+}
+
+/// What was counted.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    crashes: BTreeMap<u64, Vec<u64>>,
+    pub(super) innocent_condemned: usize,
+    offered: u64,
+    latencies: Vec<u64>,
+    condemned_at: BTreeMap<u64, u64>,
+    known_everywhere_at: BTreeMap<u64, u64>,
+}
+
+impl Tally {
+    pub(super) fn worst_crashes(&self) -> u32 {
+        self.crashes
+            .values()
+            .map(|c| c.len() as u32)
+            .max()
+            .unwrap_or(0)
+    }
+
+    pub(super) fn completed_share(&self) -> f64 {
+        self.latencies.len() as f64 / self.offered.max(1) as f64
+    }
+
+    pub(super) fn p99_ms(&self) -> f64 {
+        let mut sorted = self.latencies.clone();
+        sorted.sort_unstable();
+        let at = sorted.len() * 99 / 100;
+        sorted
+            .get(at)
+            .map_or(f64::NAN, |steps| (STEP * *steps as u32).as_millis() as f64)
+    }
+
+    /// From the crash that condemned to the last process that refuses; NaN if one never did.
+    pub(super) fn worst_spread_s(&self) -> f64 {
+        let spread = |(content, at): (&u64, &u64)| match self.known_everywhere_at.get(content) {
+            Some(known) => (known - at) as f64 / STEPS_PER_S as f64,
+            None => f64::NAN,
+        };
+        let all = self.condemned_at.iter().map(spread);
+        all.fold(
+            0.0,
+            |worst, s| if s.is_nan() || s > worst { s } else { worst },
+        )
+    }
+
+    pub(super) fn crash_curve(&self) -> Vec<(f64, f64)> {
+        let mut steps: Vec<_> = self.crashes.values().flatten().copied().collect();
+        steps.sort_unstable();
+        let at = |(n, step): (usize, u64)| (step as f64 / STEPS_PER_S as f64, n as f64 + 1.0);
+        steps.into_iter().enumerate().map(at).collect()
+    }
+}
+
+struct Agent {
+    gate: Gate,
+    work: HashMap<WorkId, Request>,
+    ends: BTreeMap<u64, Vec<WorkId>>,
+    up_at: Option<u64>,
+    sent: u64,
+}
+
+#[derive(Clone, Copy)]
+struct Request {
+    content: u64,
+    entry: usize,
+    since: u64,
+}
+
+struct Entry {
+    ledger: PoisonLedger,
+    completed: HashSet<u64>,
+    knows_leavers_at: u64,
+}
+
+/// All processes and the clock.
+pub(super) struct Fleet {
+    sizes: Sizes,
+    policy: Policy,
+    rng: ChaCha12Rng,
+    step: u64,
+    next_id: u64,
+    next_unique: u64,
+    names: Vec<VmName>,
+    places: HashMap<VmName, usize>,
+    agents: Vec<Agent>,
+    agent_knows_leavers_at: Vec<u64>,
+    entries: Vec<Entry>,
+    retries: BTreeMap<u64, Vec<Request>>,
+    news: BTreeMap<u64, Vec<(usize, Arc<PoisonDigest>)>>,
+    tally: Tally,
+}
+
+fn digest(content: u64) -> Digest {
+    Digest::of(&content.to_be_bytes())
+}
+
+fn is_poison(content: u64) -> bool {
+    content < FIRST_POPULAR
+}
+
+impl Fleet {
+    pub(super) fn new(sizes: Sizes, policy: Policy, mut rng: ChaCha12Rng) -> Self {
+        let name = |n| VmName::new(&format!("upstream-{n}"));
+        let names: Vec<_> = (0..sizes.agents).map(name).collect();
+        let places = names.iter().cloned().zip(0..).collect();
+        let mut learns = |_| LEAVE_AT + rng.random_range(VIEW_STEPS);
+        let agent_knows_leavers_at = (0..sizes.agents).map(&mut learns).collect();
+        let entry = |knows_leavers_at| Entry {
+            ledger: PoisonLedger::default(),
+            completed: HashSet::new(),
+            knows_leavers_at,
+        };
+        let entries = (0..sizes.entries).map(&mut learns).map(entry).collect();
+        Self {
+            agents: names.iter().map(|vm| agent(vm, &names, policy)).collect(),
+            sizes,
+            policy,
+            rng,
+            step: 0,
+            next_id: 0,
+            next_unique: FIRST_UNIQUE,
+            names,
+            places,
+            agent_knows_leavers_at,
+            entries,
+            retries: BTreeMap::new(),
+            news: BTreeMap::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    pub(super) fn run(mut self) -> Tally {
+        while self.step < RUN_STEPS {
+            self.step += 1;
+            self.leave();
+            self.hear_news();
+            self.arrivals();
+            for request in self.retries.remove(&self.step).unwrap_or_default() {
+                self.send(request);
+            }
+            (0..self.agents.len()).for_each(|at| self.step_agent(at));
+            self.tell_news();
+        }
+        self.count_condemned();
+        self.tally
+    }
+
+    fn now(&self) -> Duration {
+        STEP * self.step as u32
+    }
+
+    fn leave(&mut self) {
+        if self.step == LEAVE_AT {
+            for at in 0..LEAVERS {
+                let now = self.now();
+                let actions = self.agents[at].gate.set_leaving(now);
+                self.act(at, actions);
+            }
+        }
+        for at in 0..self.agents.len() {
+            if self.agent_knows_leavers_at[at] == self.step {
+                self.agents[at].gate.set_pool(&self.names[LEAVERS..]);
+            }
+        }
+    }
+
+    fn arrivals(&mut self) {
+        if self.step > LAST_ARRIVAL {
+            return;
+        }
+        for (poison, first) in POISONS_AT.iter().enumerate() {
+            let since = self.step.checked_sub(*first);
+            if self.sizes.poisons && since.is_some_and(|s| s.is_multiple_of(RESEND_STEPS)) {
+                (0..self.entries.len()).for_each(|entry| self.send_new(poison as u64, entry));
+            }
+        }
+        let per_step = self.sizes.requests_per_s as f64 / STEPS_PER_S as f64;
+        let extra = self.rng.random_bool(per_step.fract());
+        for _ in 0..per_step as u64 + u64::from(extra) {
+            let content = self.innocent();
+            let entry = self.rng.random_range(0..self.entries.len());
+            self.tally.offered += 1;
+            self.send_new(content, entry);
+        }
+    }
+
+    fn innocent(&mut self) -> u64 {
+        if self.rng.random_range(0..POPULAR_ONE_IN) == 0 {
+            return FIRST_POPULAR + self.rng.random_range(0..POPULAR);
+        }
+        self.next_unique += 1;
+        self.next_unique
+    }
+
+    fn send_new(&mut self, content: u64, entry: usize) {
+        let since = self.step;
+        self.send(Request {
+            content,
+            entry,
+            since,
+        });
+    }
+
+    fn send(&mut self, request: Request) {
+        let Some(at) = self.pick(&request) else {
+            return self.again(request);
+        };
+        self.next_id += 1;
+        let id = WorkId(self.next_id);
+        let deadline = STEP * (request.since + DEADLINE_STEPS) as u32;
+        let mut offer = Offer::new(id, digest(request.content), deadline);
+        let completed = self.entries[request.entry]
+            .completed
+            .contains(&request.content);
+        offer.proven = completed || self.policy == Policy::NoQuarantine;
+        let now = self.now();
+        let decision = self.agents[at].gate.offer(now, offer);
+        if let Decision::Refuse(_) = decision {
+            return self.again(request);
+        }
+        self.agents[at].work.insert(id, request);
+        if decision == Decision::Admit {
+            self.start(at, id);
+        }
+    }
+
+    /// Where the entry sends a request, by its own lagging view.
+    fn pick(&mut self, request: &Request) -> Option<usize> {
+        let entry = &self.entries[request.entry];
+        let from = if entry.knows_leavers_at <= self.step {
+            LEAVERS
+        } else {
+            0
+        };
+        let pool = &self.names[from..];
+        let content = digest(request.content);
+        let mut two = || [(); 2].map(|()| self.rng.random_range(from..self.names.len()));
+        let candidates = match entry.ledger.standing(&content) {
+            _ if self.policy == Policy::NoQuarantine => two(),
+            Standing::Quarantined => return None,
+            Standing::Suspect => [self.places[home_of_suspect(&content, pool)?]; 2],
+            Standing::Unproven
+                if self.policy == Policy::Full && !entry.completed.contains(&request.content) =>
+            {
+                let homes = homes(&content, pool);
+                [self.places[homes[0]], self.places[*homes.last()?]]
+            }
+            _ => two(),
+        };
+        // Loads arrive in-band and are young; a leaving or lost upstream is avoided if known.
+        let load = |at: usize| {
+            let load = self.agents[at].gate.load_report(self.now());
+            (load.leaving, load.in_flight + load.queued)
+        };
+        candidates.into_iter().min_by_key(|at| load(*at))
+    }
+
+    fn again(&mut self, request: Request) {
+        // The poison's caller asks again in its own time.
+        let late = self.step + RETRY_STEPS >= request.since + DEADLINE_STEPS;
+        if !is_poison(request.content) && !late {
+            let at = self.step + RETRY_STEPS;
+            self.retries.entry(at).or_default().push(request);
+        }
+    }
+
+    fn start(&mut self, at: usize, id: WorkId) {
+        let Some(request) = self.agents[at].work.get(&id) else {
+            return;
+        };
+        let service = self.sizes.service_steps;
+        let steps = if is_poison(request.content) {
+            FUSE_STEPS
+        } else {
+            self.rng.random_range(service / 2..service * 3 / 2)
+        };
+        self.agents[at]
+            .ends
+            .entry(self.step + steps)
+            .or_default()
+            .push(id);
+    }
+
+    fn step_agent(&mut self, at: usize) {
+        let now = self.now();
+        let agent = &mut self.agents[at];
+        if agent.up_at.take_if(|up| *up <= self.step).is_some() {
+            agent.gate.upstream_found(now, 0);
+        }
+        let due = agent.ends.remove(&self.step).unwrap_or_default();
+        for id in due {
+            let Some(request) = self.agents[at].work.get(&id).copied() else {
+                continue;
+            };
+            if is_poison(request.content) {
+                self.crash(at, request.content);
+                return;
+            }
+            self.complete(at, id, request);
+        }
+        if self.step.is_multiple_of(10) {
+            let fresh = Confirmation::fresh("a".into());
+            self.agents[at].gate.heard_configuration(now, &fresh);
+        }
+        let actions = self.agents[at].gate.tick(now);
+        self.act(at, actions);
+    }
+
+    fn complete(&mut self, at: usize, id: WorkId, request: Request) {
+        let now = self.now();
+        self.agents[at].work.remove(&id);
+        let actions = self.agents[at].gate.finished(now, id, FinishKind::Complete);
+        self.tally.latencies.push(self.step - request.since);
+        self.entries[request.entry]
+            .completed
+            .insert(request.content);
+        self.act(at, actions);
+    }
+
+    fn crash(&mut self, at: usize, poison: u64) {
+        self.tally
+            .crashes
+            .entry(poison)
+            .or_default()
+            .push(self.step);
+        let now = self.now();
+        let actions = self.agents[at].gate.upstream_lost(now);
+        self.agents[at].up_at = Some(self.step + RESTART_STEPS);
+        self.agents[at].ends.clear();
+        self.act(at, actions);
+        let standing = self.agents[at].gate.poison().standing(&digest(poison));
+        if standing == Standing::Quarantined {
+            self.tally.condemned_at.entry(poison).or_insert(self.step);
+        }
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(id) => self.start(at, id),
+                Action::Refuse(id, _) | Action::Lost(id) => {
+                    if let Some(request) = self.agents[at].work.remove(&id) {
+                        self.again(request);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell_news(&mut self) {
+        let now = self.now();
+        for at in 0..self.agents.len() {
+            let agent = &mut self.agents[at];
+            if agent.gate.poison().version() == agent.sent {
+                continue;
+            }
+            let (digest, version) = agent.gate.poison().digest_since(now, agent.sent);
+            agent.sent = version;
+            let digest = Arc::new(digest);
+            for to in 0..self.agents.len() + self.entries.len() {
+                let at = self.step + self.rng.random_range(NEWS_STEPS);
+                self.news.entry(at).or_default().push((to, digest.clone()));
+            }
+        }
+    }
+
+    fn hear_news(&mut self) {
+        let now = self.now();
+        let due = self.news.remove(&self.step).unwrap_or_default();
+        let heard = !due.is_empty();
+        for (to, digest) in due {
+            match to.checked_sub(self.agents.len()) {
+                None => {
+                    let agent = &mut self.agents[to];
+                    let told = agent.gate.poison().version() == agent.sent;
+                    agent.gate.poison_mut().merge(now, &digest);
+                    // What came as news is known to come to all; only own news are told.
+                    if told {
+                        agent.sent = agent.gate.poison().version();
+                    }
+                }
+                Some(entry) => {
+                    self.entries[entry].ledger.merge(now, &digest);
+                }
+            }
+        }
+        if heard {
+            self.note_spread();
+        }
+    }
+
+    fn note_spread(&mut self) {
+        for poison in self.tally.condemned_at.keys() {
+            if self.tally.known_everywhere_at.contains_key(poison) {
+                continue;
+            }
+            let content = digest(*poison);
+            let refuses = |l: &PoisonLedger| l.standing(&content) == Standing::Quarantined;
+            let agents = self.agents.iter().all(|a| refuses(a.gate.poison()));
+            if agents && self.entries.iter().all(|e| refuses(&e.ledger)) {
+                self.tally.known_everywhere_at.insert(*poison, self.step);
+            }
+        }
+    }
+
+    fn count_condemned(&mut self) {
+        let poisons: HashSet<_> = (0..POISONS_AT.len() as u64).map(digest).collect();
+        let ledgers = self.agents.iter().map(|a| a.gate.poison());
+        let ledgers = ledgers.chain(self.entries.iter().map(|e| &e.ledger));
+        let condemned: HashSet<_> = ledgers.flat_map(PoisonLedger::quarantined).collect();
+        self.tally.innocent_condemned = condemned.iter().filter(|d| !poisons.contains(d)).count();
+    }
+}
+
+fn agent(vm: &VmName, names: &[VmName], policy: Policy) -> Agent {
+    let cfg = GateConfig {
+        vm: vm.clone(),
+        cold_concurrency: SLOTS,
+        warm_concurrency: SLOTS,
+        enforces_homes: policy == Policy::Full,
+        ..GateConfig::default()
+    };
+    let mut gate = Gate::new(cfg, Duration::ZERO);
+    gate.set_pool(names);
+    gate.set_service_state(Duration::ZERO, ServiceState::InService);
+    gate.upstream_found(Duration::ZERO, 0);
+    gate.heard_configuration(Duration::ZERO, &Confirmation::fresh("a".into()));
+    Agent {
+        gate,
+        work: HashMap::new(),
+        ends: BTreeMap::new(),
+        up_at: None,
+        sent: 0,
+    }
+}
