--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,5 +1,7 @@
 //! All experiments by name. Each has a module of its own.
 
+pub mod poison;
+
 use crate::experiment::Experiment;
 
 pub mod hot_account;
@@ -27,6 +29,7 @@
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
     ]
+    vec![Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
