Switch expert maps by votes of the ranks and one closer

A rank stops its engine short of the proposed step before it votes, the closer alone decides, and orders to an engine are compare-and-swap on the number it has obeyed, so that nothing a dead agent sent late has an effect. A restarted agent takes part only once all peers have answered with the same view of live runs. Neither the store nor the coordinator is needed for a decision.

Broken variants that vote before the hold, decide without the votes or restart unnoticed are caught.

--- a/crates/oriole_placement/src/planner.rs
+++ b/crates/oriole_placement/src/planner.rs
@@ -163,6 +163,11 @@
         self.map = Some(map);
     }
 
+    /// Says that no map is in force; the next plan is made from scratch.
+    pub fn clear_map(&mut self) {
+        self.map = None;
+    }
+
     /// Takes in the load reports of one interval.
     pub fn observe_loads(&mut self, sample: &LoadSample) {
         self.loads.observe(sample);
--- /dev/null
+++ b/crates/oriole_rollout/src/rank.rs
@@ -0,0 +1,429 @@
+//! The machine that each agent runs for its rank.
+//!
+//! It answers the coordinator, votes, counts votes where it is the closer, and steers its own
+//! engine towards what has been decided. After a start without memory it takes part in nothing
+//! until it has learnt from its engine and all peers what an earlier run of it may have done.
+
+mod closing;
+mod fetching;
+mod steering;
+mod syncing;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use oriole_placement::map::{ExpertMap, MapId};
+use oriole_types::ids::{Fence, Incarnation};
+
+use crate::engine::{EngineOrder, EngineState};
+use crate::messages::{Envelope, GroupMessage, Party, Proposal, RankId, RankReport, SwitchId};
+use crate::views::{Run, Views};
+use closing::Closing;
+use steering::Steering;
+
+/// Time settings of a rank's machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RankConfig {
+    /// Time after which an unanswered message or order is sent again.
+    pub resend: Duration,
+    /// Time after which the closer gives up waiting for votes.
+    pub vote_timeout: Duration,
+}
+
+impl Default for RankConfig {
+    fn default() -> Self {
+        Self {
+            resend: Duration::from_millis(200),
+            vote_timeout: Duration::from_secs(2),
+        }
+    }
+}
+
+/// What the driver of a rank's machine has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RankAction {
+    /// Send a message; it may get lost.
+    Send(Party, GroupMessage),
+    /// Give the engine an order; answer with its state afterwards.
+    Order(EngineOrder),
+    /// Ask the engine for its state.
+    PollEngine,
+    /// Ask the engine for the body of a map whose weights it holds; answer by `on_map`.
+    ReadMap(MapId),
+    /// Replace the machine by a fresh one with a new incarnation.
+    Restart,
+}
+
+/// The switch machine of one rank.
+///
+/// Feed it messages, engine states and the time; carry out the actions. A state of the engine may
+/// be old, but states must come in the order in which the engine answered them.
+#[derive(Clone, Debug)]
+pub struct RankAgent {
+    cfg: RankConfig,
+    me: RankId,
+    ranks: usize,
+    incarnation: Incarnation,
+    views: Views,
+    synced: bool,
+    greeted: Option<Duration>,
+    fetched: Option<Duration>,
+    fence: Fence,
+    engine: Option<EngineState>,
+    steering: Steering,
+    maps: BTreeMap<MapId, Arc<ExpertMap>>,
+    target: Option<MapId>,
+    committed: Option<Proposal>,
+    undecided: Option<Undecided>,
+    handled: SwitchId,
+    closing: Option<Closing>,
+    tokens: Vec<Vec<f32>>,
+    speed: Option<f32>,
+}
+
+/// A switch whose outcome the rank does not know.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Undecided {
+    proposal: Proposal,
+    /// When the vote for it was last sent; until then the rank may still refuse.
+    voted: Option<Duration>,
+    /// Run of the engine that holds for it.
+    run: Incarnation,
+}
+
+type Actions = Vec<RankAction>;
+
+impl RankAgent {
+    /// A machine without memory.
+    #[must_use]
+    pub fn new(cfg: RankConfig, me: RankId, ranks: usize, incarnation: Incarnation) -> Self {
+        Self {
+            cfg,
+            me,
+            ranks,
+            incarnation,
+            views: Views::new(me, ranks, incarnation),
+            synced: false,
+            greeted: None,
+            fetched: None,
+            fence: Fence(0),
+            engine: None,
+            steering: Steering::default(),
+            maps: BTreeMap::new(),
+            target: None,
+            committed: None,
+            undecided: None,
+            handled: SwitchId::default(),
+            closing: None,
+            tokens: Vec::new(),
+            speed: None,
+        }
+    }
+
+    /// The run of this machine.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Whether the machine knows enough to take part.
+    #[must_use]
+    pub fn is_synced(&self) -> bool {
+        self.synced
+    }
+
+    /// Newest switch that is known to be decided for its next map.
+    #[must_use]
+    pub fn committed(&self) -> Option<Proposal> {
+        self.committed
+    }
+
+    /// Sets what the next report says about load: tokens by layer and slot, and the rank's speed.
+    pub fn observe_load(&mut self, tokens: Vec<Vec<f32>>, speed: Option<f32>) {
+        self.tokens = tokens;
+        self.speed = speed;
+    }
+
+    /// Takes in a message.
+    pub fn on_message(&mut self, now: Duration, envelope: Envelope) -> Vec<RankAction> {
+        let mut out = Vec::new();
+        match envelope.from {
+            Party::Coordinator(fence) => {
+                self.on_coordinator(now, fence, envelope.message, &mut out);
+            }
+            Party::Rank(rank) if usize::from(rank) < self.ranks && rank != self.me => {
+                self.on_rank(now, rank, envelope.incarnation, envelope.message, &mut out);
+            }
+            Party::Rank(_) => {}
+        }
+        self.advance(now, &mut out);
+        out
+    }
+
+    /// Takes in a state of the engine.
+    pub fn on_engine(&mut self, now: Duration, state: EngineState) -> Vec<RankAction> {
+        let mut out = Vec::new();
+        self.fence = self.fence.max(state.fence);
+        if let Some(decided) = state.decided {
+            self.learn_commit(decided);
+        }
+        self.steering.seen(&state);
+        self.engine = Some(state);
+        self.advance(now, &mut out);
+        out
+    }
+
+    /// Takes in the body of a map that the engine holds.
+    pub fn on_map(&mut self, now: Duration, map: Arc<ExpertMap>) -> Vec<RankAction> {
+        let mut out = Vec::new();
+        self.keep_map(map);
+        self.advance(now, &mut out);
+        out
+    }
+
+    /// Lets time pass. Call it at least as often as messages are resent.
+    pub fn on_tick(&mut self, now: Duration) -> Vec<RankAction> {
+        let mut out = vec![RankAction::PollEngine];
+        self.advance(now, &mut out);
+        out
+    }
+
+    fn on_coordinator(
+        &mut self,
+        now: Duration,
+        fence: Fence,
+        message: GroupMessage,
+        out: &mut Actions,
+    ) {
+        if fence < self.fence {
+            counter!("oriole_group_refusals_total", "reason" => "stale_fence").increment(1);
+            let reply = GroupMessage::StaleFence(self.fence);
+            out.push(RankAction::Send(Party::Coordinator(fence), reply));
+            return;
+        }
+        if !self.synced {
+            if let GroupMessage::Poll { .. } = message {
+                self.report(fence, false, out);
+            }
+            return;
+        }
+        self.fence = fence;
+        match message {
+            GroupMessage::Poll { want_map } => self.report(fence, want_map, out),
+            GroupMessage::Prepare(map) => self.prepare(map),
+            GroupMessage::Propose(p) if p.switch.fence == fence => self.consider(now, p, out),
+            _ => {}
+        }
+    }
+
+    fn on_rank(
+        &mut self,
+        now: Duration,
+        from: RankId,
+        incarnation: Incarnation,
+        message: GroupMessage,
+        out: &mut Actions,
+    ) {
+        match self.views.run(from, incarnation) {
+            Run::Live => {}
+            Run::Dead => {
+                counter!("oriole_group_refusals_total", "reason" => "stale_run").increment(1);
+                let reply = GroupMessage::StaleRun(incarnation);
+                out.push(RankAction::Send(Party::Rank(from), reply));
+                return;
+            }
+            Run::Unseen => {
+                let introduces = matches!(message, GroupMessage::Hello)
+                    || (matches!(message, GroupMessage::Welcome(_)) && self.views.is_unknown(from));
+                if !introduces {
+                    return;
+                }
+                self.views.replace(from, incarnation);
+                self.forget_vote(from);
+            }
+        }
+        match message {
+            GroupMessage::Hello => self.welcome(from, incarnation, out),
+            GroupMessage::Welcome(welcome) => self.on_welcome(from, *welcome),
+            GroupMessage::WantMap(id) => self.give_map(from, id, out),
+            GroupMessage::HaveMap(map) => self.keep_map(map),
+            GroupMessage::StaleRun(run) if run == self.incarnation => out.push(RankAction::Restart),
+            GroupMessage::Vote { proposal, yes } => self.on_vote(now, from, proposal, yes, out),
+            GroupMessage::Outcome { proposal, commit } if from == proposal.closer => {
+                self.on_outcome(proposal, commit);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes note of the map to read next; an earlier one that is not in use is dropped.
+    fn prepare(&mut self, map: Arc<ExpertMap>) {
+        let id = map.id();
+        let newer = self.committed.is_none_or(|c| id.version > c.next.version);
+        if newer && self.undecided.is_none() {
+            self.maps.insert(id, map);
+            self.target = Some(id);
+            self.drop_unused_maps();
+        }
+    }
+
+    /// Weighs a proposal: what it can vote for becomes undecided, all else is refused at once.
+    fn consider(&mut self, now: Duration, proposal: Proposal, out: &mut Actions) {
+        let known = self.undecided.is_some_and(|u| u.proposal == proposal);
+        if known || proposal.switch <= self.handled || usize::from(proposal.closer) >= self.ranks {
+            return;
+        }
+        if self.undecided.is_some() {
+            return;
+        }
+        self.handled = proposal.switch;
+        let run = self.engine.as_ref().map(|e| e.run);
+        match run.filter(|_| self.can_use(&proposal)) {
+            Some(run) => {
+                self.undecided = Some(Undecided {
+                    proposal,
+                    voted: None,
+                    run,
+                });
+                if proposal.closer == self.me {
+                    self.closing = Some(Closing::new(proposal, now + self.cfg.vote_timeout));
+                }
+            }
+            None => self.refuse(proposal, "not_ready", out),
+        }
+    }
+
+    /// Whether the engine can change from the proposal's base to its next map. A proposal without
+    /// a base is for engines that use no map, whatever was decided before: when all of them vote
+    /// for it, nothing is left of the map that was in force.
+    fn can_use(&self, p: &Proposal) -> bool {
+        let in_force = self.committed.map(|c| c.next);
+        let newer = in_force.is_none_or(|id| p.next.version > id.version);
+        self.engine.as_ref().is_some_and(|e| {
+            e.active == p.base
+                && e.armed.is_none()
+                && e.staged.contains(&p.next)
+                && (in_force == p.base || p.base.is_none())
+                && newer
+        })
+    }
+
+    fn refuse(&mut self, proposal: Proposal, reason: &'static str, out: &mut Actions) {
+        counter!("oriole_group_refusals_total", "reason" => reason).increment(1);
+        if proposal.closer == self.me {
+            self.announce(proposal, false, out);
+        } else {
+            let vote = GroupMessage::Vote {
+                proposal,
+                yes: false,
+            };
+            out.push(RankAction::Send(Party::Rank(proposal.closer), vote));
+        }
+    }
+
+    fn on_outcome(&mut self, proposal: Proposal, commit: bool) {
+        if commit {
+            self.learn_commit(proposal);
+        }
+        self.undecided.take_if(|u| u.proposal == proposal);
+        self.handled = self.handled.max(proposal.switch);
+    }
+
+    /// Takes note that a switch is decided for its next map. Such a decision is final.
+    fn learn_commit(&mut self, proposal: Proposal) {
+        let newer = |c: Proposal| proposal.next.version > c.next.version;
+        if !self.committed.is_none_or(newer) {
+            return;
+        }
+        self.committed = Some(proposal);
+        self.fence = self.fence.max(proposal.switch.fence);
+        self.handled = self.handled.max(proposal.switch);
+        self.undecided.take_if(|u| u.proposal == proposal);
+        self.closing.take_if(|c| c.proposal == proposal);
+        self.target.take_if(|t| t.version <= proposal.next.version);
+        self.drop_unused_maps();
+    }
+
+    fn keep_map(&mut self, map: Arc<ExpertMap>) {
+        self.maps.entry(map.id()).or_insert(map);
+        self.drop_unused_maps();
+    }
+
+    fn drop_unused_maps(&mut self) {
+        let used = self.used_maps();
+        self.maps.retain(|id, _| used.contains(id));
+    }
+
+    /// Maps that are in force, will be, or may be.
+    fn used_maps(&self) -> Vec<MapId> {
+        let engine = self.engine.as_ref();
+        let passed = |c: Proposal| engine.is_some_and(|e| e.next_step >= c.at_step);
+        let base = self.committed.filter(|c| !passed(*c)).and_then(|c| c.base);
+        let undecided = self.undecided.map(|u| u.proposal.next);
+        let next = self.committed.map(|c| c.next);
+        let active = engine.and_then(|e| e.active);
+        let ids = [base, next, undecided, active, self.target];
+        ids.into_iter().flatten().collect()
+    }
+
+    fn report(&mut self, fence: Fence, want_map: bool, out: &mut Actions) {
+        let engine = self.engine.as_ref();
+        let body = |c: Proposal| self.maps.get(&c.next).cloned();
+        let report = RankReport {
+            next_step: engine.map_or(0, |e| e.next_step),
+            active: engine.and_then(|e| e.active),
+            committed: self.committed,
+            undecided: self.undecided.map(|u| u.proposal),
+            synced: self.synced,
+            staged: engine.map(|e| e.staged.clone()).unwrap_or_default(),
+            loading: engine.and_then(|e| e.loading),
+            failed: engine.and_then(|e| e.failed),
+            tokens: std::mem::take(&mut self.tokens),
+            speed: self.speed.take(),
+            map: self.committed.filter(|_| want_map).and_then(body),
+        };
+        let message = GroupMessage::Report(Box::new(report));
+        out.push(RankAction::Send(Party::Coordinator(fence), message));
+    }
+
+    fn advance(&mut self, now: Duration, out: &mut Actions) {
+        self.greet(now, out);
+        self.vote(now, out);
+        self.close(now, out);
+        self.steer(now, out);
+        self.fetch_maps(now, out);
+    }
+
+    /// Votes once the engine holds; refuses if it has passed the step or has been restarted.
+    fn vote(&mut self, now: Duration, out: &mut Actions) {
+        let (Some(mut undecided), Some(engine)) = (self.undecided, &self.engine) else {
+            return;
+        };
+        let p = undecided.proposal;
+        let holds = engine.hold.is_some_and(|h| h.switch == p.switch);
+        let ready = holds && engine.run == undecided.run;
+        let lost = engine.run != undecided.run || engine.next_step > p.at_step;
+        if undecided.voted.is_none() && !ready {
+            if lost {
+                self.undecided = None;
+                self.closing.take_if(|c| c.proposal == p);
+                self.refuse(p, "step_passed", out);
+            }
+            return;
+        }
+        let due = undecided.voted.is_none_or(|at| now >= at + self.cfg.resend);
+        if due {
+            undecided.voted = Some(now);
+            self.undecided = Some(undecided);
+            if p.closer != self.me {
+                let vote = GroupMessage::Vote {
+                    proposal: p,
+                    yes: true,
+                };
+                out.push(RankAction::Send(Party::Rank(p.closer), vote));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_rollout/src/standin.rs
@@ -0,0 +1,177 @@
+//! An engine in memory for tests and experiments: one rank of a group, without any weights.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use oriole_placement::map::{ExpertMap, MapId};
+use oriole_types::ids::{Fence, Incarnation};
+
+use crate::engine::{EngineOp, EngineOrder, EngineState};
+
+/// How a stand-in engine takes orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StandinConfig {
+    /// Whether it refuses orders with a fencing number lower than one it has obeyed.
+    pub checks_fencing: bool,
+}
+
+/// One rank's engine.
+///
+/// Loads end and steps are made when the caller says so.
+#[derive(Clone, Debug)]
+pub struct StandinEngine {
+    cfg: StandinConfig,
+    state: EngineState,
+    obeyed: Vec<Fence>,
+    bodies: BTreeMap<MapId, Arc<ExpertMap>>,
+}
+
+impl StandinEngine {
+    /// An engine that holds no map and is at some step.
+    #[must_use]
+    pub fn new(cfg: StandinConfig, run: Incarnation, next_step: u64) -> Self {
+        let state = EngineState {
+            run,
+            sequence: 0,
+            fence: Fence(0),
+            next_step,
+            active: None,
+            armed: None,
+            decided: None,
+            hold: None,
+            staged: Vec::new(),
+            loading: None,
+            failed: None,
+        };
+        Self {
+            cfg,
+            state,
+            obeyed: Vec::new(),
+            bodies: BTreeMap::new(),
+        }
+    }
+
+    /// Its state.
+    #[must_use]
+    pub fn state(&self) -> &EngineState {
+        &self.state
+    }
+
+    /// Fencing numbers of the compare-and-swap orders it has obeyed, in order.
+    #[must_use]
+    pub fn obeyed(&self) -> &[Fence] {
+        &self.obeyed
+    }
+
+    /// The body of a map whose weights it holds or reads.
+    #[must_use]
+    pub fn body(&self, id: MapId) -> Option<&Arc<ExpertMap>> {
+        self.bodies.get(&id)
+    }
+
+    /// Obeys or ignores an order.
+    pub fn order(&mut self, order: &EngineOrder) {
+        if order.run != self.state.run {
+            return;
+        }
+        if self.cfg.checks_fencing && order.fence < self.state.fence {
+            return;
+        }
+        if !order.op.is_checked() {
+            return self.weights(&order.op);
+        }
+        if order.expect == self.state.sequence && self.change(&order.op) {
+            self.state.sequence += 1;
+            self.state.fence = self.state.fence.max(order.fence);
+            self.obeyed.push(order.fence);
+        }
+    }
+
+    /// Ends a running load, whole or failed.
+    pub fn end_load(&mut self, whole: bool) {
+        let Some(id) = self.state.loading.take() else {
+            return;
+        };
+        if whole {
+            self.state.staged.push(id);
+        } else {
+            self.state.failed = Some(id);
+        }
+    }
+
+    /// The map it would use for its next step, or `None` if it does not start it.
+    #[must_use]
+    pub fn ready_for(&self) -> Option<MapId> {
+        let step = self.state.next_step;
+        if self.state.hold.is_some_and(|h| h.at_step <= step) {
+            return None;
+        }
+        match self.state.armed {
+            Some(p) if p.at_step <= step => Some(p.next),
+            _ => self.state.active,
+        }
+    }
+
+    /// Starts its next step, under the map of [`Self::ready_for`].
+    pub fn begin_step(&mut self) {
+        let step = self.state.next_step;
+        if let Some(p) = self.state.armed.take_if(|p| p.at_step <= step) {
+            self.state.active = Some(p.next);
+        }
+        self.state.next_step += 1;
+    }
+
+    fn weights(&mut self, op: &EngineOp) {
+        match op {
+            EngineOp::Stage(map) => {
+                let id = map.id();
+                if self.state.loading.is_none() && !self.state.staged.contains(&id) {
+                    self.state.loading = Some(id);
+                    self.bodies.insert(id, map.clone());
+                    self.state.failed = None;
+                }
+            }
+            EngineOp::Unstage(id) if !self.in_use(*id) => {
+                self.state.staged.retain(|s| s != id);
+                self.state.loading.take_if(|l| l == id);
+                self.bodies.remove(id);
+            }
+            _ => {}
+        }
+    }
+
+    fn in_use(&self, id: MapId) -> bool {
+        self.state.active == Some(id) || self.state.armed.is_some_and(|p| p.next == id)
+    }
+
+    /// Carries out a compare-and-swap order; returns whether it had an effect.
+    fn change(&mut self, op: &EngineOp) -> bool {
+        let state = &mut self.state;
+        let held = state.hold.map(|h| h.switch);
+        match op {
+            EngineOp::Adopt => true,
+            EngineOp::Hold(hold) if held.is_none() && state.next_step <= hold.at_step => {
+                state.hold = Some(*hold);
+                true
+            }
+            EngineOp::Arm(p) if held == Some(p.switch) && state.staged.contains(&p.next) => {
+                state.hold = None;
+                state.armed = Some(*p);
+                state.decided = Some(*p);
+                true
+            }
+            EngineOp::Release(switch) if held == Some(*switch) => {
+                state.hold = None;
+                true
+            }
+            EngineOp::Start { map, decided }
+                if state.active.is_none() && state.staged.contains(map) =>
+            {
+                state.active = Some(*map);
+                state.decided = Some(*decided);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriole_rollout/tests/world/mod.rs
@@ -0,0 +1,600 @@
+//! A group of ranks with stand-in engines, coordinators and a network that loses, doubles, delays
+//! and reorders, together with what must hold in it.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use oriole_placement::map::MapId;
+use oriole_placement::planner::PlannerConfig;
+use oriole_placement::shape::GroupShape;
+use oriole_rollout::prelude::*;
+use oriole_rollout::standin::{StandinConfig, StandinEngine};
+use oriole_types::ids::{Fence, GroupName, Incarnation};
+
+/// A mistake that is built into the switch, which the checks have to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// Ranks vote before their engines hold.
+    VoteWithoutHold,
+    /// Peers do not notice that an agent has restarted.
+    RestartUnnoticed,
+    /// The closer decides on its own vote.
+    CloserAlone,
+}
+
+/// Something on its way to an engine.
+#[derive(Clone, Debug)]
+enum ToEngine {
+    Order(EngineOrder),
+    Poll,
+}
+
+/// The group.
+#[derive(Clone, Debug)]
+pub struct World {
+    pub now: Duration,
+    pub agents: Vec<RankAgent>,
+    pub engines: Vec<StandinEngine>,
+    connections: Vec<Vec<(Incarnation, VecDeque<ToEngine>)>>,
+    answers: Vec<VecDeque<EngineState>>,
+    pub net: VecDeque<(Party, Envelope)>,
+    pub coordinators: Vec<GroupCoordinator>,
+    uses: BTreeMap<u64, Vec<Option<MapId>>>,
+    checks_fencing: bool,
+    broken: Option<Broken>,
+    last_run: u64,
+    last_fence: u64,
+    seen_obeyed: Vec<usize>,
+    /// Rank whose votes are lost.
+    pub mute_votes_of: Option<RankId>,
+    pub log: Option<Vec<String>>,
+    names: BTreeMap<MapId, u64>,
+}
+
+/// Settings of coordinators: always another map, without pauses.
+fn eager(ranks: usize) -> (CoordinatorConfig, GroupShape) {
+    let cfg = CoordinatorConfig {
+        planner: PlannerConfig {
+            share_gain: -1.0,
+            ..PlannerConfig::default()
+        },
+        poll_every: Duration::from_millis(300),
+        poll_in_switch: Duration::from_millis(200),
+        plan_every: Duration::from_secs(1),
+        fresh_for: Duration::from_secs(2),
+        remind_every: Duration::from_millis(500),
+        stage_timeout: Duration::from_secs(4),
+        decide_timeout: Duration::from_secs(4),
+        lead: Duration::from_millis(200),
+        rest_after_failure: Duration::from_millis(500),
+    };
+    let shape = GroupShape {
+        ranks,
+        experts: ranks,
+        layers: 1,
+        slots_per_rank: 2,
+        expert_bytes: 1,
+        weight_bytes_per_s: 1_000_000,
+        domains: vec![0; ranks],
+    };
+    (cfg, shape)
+}
+
+impl World {
+    pub fn new(ranks: usize, checks_fencing: bool, broken: Option<Broken>) -> Self {
+        let cfg = StandinConfig { checks_fencing };
+        let mut world = Self {
+            now: Duration::ZERO,
+            agents: Vec::new(),
+            engines: Vec::new(),
+            connections: vec![Vec::new(); ranks],
+            answers: vec![VecDeque::new(); ranks],
+            net: VecDeque::new(),
+            coordinators: Vec::new(),
+            uses: BTreeMap::new(),
+            checks_fencing,
+            broken,
+            last_run: 0,
+            last_fence: 0,
+            seen_obeyed: vec![0; ranks],
+            mute_votes_of: None,
+            log: None,
+            names: BTreeMap::new(),
+        };
+        for rank in 0..ranks {
+            let run = world.next_run();
+            world.engines.push(StandinEngine::new(cfg, run, 0));
+            let run = world.next_run();
+            let agent = RankAgent::new(RankConfig::default(), rank as RankId, ranks, run);
+            world.agents.push(agent);
+        }
+        world
+    }
+
+    pub fn ranks(&self) -> usize {
+        self.agents.len()
+    }
+
+    fn next_run(&mut self) -> Incarnation {
+        self.last_run += 1;
+        Incarnation(self.last_run)
+    }
+
+    fn note(&mut self, text: impl FnOnce(&Self) -> String) {
+        if self.log.is_some() {
+            let line = format!("{:>6} ms  {}", self.now.as_millis(), text(self));
+            self.log.iter_mut().for_each(|l| l.push(line.clone()));
+        }
+    }
+
+    // --- faults ---
+
+    pub fn start_coordinator(&mut self) {
+        self.last_fence += 1;
+        let (cfg, shape) = eager(self.ranks());
+        let fence = Fence(self.last_fence);
+        let c = GroupCoordinator::new(cfg, GroupName::new("g"), shape, fence).expect("valid shape");
+        self.coordinators.push(c);
+        self.note(|_| format!("coordinator {fence} starts"));
+    }
+
+    pub fn kill_coordinator(&mut self, i: usize) {
+        if i < self.coordinators.len() {
+            let c = self.coordinators.remove(i);
+            self.note(|_| format!("coordinator {} dies", c.fence()));
+        }
+    }
+
+    pub fn restart_agent(&mut self, rank: usize) {
+        let run = match self.broken {
+            Some(Broken::RestartUnnoticed) => self.agents[rank].incarnation(),
+            _ => self.next_run(),
+        };
+        let agent = RankAgent::new(RankConfig::default(), rank as RankId, self.ranks(), run);
+        self.agents[rank] = agent;
+        self.answers[rank].clear();
+        self.note(|_| format!("agent {rank} restarts without memory"));
+    }
+
+    /// The engine comes back empty at the step that the group is at.
+    pub fn restart_engine(&mut self, rank: usize) {
+        let step = self.group_step();
+        if let Some(uses) = self.uses.get_mut(&step) {
+            uses[rank] = None;
+        }
+        let cfg = StandinConfig {
+            checks_fencing: self.checks_fencing,
+        };
+        let run = self.next_run();
+        self.engines[rank] = StandinEngine::new(cfg, run, step);
+        self.connections[rank].clear();
+        self.answers[rank].clear();
+        self.seen_obeyed[rank] = 0;
+        self.note(|_| format!("engine {rank} restarts empty at step {step}"));
+    }
+
+    // --- single events ---
+
+    pub fn tick_agent(&mut self, rank: usize) {
+        let actions = self.agents[rank].on_tick(self.now);
+        self.carry_out(rank, actions);
+    }
+
+    pub fn tick_coordinator(&mut self, i: usize) {
+        if i < self.coordinators.len() {
+            let actions = self.coordinators[i].on_tick(self.now);
+            self.coordinate(i, actions);
+        }
+    }
+
+    /// Lets the next order of one of the connections to an engine arrive.
+    pub fn deliver_order(&mut self, rank: usize, connection: usize) {
+        let live = self.agents[rank].incarnation();
+        let open = self.connections[rank].len();
+        if open == 0 {
+            return;
+        }
+        let (sender, queue) = &mut self.connections[rank][connection % open];
+        let (sender, item) = (*sender, queue.pop_front());
+        match item {
+            Some(ToEngine::Order(order)) => {
+                let before = self.engines[rank].state().sequence;
+                self.engines[rank].order(&order);
+                if self.engines[rank].state().sequence > before {
+                    self.note(|w| format!("engine {rank} obeys {}", w.show_op(&order.op)));
+                }
+            }
+            Some(ToEngine::Poll) => {}
+            None => {
+                let gone = |(run, q): &(Incarnation, VecDeque<_>)| *run != live && q.is_empty();
+                self.connections[rank].retain(|c| !gone(c));
+                return;
+            }
+        }
+        if sender == live {
+            let state = self.engines[rank].state().clone();
+            self.answers[rank].push_back(state);
+        }
+        self.check_fences(rank);
+    }
+
+    pub fn deliver_answer(&mut self, rank: usize) {
+        if let Some(state) = self.answers[rank].pop_front() {
+            let actions = self.agents[rank].on_engine(self.now, state);
+            self.carry_out(rank, actions);
+        }
+    }
+
+    pub fn lose_answer(&mut self, rank: usize) {
+        self.answers[rank].pop_front();
+    }
+
+    pub fn deliver(&mut self, i: usize) {
+        if self.net.is_empty() {
+            return;
+        }
+        let i = i % self.net.len();
+        if let Some((to, envelope)) = self.net.remove(i) {
+            self.hand_over(to, envelope);
+        }
+    }
+
+    pub fn lose(&mut self, i: usize) {
+        if !self.net.is_empty() {
+            let i = i % self.net.len();
+            if let Some((to, e)) = self.net.remove(i) {
+                self.note(|w| {
+                    format!(
+                        "LOST {} -> {}: {}",
+                        show(e.from),
+                        show(to),
+                        w.show_message(&e.message)
+                    )
+                });
+            }
+        }
+    }
+
+    pub fn double(&mut self, i: usize) {
+        if !self.net.is_empty() && self.net.len() < 500 {
+            let i = i % self.net.len();
+            let copy = self.net[i].clone();
+            self.net.push_back(copy);
+        }
+    }
+
+    pub fn end_load(&mut self, rank: usize, whole: bool) {
+        let loading = self.engines[rank].state().loading;
+        self.engines[rank].end_load(whole);
+        if let Some(id) = loading {
+            self.note(|w| {
+                let end = if whole { "holds" } else { "could not load" };
+                format!("engine {rank} {end} {}", w.show_map(id))
+            });
+        }
+    }
+
+    /// Lets a rank begin its next step, if the others have come as far and its engine may.
+    pub fn begin_step(&mut self, rank: usize) -> bool {
+        let step = self.engines[rank].state().next_step;
+        if step > self.group_step() {
+            return false;
+        }
+        let Some(map) = self.engines[rank].ready_for() else {
+            return false;
+        };
+        self.engines[rank].begin_step();
+        let ranks = self.ranks();
+        let uses = self.uses.entry(step).or_insert_with(|| vec![None; ranks]);
+        uses[rank] = Some(map);
+        assert!(
+            uses.iter().flatten().all(|m| *m == map),
+            "step {step} mixes maps: {uses:?}"
+        );
+        if uses.iter().all(Option::is_some) {
+            let before = step
+                .checked_sub(1)
+                .and_then(|s| self.uses.get(&s))
+                .map(|u| u[0]);
+            if before != Some(Some(map)) {
+                self.note(|w| format!("step {step} is the first under {}", w.show_map(map)));
+            }
+            let keep = step.saturating_sub(2);
+            self.uses.retain(|s, _| *s >= keep);
+        }
+        true
+    }
+
+    /// The step that all ranks have come to.
+    pub fn group_step(&self) -> u64 {
+        let steps = self.engines.iter().map(|e| e.state().next_step);
+        steps.min().unwrap_or(0)
+    }
+
+    /// The map of the last whole step.
+    pub fn active(&self) -> Vec<Option<MapId>> {
+        self.engines.iter().map(|e| e.state().active).collect()
+    }
+
+    // --- a stretch without faults ---
+
+    /// One round in which everything that is due happens: messages arrive, loads end, steps run.
+    pub fn fair_round(&mut self) {
+        self.round(None, None);
+    }
+
+    /// A fair round in which one agent is stalled, or cut off from its engine.
+    pub fn round(&mut self, stalled: Option<usize>, cut: Option<usize>) {
+        self.now += Duration::from_millis(100);
+        for i in (0..self.coordinators.len()).rev() {
+            self.tick_coordinator(i);
+        }
+        for rank in (0..self.ranks()).filter(|r| Some(*r) != stalled) {
+            self.tick_agent(rank);
+        }
+        self.settle(stalled, cut);
+        for rank in 0..self.ranks() {
+            self.end_load(rank, true);
+        }
+        for _ in 0..2 {
+            for rank in 0..self.ranks() {
+                self.begin_step(rank);
+            }
+        }
+    }
+
+    /// Fair rounds until a switch is proposed but not yet handed to any rank.
+    pub fn run_to_vote(&mut self) -> Option<Proposal> {
+        for _ in 0..300 {
+            let proposed = self.net.iter().find_map(|(_, e)| match e.message {
+                GroupMessage::Propose(p) => Some(p),
+                _ => None,
+            });
+            if proposed.is_some() {
+                return proposed;
+            }
+            self.small_round();
+        }
+        None
+    }
+
+    /// A tenth of a fair round: messages advance by one hop.
+    pub fn small_round(&mut self) {
+        self.now += Duration::from_millis(10);
+        for i in (0..self.coordinators.len()).rev() {
+            self.tick_coordinator(i);
+        }
+        for rank in 0..self.ranks() {
+            self.tick_agent(rank);
+            self.settle_engine(rank);
+            self.end_load(rank, true);
+            self.begin_step(rank);
+        }
+        for _ in 0..self.net.len() {
+            self.deliver(0);
+        }
+    }
+
+    /// Delivers all that is under way, a few hops deep.
+    fn settle(&mut self, stalled: Option<usize>, cut: Option<usize>) {
+        let to_stalled = |to: &Party| stalled.is_some_and(|r| *to == Party::Rank(r as RankId));
+        for _ in 0..4 {
+            for rank in 0..self.ranks() {
+                if Some(rank) != stalled && Some(rank) != cut {
+                    self.settle_engine(rank);
+                }
+            }
+            let mut skipped = 0;
+            for _ in 0..self.net.len() {
+                if self.net.get(skipped).is_some_and(|(to, _)| to_stalled(to)) {
+                    skipped += 1;
+                } else {
+                    self.deliver(skipped);
+                }
+            }
+        }
+    }
+
+    pub fn settle_engine(&mut self, rank: usize) {
+        for connection in (0..self.connections[rank].len()).rev() {
+            let len = self.connections[rank]
+                .get(connection)
+                .map_or(0, |(_, q)| q.len());
+            for _ in 0..len {
+                self.deliver_order(rank, connection);
+            }
+        }
+        for _ in 0..self.answers[rank].len() {
+            self.deliver_answer(rank);
+        }
+    }
+
+    // --- plumbing ---
+
+    fn carry_out(&mut self, rank: usize, actions: Vec<RankAction>) {
+        let run = self.agents[rank].incarnation();
+        for action in actions {
+            match action {
+                RankAction::Send(to, message) => {
+                    self.send(Party::Rank(rank as RankId), run, to, message);
+                }
+                RankAction::Order(order) => self.enqueue(rank, run, ToEngine::Order(order)),
+                RankAction::PollEngine => self.enqueue(rank, run, ToEngine::Poll),
+                RankAction::ReadMap(id) => {
+                    if let Some(map) = self.engines[rank].body(id).cloned() {
+                        let actions = self.agents[rank].on_map(self.now, map);
+                        self.carry_out(rank, actions);
+                    }
+                }
+                RankAction::Restart => return self.restart_agent(rank),
+            }
+        }
+    }
+
+    fn enqueue(&mut self, rank: usize, run: Incarnation, item: ToEngine) {
+        let open = &mut self.connections[rank];
+        match open.iter_mut().find(|(r, _)| *r == run) {
+            Some((_, queue)) if queue.len() < 40 => queue.push_back(item),
+            Some(_) => {}
+            None => open.push((run, VecDeque::from([item]))),
+        }
+    }
+
+    fn coordinate(&mut self, i: usize, actions: Vec<CoordinatorAction>) {
+        let fence = self.coordinators[i].fence();
+        for action in actions {
+            match action {
+                CoordinatorAction::Send(rank, message) => {
+                    let from = Party::Coordinator(fence);
+                    self.send(from, Incarnation(0), Party::Rank(rank), message);
+                }
+                CoordinatorAction::Publish(_) => {}
+                CoordinatorAction::StepDown(_) => {
+                    self.kill_coordinator(i);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, from: Party, run: Incarnation, to: Party, message: GroupMessage) {
+        if self.net.len() > 500 {
+            self.net.pop_front();
+        }
+        let muted = self.mute_votes_of.is_some_and(|r| from == Party::Rank(r));
+        if muted && matches!(message, GroupMessage::Vote { .. }) {
+            return;
+        }
+        let envelope = Envelope {
+            from,
+            incarnation: run,
+            message,
+        };
+        self.net.push_back((to, envelope));
+    }
+
+    fn hand_over(&mut self, to: Party, envelope: Envelope) {
+        if !matches!(
+            envelope.message,
+            GroupMessage::Poll { .. } | GroupMessage::Report(_)
+        ) {
+            self.note(|w| {
+                let text = w.show_message(&envelope.message);
+                format!("{} -> {}: {text}", show(envelope.from), show(to))
+            });
+        }
+        match to {
+            Party::Rank(rank) => {
+                self.misbehave(rank, &envelope.message);
+                let rank = usize::from(rank);
+                let actions = self.agents[rank].on_message(self.now, envelope);
+                self.carry_out(rank, actions);
+            }
+            Party::Coordinator(fence) => {
+                let Some(i) = self.coordinators.iter().position(|c| c.fence() == fence) else {
+                    return;
+                };
+                let actions = self.coordinators[i].on_message(self.now, envelope);
+                self.coordinate(i, actions);
+            }
+        }
+    }
+
+    /// What a broken switch does beside the right one.
+    fn misbehave(&mut self, rank: RankId, message: &GroupMessage) {
+        let GroupMessage::Propose(proposal) = message else {
+            return;
+        };
+        let run = self.agents[usize::from(rank)].incarnation();
+        let (from, to) = (Party::Rank(rank), Party::Rank(proposal.closer));
+        match self.broken {
+            Some(Broken::VoteWithoutHold) if rank != proposal.closer => {
+                let vote = GroupMessage::Vote {
+                    proposal: *proposal,
+                    yes: true,
+                };
+                self.send(from, run, to, vote);
+            }
+            Some(Broken::CloserAlone) if rank == proposal.closer => {
+                for r in (0..self.ranks() as RankId).filter(|r| *r != rank) {
+                    let outcome = GroupMessage::Outcome {
+                        proposal: *proposal,
+                        commit: true,
+                    };
+                    self.send(from, run, Party::Rank(r), outcome);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn check_fences(&mut self, rank: usize) {
+        let obeyed = self.engines[rank].obeyed();
+        let from = self.seen_obeyed[rank].saturating_sub(1);
+        let fell = obeyed[from..].windows(2).any(|w| w[1] < w[0]);
+        assert!(
+            !fell,
+            "engine {rank} obeyed falling fencing numbers: {obeyed:?}"
+        );
+        self.seen_obeyed[rank] = obeyed.len();
+    }
+
+    // --- rendering for golden sessions ---
+
+    fn show_map(&self, id: MapId) -> String {
+        format!("map {}", id.version)
+    }
+
+    fn show_op(&self, op: &EngineOp) -> String {
+        match op {
+            EngineOp::Stage(map) => format!("Stage {}", self.show_map(map.id())),
+            EngineOp::Unstage(id) => format!("Unstage {}", self.show_map(*id)),
+            EngineOp::Adopt => "Adopt".to_owned(),
+            EngineOp::Hold(h) => format!("Hold at step {}", h.at_step),
+            EngineOp::Arm(p) => format!("Arm {} at step {}", self.show_map(p.next), p.at_step),
+            EngineOp::Release(_) => "Release".to_owned(),
+            EngineOp::Start { map, .. } => format!("Start {}", self.show_map(*map)),
+        }
+    }
+
+    fn show_message(&self, message: &GroupMessage) -> String {
+        let switch = |p: &Proposal| {
+            let next = self.show_map(p.next);
+            format!("{next} at step {}, closer {}", p.at_step, p.closer)
+        };
+        match message {
+            GroupMessage::Poll { .. } => "Poll".to_owned(),
+            GroupMessage::Report(_) => "Report".to_owned(),
+            GroupMessage::Prepare(map) => format!("Prepare {}", self.show_map(map.id())),
+            GroupMessage::Propose(p) => format!("Propose {}", switch(p)),
+            GroupMessage::Vote { proposal, yes } => {
+                format!(
+                    "Vote {} on {}",
+                    if *yes { "yes" } else { "no" },
+                    switch(proposal)
+                )
+            }
+            GroupMessage::Outcome { proposal, commit } => {
+                let end = if *commit { "commit" } else { "abort" };
+                format!("Outcome {end} of {}", switch(proposal))
+            }
+            GroupMessage::Hello => "Hello".to_owned(),
+            GroupMessage::Welcome(w) => match &w.committed {
+                Some(p) => format!("Welcome, decided: {}", switch(p)),
+                None => "Welcome".to_owned(),
+            },
+            GroupMessage::WantMap(id) => format!("WantMap {}", self.show_map(*id)),
+            GroupMessage::HaveMap(map) => format!("HaveMap {}", self.show_map(map.id())),
+            GroupMessage::StaleRun(_) => "StaleRun".to_owned(),
+            GroupMessage::StaleFence(f) => format!("StaleFence {f}"),
+        }
+    }
+}
+
+fn show(party: Party) -> String {
+    match party {
+        Party::Rank(r) => format!("rank {r}"),
+        Party::Coordinator(f) => format!("coordinator {f}"),
+    }
+}
