--- a/crates/oriole_placement/src/balance.rs
+++ b/crates/oriole_placement/src/balance.rs
@@ -142,20 +142,51 @@
     pub(crate) fn fill(&mut self, expert: usize) -> f32 {
         let list = self.replicas[expert];
         let n = usize::from(list.len);
-        let mut order = [0usize; MAX_REPLICAS];
         let mut base = [0f32; MAX_REPLICAS];
-        for i in 0..n {
+        for (i, base) in base[..n].iter_mut().enumerate() {
             let rank = usize::from(list.ranks[i]);
-            base[i] = (self.rank_loads[rank] - list.loads[i]).max(0.0);
-            order[i] = i;
+            *base = (self.rank_loads[rank] - list.loads[i]).max(0.0);
+        }
+        let level = match n {
+            2 => self.level_of_two(&list, [base[0], base[1]], self.loads[expert]),
+            _ => self.level_of(&list, &base[..n], self.loads[expert]),
+        };
+        let mut change = 0f32;
+        for (i, base) in base[..n].iter().enumerate() {
+            let rank = usize::from(list.ranks[i]);
+            let load = (level * self.speeds[rank] - base).max(0.0);
+            change = change.max((load - list.loads[i]).abs());
+            self.replicas[expert].loads[i] = load;
+            self.rank_loads[rank] = base + load;
         }
+        change
+    }
+
+    /// Level to which a load fills two ranks.
+    fn level_of_two(&self, list: &Replicas, base: [f32; 2], load: f32) -> f32 {
         let speed = |i: usize| self.speeds[usize::from(list.ranks[i])];
-        order[..n]
-            .sort_unstable_by(|a, b| (base[*a] / speed(*a)).total_cmp(&(base[*b] / speed(*b))));
-        let mut sum_base = self.loads[expert];
+        let both = (load + base[0] + base[1]) / (speed(0) + speed(1));
+        let alone = |i: usize| (load + base[i]) / speed(i);
+        if both * speed(0) < base[0] {
+            alone(1)
+        } else if both * speed(1) < base[1] {
+            alone(0)
+        } else {
+            both
+        }
+    }
+
+    /// Level to which a load fills some ranks, lowest first.
+    fn level_of(&self, list: &Replicas, base: &[f32], load: f32) -> f32 {
+        let speed = |i: usize| self.speeds[usize::from(list.ranks[i])];
+        let mut order = [0usize; MAX_REPLICAS];
+        let order = &mut order[..base.len()];
+        order.iter_mut().enumerate().for_each(|(i, o)| *o = i);
+        order.sort_unstable_by(|a, b| (base[*a] / speed(*a)).total_cmp(&(base[*b] / speed(*b))));
+        let mut sum_base = load;
         let mut sum_speed = 0.0;
         let mut level = 0.0;
-        for i in order[..n].iter().copied() {
+        for i in order.iter().copied() {
             if sum_speed > 0.0 && base[i] / speed(i) >= level {
                 break;
             }
@@ -163,15 +194,7 @@
             sum_speed += speed(i);
             level = sum_base / sum_speed;
         }
-        let mut change = 0f32;
-        for (i, base) in base[..n].iter().enumerate() {
-            let rank = usize::from(list.ranks[i]);
-            let load = (level * self.speeds[rank] - base).max(0.0);
-            change = change.max((load - list.loads[i]).abs());
-            self.replicas[expert].loads[i] = load;
-            self.rank_loads[rank] = base + load;
-        }
-        change
+        level
     }
 
     /// Whether a rank holds a replica of an expert.
--- a/crates/oriole_placement/src/search.rs
+++ b/crates/oriole_placement/src/search.rs
@@ -42,6 +42,28 @@
         }
     }
 
+    /// Slots that the change touches.
+    fn slots(self) -> [usize; 2] {
+        match self {
+            Self::Copy { slot, .. } => [slot, slot],
+            Self::Swap { from, to } => [from, to],
+        }
+    }
+
+    /// Takes back a change that was applied to a copy of some work.
+    fn undo(self, changed: &mut LayerWork, original: &LayerWork) {
+        changed.rank_loads.copy_from_slice(&original.rank_loads);
+        for slot in self.slots() {
+            for expert in [changed.slots[slot], original.slots[slot]] {
+                let e = usize::from(expert);
+                changed.replicas[e] = original.replicas[e];
+            }
+        }
+        for slot in self.slots() {
+            changed.slots[slot] = original.slots[slot];
+        }
+    }
+
     fn apply(self, work: &mut LayerWork) {
         match self {
             Self::Copy { expert, slot } => {
@@ -111,16 +133,16 @@
     cfg: &SearchConfig,
     budget: usize,
 ) -> Vec<Change> {
-    let mut scored: Vec<(f32, Change)> = candidates(work, cfg)
-        .into_iter()
-        .filter(|change| change.reads() <= budget)
-        .map(|change| {
-            trial.clone_from(work);
+    trial.clone_from(work);
+    let mut scored: Vec<(f32, Change)> = Vec::new();
+    for change in candidates(work, cfg) {
+        if change.reads() <= budget {
             change.apply(trial);
             let price = cfg.price_per_read * change.reads() as f32;
-            (trial.smooth_peak() + price, change)
-        })
-        .collect();
+            scored.push((trial.smooth_peak() + price, change));
+            change.undo(trial, work);
+        }
+    }
     scored.sort_by(|a, b| a.0.total_cmp(&b.0));
     scored.truncate(SHORTLIST);
     scored.into_iter().map(|(_, change)| change).collect()
