--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -9,12 +9,14 @@
 
 use super::record::{Crash, CrashId, CrashNote, PoisonDigest, PoisonRecord};
 
-/// Crashes that condemn a content if it was alone in one of them.
+/// Crashes that condemn a content if one of them was in its solo run.
 const CRASHES_TO_QUARANTINE: usize = 2;
 /// Crashes that condemn a content whoever ran beside it: nobody may cause more.
 const CRASHES_AT_MOST: usize = 3;
 /// Time after which a crash is forgotten.
 const CRASH_RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Time between two searches for crashes to forget.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Contents a ledger keeps; beyond it the content with the oldest news is forgotten.
 const MAX_RECORDS: usize = 2048;
 /// Crashes kept of one content.
@@ -46,6 +48,7 @@
     proven: BTreeSet<Digest>,
     proven_order: VecDeque<Digest>,
     version: u64,
+    sweep_at: Duration,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -70,25 +73,23 @@
         }
     }
 
-    /// Notes that an upstream crashed while it ran some contents.
-    ///
-    /// `others` says whether something unknown ran too. Contents that have completed before are not
-    /// suspected, unless one of them was alone.
+    /// Notes that an upstream crashed while it ran some contents; `solo` says that the one content
+    /// was a suspect that ran alone on purpose. Contents that have completed before are not
+    /// suspected.
     pub fn crashed(
         &mut self,
         now: Duration,
         id: &CrashId,
         contents: &BTreeSet<Digest>,
-        others: bool,
+        solo: bool,
     ) {
-        let alone = contents.len() == 1 && !others;
         for content in contents {
-            if !alone && self.standing(content) == Standing::Proven {
+            if self.standing(content) == Standing::Proven {
                 continue;
             }
             let crash = Crash {
                 at: now,
-                alone,
+                solo,
                 excused: false,
             };
             self.insert(*content, id.clone(), crash);
@@ -164,8 +165,12 @@
         self.records.keys().filter(refused)
     }
 
-    /// Forgets crashes that are older than the retention.
+    /// Forgets crashes that are older than the retention; cheap to call often.
     pub fn tick(&mut self, now: Duration) {
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + SWEEP_INTERVAL;
         for record in self.records.values_mut() {
             record
                 .crashes
@@ -181,7 +186,7 @@
         }
         let crash = Crash {
             at: now.saturating_sub(age),
-            alone: note.alone,
+            solo: note.solo,
             excused: note.excused,
         };
         self.insert(content, note.id.clone(), crash);
@@ -229,9 +234,9 @@
     fn standing(&self) -> Standing {
         let held = || self.crashes.values().filter(|c| !c.excused);
         let crashes = held().count();
-        let was_alone = held().any(|c| c.alone);
+        let was_solo = held().any(|c| c.solo);
         let condemned =
-            crashes >= CRASHES_AT_MOST || (crashes >= CRASHES_TO_QUARANTINE && was_alone);
+            crashes >= CRASHES_AT_MOST || (crashes >= CRASHES_TO_QUARANTINE && was_solo);
         match crashes {
             0 => Standing::Unproven,
             _ if condemned => Standing::Quarantined,
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`intake`]: who asks, for what, and by when; limits.
 //! - [`traffic`]: the routing machines behind one lock, and waiting for an upstream.
 //! - [`dispatch`]: attempts, retries and the single end.
+//! - `claimed`: the way of a request that must run at most once.
 //! - [`answer`]: the events of an answer.
 //!
 //! Around it:
@@ -13,6 +14,7 @@
 //! - [`settings`]: the daemon's TOML settings.
 //! - [`state`]: what handlers and tasks share.
 //! - [`fleet`]: upstreams and entries as this process sees them.
+//! - [`poison`]: suspect and quarantined content.
 //! - [`watchers`]: tasks that keep that view and the routing machines up to date.
 //! - [`peers`]: what other processes ask of this one.
 //! - [`daemon`]: start and graceful shutdown.
@@ -20,11 +22,13 @@
 
 pub mod answer;
 pub mod api;
-//pub mod daemon;
+mod claimed;
+pub mod daemon;
 pub mod dispatch;
 pub mod fleet;
 pub mod intake;
 pub mod peers;
+pub mod poison;
 pub mod settings;
 pub mod state;
 pub mod traffic;
@@ -32,6 +36,6 @@
 
 /// Everything that embeds an entry daemon.
 pub mod prelude {
-    //pub use crate::daemon::EntryDaemon;
+    pub use crate::daemon::EntryDaemon;
     pub use crate::settings::EntrySettings;
 }
