Accept tickets under any of the fleet's secrets; call the store on demand

A change of the fleet's secret refused every ticket minted before. Tickets are signed with the first secret and accepted under any of the list.

A home of a pool without requests that must not run twice took partitions of the store for nothing; with eager = false it makes no store call until the first such request.

--- a/crates/oriole_claims/src/config.rs
+++ b/crates/oriole_claims/src/config.rs
@@ -72,6 +72,9 @@
     pub incarnation: Incarnation,
     /// Number of partitions, used only if the store holds no layout of the pool.
     pub partitions: u32,
+    /// Whether the home takes its partitions before the first request. Set it for pools that serve
+    /// entries which are not idempotent; a home of any other pool then makes no store call.
+    pub eager: bool,
     /// Secret of the fleet, which tickets are signed with.
     pub secret: TicketSecret,
     /// Unix time at the start of the process, in milliseconds.
@@ -91,6 +94,7 @@
             vm,
             incarnation,
             partitions: 16,
+            eager: true,
             secret,
             wall_at_start_ms: 0,
             seed: incarnation.0,
--- a/crates/oriole_claims/src/home/store.rs
+++ b/crates/oriole_claims/src/home/store.rs
@@ -29,7 +29,9 @@
             return;
         }
         if soft.as_ref() == Some(&self.home.vm) {
-            partition.want();
+            if self.cfg.eager {
+                partition.want();
+            }
             return;
         }
         let keys = partition.give_up();
@@ -119,7 +121,8 @@
     }
 
     pub(super) fn wants_layout(&self) -> bool {
-        !self.layout_busy && self.layout.partitions().is_none()
+        let needed = self.cfg.eager || !self.unplaced.is_empty();
+        needed && !self.layout_busy && self.layout.partitions().is_none()
     }
 
     pub(super) fn call_store(&mut self, now: Duration) {
--- a/crates/oriole_claims/src/ticket.rs
+++ b/crates/oriole_claims/src/ticket.rs
@@ -21,15 +21,25 @@
 /// Longest suffix, in characters.
 pub const MAX_SUFFIX_LEN: usize = 64;
 
-/// Secret of the fleet that tickets are signed with. It never reaches a log.
+/// Secrets of the fleet that tickets are signed with. They never reach a log.
 #[derive(Clone)]
-pub struct TicketSecret(Vec<u8>);
+pub struct TicketSecret(Vec<Vec<u8>>);
 
 impl TicketSecret {
-    /// Wraps the bytes of a secret.
+    /// Wraps the bytes of the only secret.
     #[must_use]
     pub fn new(secret: &[u8]) -> Self {
-        Self(secret.to_vec())
+        Self::rotating([secret])
+    }
+
+    /// Wraps the secrets of a rotation: the first signs, tickets of all of them are genuine.
+    #[must_use]
+    pub fn rotating<'a>(secrets: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        Self(secrets.into_iter().map(<[u8]>::to_vec).collect())
+    }
+
+    fn signing(&self) -> &[u8] {
+        self.0.first().map_or(&[], Vec::as_slice)
     }
 }
 
@@ -65,7 +75,7 @@
         entry: &EntryName,
         suffix: &str,
     ) -> Self {
-        let mac = sign(secret, &home, issued_ms, account, entry);
+        let mac = sign(secret.signing(), &home, issued_ms, account, entry);
         Self {
             home,
             issued_ms,
@@ -120,8 +130,10 @@
         account: &AccountName,
         entry: &EntryName,
     ) -> bool {
-        let mac = sign(secret, &self.home, self.issued_ms, account, entry);
-        mac.verify_truncated_left(&self.mac).is_ok()
+        secret.0.iter().any(|secret| {
+            let mac = sign(secret, &self.home, self.issued_ms, account, entry);
+            mac.verify_truncated_left(&self.mac).is_ok()
+        })
     }
 }
 
@@ -131,13 +143,13 @@
 }
 
 fn sign(
-    secret: &TicketSecret,
+    secret: &[u8],
     home: &HomeRef,
     issued_ms: u64,
     account: &AccountName,
     entry: &EntryName,
 ) -> Hmac<Sha256> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(&secret.0).expect("HMAC takes keys of any length");
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("HMAC takes keys of any length");
     for name in [home.vm.as_str(), account.as_str(), entry.as_str()] {
         mac.update(&(name.len() as u64).to_be_bytes());
         mac.update(name.as_bytes());
--- a/crates/oriole_claims/tests/keys.rs
+++ b/crates/oriole_claims/tests/keys.rs
@@ -50,6 +50,17 @@
     assert!(!ticket("vm-1").is_genuine(&secret, &account.into(), &entry.into()));
 }
 
+#[rstest]
+#[case::signs(&["secret", "older"], true)]
+#[case::was_replaced(&["newer", "secret"], true)]
+#[case::is_gone(&["newest", "newer"], false)]
+#[case::none(&[], false)]
+fn ticket_is_genuine_in_a_rotation(#[case] secrets: &[&str], #[case] genuine: bool) {
+    let secrets = TicketSecret::rotating(secrets.iter().map(|s| s.as_bytes()));
+    let found = ticket("vm-1").is_genuine(&secrets, &"acme".into(), &"book".into());
+    assert_eq!(found, genuine);
+}
+
 #[test]
 fn ticket_altered_is_not_genuine() {
     let altered = ticket("vm-1").key().as_str().replace("vm-1", "vm-2");
--- a/crates/oriole_claims/tests/service.rs
+++ b/crates/oriole_claims/tests/service.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oriole_claims::prelude::*;
+use oriole_store::counters::CallCounts;
 use oriole_store::memory::{StoreFault, WriteFault};
 use oriole_store::prelude::*;
 use oriole_types::prelude::*;
@@ -163,6 +164,20 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn spawn_without_eagerness_calls_the_store_on_demand() {
+    let (store, runs) = (MemoryStore::new(), Arc::default());
+    let secret = TicketSecret::new(b"secret");
+    let mut cfg = ClaimsConfig::new("pool".into(), "a".into(), Incarnation(1), secret);
+    cfg.eager = false;
+    let home = ClaimService::spawn(cfg, Arc::new(store.clone()));
+    home.set_live(vec!["a".into()]);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(store.counts(), CallCounts::default());
+    let end = execute(&home, request("k"), &runs).await;
+    assert_eq!(end, ClaimEnd::FirstRun("answer 1".into()));
+}
+
 /// Follows a call over homes as an entry does, without losses.
 async fn follow(homes: &[ClaimHandle], first: usize, key: &str, runs: &Arc<AtomicU32>) -> CallStep {
     let mut way = ClaimCall::new(vec![homes[first].home().vm]);
