--- a/crates/oriole_claims/tests/fuzz.rs
+++ b/crates/oriole_claims/tests/fuzz.rs
@@ -11,7 +11,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use world::{Broken, Step, World};
+use world::World;
+use world::parts::{Broken, ENDS, Step, Tally};
 
 /// Cases of a run in CI. `ORIOLE_CLAIMS_CASES` sets another number.
 const CASES: u32 = 10_000;
@@ -154,7 +155,7 @@
 /// The schedules reach every kind of end, so the checks above have something to judge.
 #[test]
 fn schedules_reach_all_ends() {
-    let mut tally = world::Tally::default();
+    let mut tally = Tally::default();
     let strategy = Schedule::sequential_strategy(STEPS);
     let mut runner = runner(1, SEED);
     for _ in 0..REACH_CASES {
@@ -167,7 +168,7 @@
         tally.add(&world.tally);
     }
     println!("{tally:#?}");
-    for end in world::ENDS {
+    for end in ENDS {
         assert!(tally.ends.contains_key(end), "no call ended {end}");
     }
 }
--- a/crates/oriole_claims/tests/sessions.rs
+++ b/crates/oriole_claims/tests/sessions.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use world::{Broken, RETENTION, Sort, Step, World};
+use world::parts::{Broken, Sort, Step};
+use world::{RETENTION, World};
 
 const ALL: u8 = 0xff;
 const PLAIN: u8 = 0;
--- a/crates/oriole_claims/tests/world/mod.rs
+++ b/crates/oriole_claims/tests/world/mod.rs
@@ -2,177 +2,40 @@
 //! repeat the effects of every message; and the ledger that judges them.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, HashMap};
+mod faults;
+mod ledger;
+pub mod parts;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bytes::Bytes;
-use oriole_claims::home::{Action, Event, Lane};
-use oriole_claims::partition::{StoreCall, StoreEnd};
+use oriole_claims::home::{Action, Event};
 use oriole_claims::prelude::*;
-use oriole_store::error::StoreError;
-use oriole_store::store::{Expect, StoreVersion, Versioned};
+use oriole_store::store::Versioned;
 use oriole_types::prelude::*;
 
+use parts::{Agent, Broken, Call, Key, Ledger, Msg, Step, Tally};
+
+/// VMs of the pool.
 pub const AGENTS: usize = 3;
 /// Bit of a mask that stands for the paused processes.
 const ZOMBIES: u8 = 0x80;
+/// Partitions of the pool.
 pub const PARTITIONS: u32 = 2;
+/// Retention of the homes.
 pub const RETENTION: Duration = Duration::from_secs(30);
+/// Timeout of a call.
 const TIMEOUT: Duration = Duration::from_secs(4);
+/// Difference of the wall clocks of neighbouring VMs.
 const SKEW_MS: u64 = 4_000;
+/// Unix time at the start.
 const WALL_MS: u64 = 1_796_360_000_000;
-/// Steps of the quiet end of a run, and their length.
+/// Steps of the quiet end of a run.
 const QUIET_STEPS: u32 = 45;
+/// Length of such a step.
+const QUIET_STEP: Duration = Duration::from_millis(400);
 /// Most messages delivered at once.
 const FLUSH_MESSAGES: u32 = 400;
-const QUIET_STEP: Duration = Duration::from_millis(400);
-
-/// What is broken on purpose.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Broken {
-    #[default]
-    Nothing,
-    /// The owner writes without comparing, as one that trusts its lease would.
-    LeaseOnly,
-    /// A store write with no answer is taken for done.
-    LostWriteIsDone,
-    /// A store write with no answer is taken for not done.
-    LostWriteIsNotDone,
-    /// An agent's lost answer is taken for a request that was not sent.
-    LostAnswerIsFailure,
-    /// A new owner does not read the segments.
-    SegmentsIgnored,
-    /// A home accepts the tickets of the incarnation before it.
-    TicketsInherited,
-}
-
-/// One choice of the scheduler. Selectors are taken modulo what there is to select from.
-#[derive(Clone, Debug)]
-pub enum Step {
-    Call { key: u8, body: u8, view: u8 },
-    Fresh { form: u8, view: u8 },
-    Deliver(u16),
-    Settle(u8),
-    Fault(u16, u8),
-    Kill(u8),
-    Pause(u8),
-    View(u8, u8),
-    Advance(u8, u8),
-    Outage(bool),
-}
-
-#[derive(Clone, Debug)]
-enum Msg {
-    Request {
-        ask: usize,
-        slot: usize,
-        recall: Option<Incarnation>,
-    },
-    Reply {
-        ask: usize,
-        end: ClaimEnd,
-    },
-    StoreReq {
-        agent: (usize, u64),
-        lane: Lane,
-        call: StoreCall,
-    },
-    StoreEnd {
-        agent: (usize, u64),
-        lane: Lane,
-        end: StoreEnd,
-    },
-    LateWrite(StoreCall),
-    Run {
-        agent: (usize, u64),
-        ask: usize,
-        key: ClaimKey,
-    },
-    RunEnd {
-        agent: (usize, u64),
-        key: ClaimKey,
-        end: RunEnd,
-    },
-}
-
-/// Sort of a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sort {
-    Request,
-    Reply,
-    StoreWrite,
-    Run,
-}
-
-impl Sort {
-    fn covers(self, msg: &Msg) -> bool {
-        match msg {
-            Msg::Request { .. } => self == Self::Request,
-            Msg::Reply { .. } => self == Self::Reply,
-            Msg::Run { .. } => self == Self::Run,
-            Msg::StoreReq { call, .. } => {
-                self == Self::StoreWrite && matches!(call, StoreCall::Write { .. })
-            }
-            Msg::StoreEnd { .. } | Msg::LateWrite(_) | Msg::RunEnd { .. } => false,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Agent {
-    home: ClaimHome,
-    incarnation: u64,
-    started: Duration,
-    live: Vec<VmName>,
-}
-
-#[derive(Debug)]
-struct Call {
-    key: usize,
-    body: u8,
-    sent: Duration,
-    way: ClaimCall,
-    ask: Option<usize>,
-    end: Option<CallStep>,
-}
-
-#[derive(Clone, Debug)]
-struct Key {
-    text: IdempotencyKey,
-    plain: bool,
-    first_sent: Duration,
-    bodies: Vec<u8>,
-}
-
-#[derive(Default, Debug)]
-struct Ledger {
-    runs: HashMap<usize, Vec<usize>>,
-    first: HashMap<usize, (u8, Bytes)>,
-}
-
-/// How often each end was seen.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    pub ends: BTreeMap<String, u64>,
-    pub runs: u64,
-}
-
-impl Tally {
-    pub fn add(&mut self, other: &Self) {
-        self.runs += other.runs;
-        for (end, n) in &other.ends {
-            *self.ends.entry(end.clone()).or_default() += n;
-        }
-    }
-}
-
-/// Ends that a long enough run must show.
-pub const ENDS: [&str; 4] = [
-    "answer",
-    "not_run store_unavailable",
-    "not_run key_reused",
-    "unknown home_lost",
-];
 
 pub struct World {
     broken: Broken,
@@ -394,47 +257,6 @@
         }
     }
 
-    fn end(&mut self, call: usize, end: CallStep) {
-        if self.calls[call].end.is_some() {
-            return;
-        }
-        let (key, body) = (self.calls[call].key, self.calls[call].body);
-        self.say(|| format!("call {call} ends {end:?}"));
-        let name = match &end {
-            CallStep::Answer(answer) => {
-                match self.ledger.first.get(&key) {
-                    Some((b, first)) if first == answer && *b == body => {}
-                    _ => self.fail(format!("call {call} got an answer that is not its own")),
-                }
-                "answer".to_owned()
-            }
-            CallStep::NotRun(reason) => {
-                self.judge_not_run(call, *reason);
-                format!("not_run {reason}")
-            }
-            CallStep::Unknown(reason) => format!("unknown {reason}"),
-            CallStep::Ask { .. } => return,
-        };
-        *self.tally.ends.entry(name).or_default() += 1;
-        self.calls[call].end = Some(end);
-    }
-
-    fn judge_not_run(&mut self, call: usize, reason: RefusalReason) {
-        let key = self.calls[call].key;
-        if self
-            .ledger
-            .runs
-            .get(&key)
-            .is_some_and(|r| r.contains(&call))
-        {
-            self.fail(format!("call {call} ran and was told not_run {reason}"));
-        }
-        let bodies = &self.keys[key].bodies;
-        if reason == RefusalReason::KeyReused && bodies.iter().all(|b| *b == bodies[0]) {
-            self.fail(format!("call {call}: the key has one body only"));
-        }
-    }
-
     fn take(&mut self, n: usize) -> Option<Msg> {
         (!self.net.is_empty()).then(|| self.net.remove(n % self.net.len()))
     }
@@ -522,17 +344,6 @@
         (0..AGENTS).for_each(|slot| self.event(slot, Event::Tick));
     }
 
-    /// Loses, in the way `kind` says, the first message on its way that is of some sort.
-    pub fn fault_first(&mut self, sort: Sort, kind: u8) {
-        let found = self.net.iter().position(|m| sort.covers(m));
-        let Some(at) = found else {
-            return self.fail(format!("no {sort:?} is on its way"));
-        };
-        let msg = self.net.remove(at);
-        self.net.insert(0, msg);
-        self.fault(0, kind);
-    }
-
     /// The partition of a key.
     pub fn partition_of(&self, key: usize) -> u32 {
         ClaimKey::of(&account(), &entry(), &self.keys[key].text).partition(PARTITIONS)
@@ -544,182 +355,6 @@
         slot_of(&candidates(&pool(), PARTITIONS, names, &vms(0xff))[0])
     }
 
-    /// The upstream runs a request: the ledger counts it.
-    fn run(&mut self, ask: usize) -> Bytes {
-        let call = self.asks[ask];
-        let (key, body) = (self.calls[call].key, self.calls[call].body);
-        self.tally.runs += 1;
-        self.say(|| format!("the upstream runs call {call}"));
-        let runs = self.ledger.runs.entry(key).or_default();
-        runs.push(call);
-        if runs.len() > 1 {
-            let text = format!("key {key} ran {} times", runs.len());
-            self.fail(text);
-        }
-        if let Some(CallStep::NotRun(reason)) = &self.calls[call].end {
-            let text = format!("call {call} runs after it was told not_run {reason}");
-            self.fail(text);
-        }
-        let answer = Bytes::from(format!("answer {call}"));
-        self.ledger
-            .first
-            .entry(key)
-            .or_insert((body, answer.clone()));
-        answer
-    }
-
-    pub fn fault(&mut self, n: usize, kind: u8) {
-        let can_fail = |m: &Msg| match m {
-            Msg::Request { .. } | Msg::Reply { .. } | Msg::Run { .. } => true,
-            Msg::StoreReq { call, .. } => !matches!(call, StoreCall::Delete { .. }),
-            Msg::StoreEnd { .. } | Msg::LateWrite(_) | Msg::RunEnd { .. } => false,
-        };
-        let targets = (0..self.net.len()).filter(|i| can_fail(&self.net[*i]));
-        let targets: Vec<usize> = targets.collect();
-        if targets.is_empty() {
-            return;
-        }
-        let Some(msg) = self.take(targets[n % targets.len()]) else {
-            return;
-        };
-        match msg {
-            Msg::Request { ask, slot, recall } => {
-                let unsent = kind.is_multiple_of(3);
-                if kind % 3 == 2 {
-                    self.net.push(Msg::Request { ask, slot, recall });
-                }
-                self.lose(ask, unsent);
-            }
-            Msg::Reply { ask, .. } => self.lose(ask, false),
-            Msg::StoreReq { agent, lane, call } => self.fault_store(agent, lane, call, kind),
-            Msg::Run { agent, ask, key } if self.alive(agent) => {
-                let end = if kind.is_multiple_of(2) {
-                    RunEnd::NotRun(RefusalReason::UpstreamUnreachable)
-                } else {
-                    self.run(ask);
-                    RunEnd::Unknown(UnknownReason::UpstreamFailed)
-                };
-                self.net.push(Msg::RunEnd { agent, key, end });
-            }
-            other => self.net.push(other),
-        }
-    }
-
-    fn lose(&mut self, ask: usize, unsent: bool) {
-        let call = self.asks[ask];
-        if self.calls[call].ask != Some(ask) || self.calls[call].end.is_some() {
-            return;
-        }
-        self.say(|| format!("call {call} hears nothing, unsent={unsent}"));
-        self.calls[call].ask = None;
-        if unsent || self.broken == Broken::LostAnswerIsFailure {
-            self.calls[call].way.on_unsent();
-        } else {
-            self.calls[call].way.on_lost();
-        }
-        self.proceed(call);
-    }
-
-    fn fault_store(&mut self, agent: (usize, u64), lane: Lane, call: StoreCall, kind: u8) {
-        let ambiguous = !kind.is_multiple_of(4);
-        match kind % 4 {
-            1 => {
-                self.apply(&call);
-            }
-            2 => self.net.push(Msg::LateWrite(call.clone())),
-            _ => {}
-        }
-        let error = if ambiguous {
-            StoreError::Ambiguous
-        } else {
-            StoreError::Unavailable
-        };
-        self.say(|| format!("vm-{} {lane:?}: {error}", agent.0));
-        let end = match call {
-            StoreCall::Read { .. } => StoreEnd::Read(Err(StoreError::Unavailable)),
-            StoreCall::Delete { .. } => StoreEnd::Delete(Err(error)),
-            StoreCall::Write { .. } if ambiguous && self.broken == Broken::LostWriteIsDone => {
-                StoreEnd::Write(Ok(StoreVersion(self.version)))
-            }
-            StoreCall::Write { .. } if self.broken == Broken::LostWriteIsNotDone => {
-                StoreEnd::Write(Err(StoreError::Unavailable))
-            }
-            StoreCall::Write { .. } => StoreEnd::Write(Err(error)),
-        };
-        self.net.push(Msg::StoreEnd { agent, lane, end });
-    }
-
-    fn apply(&mut self, call: &StoreCall) -> StoreEnd {
-        match call {
-            StoreCall::Read { key } => {
-                let mut found = self.store.get(key).cloned();
-                let segment = !key.ends_with("head") && !key.ends_with("layout");
-                if segment && self.broken == Broken::SegmentsIgnored {
-                    found = found.map(|f| Versioned {
-                        value: Bytes::new(),
-                        ..f
-                    });
-                }
-                StoreEnd::Read(Ok(found))
-            }
-            StoreCall::Delete { key } => {
-                self.store.remove(key);
-                StoreEnd::Delete(Ok(()))
-            }
-            StoreCall::Write { key, value, expect } => {
-                StoreEnd::Write(self.write(key, value, *expect))
-            }
-        }
-    }
-
-    fn write(
-        &mut self,
-        key: &str,
-        value: &Bytes,
-        expect: Expect,
-    ) -> Result<StoreVersion, StoreError> {
-        let holds = match expect {
-            Expect::Absent => !self.store.contains_key(key),
-            Expect::Version(v) => self.store.get(key).is_some_and(|f| f.version == v),
-            Expect::Any => true,
-        };
-        let trusted = self.broken == Broken::LeaseOnly && key.ends_with("head");
-        if !holds && !trusted {
-            return Err(StoreError::Conflict);
-        }
-        self.version += 1;
-        let version = StoreVersion(self.version);
-        let value = value.clone();
-        self.store
-            .insert(key.to_owned(), Versioned { value, version });
-        Ok(version)
-    }
-
-    /// The process of an agent is replaced. Its writes and runs under way take their course.
-    pub fn kill(&mut self, slot: usize) {
-        self.say(|| format!("vm-{slot} dies and is replaced"));
-        let id = (slot, self.agents[slot].incarnation);
-        self.replace(slot);
-        self.net
-            .retain(|m| !matches!(m, Msg::Run { agent, .. } if *agent == id));
-    }
-
-    /// The process of an agent is paused and taken for dead; it wakes after it was replaced.
-    pub fn pause(&mut self, slot: usize) {
-        self.say(|| format!("vm-{slot} is paused and replaced"));
-        let id = (slot, self.agents[slot].incarnation);
-        let paused = self.replace(slot);
-        self.zombies.push((id, paused));
-    }
-
-    fn replace(&mut self, slot: usize) -> Agent {
-        let live = self.agents[slot].live.clone();
-        let agent = self.agent(slot, live.clone());
-        let old = std::mem::replace(&mut self.agents[slot], agent);
-        self.event(slot, Event::Live(live));
-        old
-    }
-
     pub fn view(&mut self, slot: usize, mask: u8) {
         let live = vms(mask);
         self.agents[slot].live = live.clone();
@@ -793,27 +428,6 @@
         self.tell((slot, self.agents[slot].incarnation), event);
     }
 
-    /// Ends all faults and lets everything come to rest; then every call must have ended and new
-    /// requests of all forms must be answered.
-    pub fn quiesce(&mut self) {
-        self.outage = false;
-        for slot in 0..AGENTS {
-            self.view(slot, 0xff);
-        }
-        self.rest();
-        let before = self.calls.len();
-        (0..3).for_each(|form| self.fresh(form, 0xff));
-        self.rest();
-        for call in 0..self.calls.len() {
-            let end = &self.calls[call].end;
-            let served = matches!(end, Some(CallStep::Answer(_)));
-            if end.is_none() || call >= before && !served {
-                let text = format!("after rest call {call} ended {end:?}");
-                self.fail(text);
-            }
-        }
-    }
-
     pub fn rest(&mut self) {
         for _ in 0..QUIET_STEPS {
             self.flush();
