Let the belief in a measured service time fade

Cause: under light load a returned failure domain got no work for 20 s and more. Each upstream's service time was that of its last requests; one whose last ones were long streams (845 ms) looked slower than one with short ones (34 ms) and so got none that could show otherwise. Ruled out: drain state, warmth, holds (all agents reported in service, not cold, limit above load). Change: the entry's own measurement counts, fading to the pool's average with a half-life of 2 s; the agent's figure, which ages unseen, no longer does.

--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,17 +1,16 @@
 //! All experiments by name. Each has a module of its own.
 
-pub mod poison;
-
 use crate::experiment::Experiment;
 
-pub mod hot_account;
-pub mod overload;
-pub mod retry_storm;
 mod claims;
 mod claims_baseline;
 mod claims_fleet;
 mod claims_history;
+mod hot_account;
+mod overload;
 mod path;
+mod poison;
+mod retry_storm;
 mod skew;
 mod skew_large;
 mod store_outage;
@@ -20,16 +19,16 @@
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
+        Box::new(claims::Claims),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
-        Box::new(retry_storm::RetryStorm),
-        Box::new(claims::Claims),
         Box::new(path::Path),
+        Box::new(poison::Poison),
+        Box::new(retry_storm::RetryStorm),
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
     ]
-    vec![Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
--- a/crates/oriole_local/tests/faults.rs
+++ b/crates/oriole_local/tests/whole/faults.rs
@@ -1,10 +1,8 @@
 //! Sessions under faults: kills, pauses, drains and graceful shutdown.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{Session, eventually, keyed, request, start, streamed};
+use crate::common::{Session, eventually, keyed, request, start, streamed};
 use oriole_catalog::prelude::{ChangeMeta, Edit, Repository, RepositoryConfig};
 use oriole_local::prelude::*;
 use oriole_standins::faults::{AgentFault, EntryFault, Faults};
@@ -59,7 +57,7 @@
     })
     .await;
     change(&deployment, |c| {
-        set_domain(c, "gela", ServiceState::Drained)
+        set_domain(c, "gela", ServiceState::Drained);
     })
     .await;
     tokio::time::sleep(DRAIN_TARGET).await;
@@ -80,7 +78,7 @@
         assert_eq!(answer.tokens, 150);
     }
     change(&deployment, |c| {
-        set_domain(c, "gela", ServiceState::InService)
+        set_domain(c, "gela", ServiceState::InService);
     })
     .await;
     // Prompts differ, or the upstream that holds their prefix would get them all.
@@ -113,7 +111,7 @@
         })
         .collect();
     eventually("streams run", || {
-        deployment.each_entry(|e| running(e)).iter().sum::<usize>() == 6
+        deployment.each_entry(running).iter().sum::<usize>() == 6
     })
     .await;
     assert!(deployment.shutdown_entry(entry).await);
--- /dev/null
+++ b/crates/oriole_local/tests/whole/main.rs
@@ -0,0 +1,5 @@
+//! The whole deployment over real sockets: callers' sessions and faults.
+
+mod common;
+mod faults;
+mod sessions;
--- a/crates/oriole_local/tests/sessions.rs
+++ b/crates/oriole_local/tests/whole/sessions.rs
@@ -1,8 +1,6 @@
 //! Golden sessions of callers: the three ends, streams, keys and refusals.
 
-mod common;
-
-use common::{Session, eventually, keyed, request, start, streamed};
+use crate::common::{Session, eventually, keyed, request, start, streamed};
 use oriole_local::prelude::*;
 use oriole_standins::faults::Faults;
 use oriole_standins::vitals::VitalsState;
--- a/crates/oriole_routing/src/picking/config.rs
+++ b/crates/oriole_routing/src/picking/config.rs
@@ -12,6 +12,8 @@
     pub assumed_service: Duration,
     /// Age at which a load report is believed half.
     pub load_half_life: Duration,
+    /// Age at which a measured service time is believed by half.
+    pub service_half_life: Duration,
     /// Time between two tries of upstreams that seem full, by an entry that holds its even part
     /// of the pool's slots; also the age from which a load report may be doubted.
     pub probe_after: Duration,
@@ -50,6 +52,7 @@
             cross_domain_rtt: Duration::from_millis(2),
             assumed_service: Duration::from_millis(500),
             load_half_life: Duration::from_millis(500),
+            service_half_life: Duration::from_secs(2),
             probe_after: Duration::from_millis(500),
             probe_min: Duration::from_millis(25),
             high_waiting: 0.25,
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -55,6 +55,9 @@
     }
 }
 
+/// Weight of the newest service time in the average over a pool.
+const POOL_SERVICE_SMOOTHING: f64 = 0.05;
+
 /// Picks an upstream for each request of one entry.
 ///
 /// Feed it the VM list and the catalog with [`Router::fleet_changed`], every load report with
@@ -75,12 +78,21 @@
 struct PoolState {
     upstreams: BTreeMap<VmName, Upstream>,
     load: Option<f64>,
+    service: Option<Duration>,
     own: u32,
     probed: Duration,
     prefixes: PrefixTable,
 }
 
 impl PoolState {
+    /// Notes how long a whole answer of one of the upstreams took.
+    fn note_service(&mut self, elapsed: Duration) {
+        let smoothed = self.service.map_or(elapsed, |held| {
+            held.mul_f64(1.0 - POOL_SERVICE_SMOOTHING) + elapsed.mul_f64(POOL_SERVICE_SMOOTHING)
+        });
+        self.service = Some(smoothed);
+    }
+
     /// Average load as a part of an upstream's limit.
     fn average_load(&self) -> f64 {
         self.load.unwrap_or(0.0)
@@ -210,7 +222,10 @@
     ) {
         if let Some(upstream) = self.end_attempt(vm) {
             upstream.health.succeeded();
-            upstream.note_service(elapsed);
+            upstream.note_service(now, elapsed);
+        }
+        if let Some(pool) = self.pool_mut(vm) {
+            pool.note_service(elapsed);
         }
         self.report_if_any(now, vm, load);
     }
@@ -367,7 +382,7 @@
                 let open = room >= 1.0 || (probe_due && upstream.is_unknown(now, &self.cfg));
                 let weight = room.max(MIN_DRAW_WEIGHT)
                     * upstream.ramp(now, &self.cfg).max(MIN_DRAW_WEIGHT)
-                    * self.near_bias(upstream);
+                    * self.near_bias(now, pool, upstream);
                 open.then_some(Candidate {
                     vm,
                     upstream,
@@ -398,9 +413,9 @@
 
     /// Near upstreams are drawn more often, as far as the round trip counts beside the service
     /// time. Room is in the weight too, so that work spills over as the near ones fill.
-    fn near_bias(&self, upstream: &Upstream) -> f64 {
+    fn near_bias(&self, now: Duration, pool: &PoolState, upstream: &Upstream) -> f64 {
         let rtt = self.distance(&upstream.domain).as_secs_f64();
-        let service = upstream.service(&self.cfg).as_secs_f64().max(1e-6);
+        let service = self.service(now, pool, upstream).max(1e-6);
         1.0 / (1.0 + NEAR_BIAS * rtt / service)
     }
 
@@ -415,7 +430,7 @@
         let upstream = candidate.upstream;
         let limit = f64::from(upstream.limit());
         let load = upstream.load(now, pool.average_load(), &self.cfg);
-        let service = upstream.service(&self.cfg).as_secs_f64();
+        let service = self.service(now, pool, upstream);
         let crowding = CROWDING * (load / limit).min(1.0);
         let waiting = (load + 1.0 - limit).max(0.0) / limit;
         let chance = prefix.map_or(0.0, |p| pool.prefixes.chance(now, p, candidate.vm));
@@ -425,6 +440,12 @@
         rtt + service * (1.0 + crowding + waiting + failing - saving)
     }
 
+    /// Seconds of service that a request can expect at an upstream.
+    fn service(&self, now: Duration, pool: &PoolState, upstream: &Upstream) -> f64 {
+        let average = pool.service.unwrap_or(self.cfg.assumed_service);
+        upstream.service(now, average, &self.cfg).as_secs_f64()
+    }
+
     fn distance(&self, domain: &DomainName) -> Duration {
         if *domain == self.domain {
             return Duration::ZERO;
@@ -481,6 +502,7 @@
             .or_insert_with(|| PoolState {
                 upstreams: BTreeMap::new(),
                 load: None,
+                service: None,
                 own: 0,
                 probed: Duration::ZERO,
                 prefixes: PrefixTable::new(cfg.prefixes_per_pool, cfg.prefix_half_life),
--- a/crates/oriole_routing/src/picking/upstream.rs
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -37,7 +37,14 @@
     /// Start of its slow start, if it has not passed.
     pub ramp_from: Option<Duration>,
     report: Option<Report>,
-    measured_service: Option<Duration>,
+    measured: Option<Measured>,
+}
+
+/// The smoothed service time that this entry measured, and when it last did.
+#[derive(Clone, Copy, Debug)]
+struct Measured {
+    service: Duration,
+    at: Duration,
 }
 
 /// The newest load report and when it was made, by this entry's clock.
@@ -68,7 +75,7 @@
             hold_until: Duration::ZERO,
             ramp_from: None,
             report: None,
-            measured_service: None,
+            measured: None,
         }
     }
 
@@ -89,16 +96,18 @@
     }
 
     /// Notes how long a whole answer took.
-    pub fn note_service(&mut self, elapsed: Duration) {
-        let smoothed = self.measured_service.map_or(elapsed, |held| {
-            held.mul_f64(1.0 - SERVICE_SMOOTHING) + elapsed.mul_f64(SERVICE_SMOOTHING)
+    pub fn note_service(&mut self, now: Duration, elapsed: Duration) {
+        let service = self.measured.map_or(elapsed, |held| {
+            let old = held.service.mul_f64(1.0 - SERVICE_SMOOTHING);
+            old + elapsed.mul_f64(SERVICE_SMOOTHING)
         });
-        self.measured_service = Some(smoothed);
+        self.measured = Some(Measured { service, at: now });
     }
 
     /// Starts over after the upstream was away: what it said before counts no more.
     pub fn restart(&mut self, now: Duration) {
         self.report = None;
+        self.measured = None;
         self.health = Health::default();
         self.hold_until = now;
         self.ramp_from = Some(now);
@@ -180,13 +189,18 @@
         })
     }
 
-    /// Smoothed service time.
+    /// Service time that a request can expect: what this entry measured, a belief that fades to
+    /// the average over the pool as it ages.
+    ///
+    /// Without the fading an upstream whose last requests happened to be long would look slow for
+    /// good, since it gets none that could show otherwise.
     #[must_use]
-    pub fn service(&self, cfg: &RouterConfig) -> Duration {
-        let said = self.report.map(|r| r.load.service_ms).filter(|ms| *ms > 0);
-        let said = said.map(|ms| Duration::from_millis(ms.into()));
-        said.or(self.measured_service)
-            .unwrap_or(cfg.assumed_service)
+    pub fn service(&self, now: Duration, pool_service: Duration, cfg: &RouterConfig) -> Duration {
+        self.measured.map_or(pool_service, |measured| {
+            let age = now.saturating_sub(measured.at).as_secs_f64();
+            let belief = (-age / cfg.service_half_life.as_secs_f64()).exp2();
+            measured.service.mul_f64(belief) + pool_service.mul_f64(1.0 - belief)
+        })
     }
 
     /// Whether the upstream said that it is in cold start.
--- a/crates/oriole_routing/tests/picking.rs
+++ b/crates/oriole_routing/tests/picking.rs
@@ -239,3 +239,23 @@
     assert_eq!(capacity.admit(Priority::Normal), Ok(()));
     assert_eq!(capacity.admit(Priority::High), Ok(()));
 }
+
+/// An upstream whose last request was long looked slow for good: it got none of the short
+/// requests that could have shown otherwise.
+#[test]
+fn pick_returns_to_upstream_after_a_long_request() {
+    let list = fleet(0, 2);
+    let mut router = router(&list, &catalog());
+    warm(&mut router, ms(0), &list);
+    let (long, short) = (&list.vms[0].name, &list.vms[1].name);
+    router.started(ms(0), long, None);
+    router.finished(ms(1000), long, secs(1), None);
+    for i in 0..100 {
+        let now = ms(1000 + 30 * i);
+        router.started(now, short, None);
+        router.finished(now + ms(30), short, ms(30), None);
+    }
+    warm(&mut router, secs(24), &list);
+    let shares = shares(&router, secs(24), 1000, 1);
+    assert!(shares[long] >= 250, "{shares:?}");
+}
