Measure cold start over real connections and take firmer evidence of warmth

The learned warm pace was the mean of single gaps, 10 ms where the engine took 5, so that a cold engine's 20 ms passed as warm; and one output heard late could make the next gap look warm.

Change: evidence is a run of three outputs of one request, each gap at the warm pace, and counts at their first; three requests that agree count at the middle one. The warm pace is learned from stretches of 16 tokens and leans to the shorter ones. Several slow outputs in a row without warm ones are a sign of cold, also where the single gap is shorter than a scheduler's pause. oriole-bench run cold-start compares admission at the agent with admission by entries' estimates.

Failed tries: both contenders at once, with a load that began at its full height, measured the retries of the estimates and not the gate.

--- a/crates/oriole_admission/src/gate/mod.rs
+++ b/crates/oriole_admission/src/gate/mod.rs
@@ -30,7 +30,7 @@
 use self::running::{Running, Work};
 use crate::confirmation::{Confirmation, ConfirmationWatch};
 use crate::poison::{CrashId, PoisonLedger, Standing, home_of_suspect, homes};
-use crate::warmth::{ColdSign, Sample, Warmth};
+use crate::warmth::{ColdSign, Pace, Sample, Warmth};
 
 /// Weight of a new service time in the smoothed one.
 const SERVICE_WEIGHT: f64 = 0.1;
@@ -128,22 +128,30 @@
         let Some(work) = self.running.get_mut(id) else {
             return Vec::new();
         };
-        work.last_output = Some(now);
+        let first = work.first_output.is_none();
         work.first_output = work.first_output.or(Some(now));
-        work.tokens += tokens;
-        let before = work.reference.take();
-        let sample = before.map(|from| Sample {
+        work.last_output = Some(now);
+        let tokens_after_first = if first { 0 } else { tokens };
+        work.tokens += tokens_after_first;
+        let stretch = work.lengthen(now, tokens_after_first);
+        let gap = work.reference().map(|from| Sample {
             from,
             to: now,
             tokens,
         });
-        let burst = sample.as_ref().is_some_and(|s| self.warmth.is_burst(s));
-        if !in_time || burst {
-            return Vec::new();
+        let pace = gap.map(|s| self.warmth.judge(&s));
+        let evidence = if in_time && pace != Some(Pace::Burst) {
+            work.heard_in_time(now, pace == Some(Pace::Warm))
+        } else {
+            work.distrust();
+            None
+        };
+        if let Some(slow) = gap.filter(|_| in_time && pace == Some(Pace::Slow)) {
+            self.warmth.slow(slow);
         }
-        work.reference = Some(now);
-        if let Some(sample) = sample {
-            self.warmth.output(sample);
+        stretch.into_iter().for_each(|s| self.warmth.stretch(s));
+        if evidence.is_some() {
+            self.warmth.evidence(evidence.max(self.running.agreed()));
         }
         self.start_waiting(now)
     }
@@ -528,15 +536,15 @@
         let taken = now.saturating_sub(work.started).as_secs_f64();
         let smoothed = self.service_s.unwrap_or(taken);
         self.service_s = Some(smoothed + (taken - smoothed) * SERVICE_WEIGHT);
-        match (self.cfg.kind, work.first_output) {
-            (PoolKind::Service, _) => self.whole_answer(now, work),
-            (PoolKind::Engine, Some(first)) => self.warmth.completed(Sample {
-                from: first,
-                to: work.last_output.unwrap_or(now),
-                tokens: work.tokens,
-            }),
-            (PoolKind::Engine, None) => {}
+        if self.cfg.kind == PoolKind::Service {
+            return self.whole_answer(now, work);
         }
+        work.last_stretch()
+            .into_iter()
+            .for_each(|s| self.warmth.stretch(s));
+        work.whole()
+            .into_iter()
+            .for_each(|s| self.warmth.completed(s));
     }
 
     fn whole_answer(&mut self, now: Duration, work: &Work) {
@@ -545,7 +553,12 @@
             to: now,
             tokens: 1,
         };
-        self.warmth.output(sample);
+        self.warmth.stretch(sample);
+        match self.warmth.judge(&sample) {
+            Pace::Warm => self.warmth.evidence(Some(sample.from)),
+            Pace::Slow => self.warmth.slow(sample),
+            Pace::Burst | Pace::Unclear => {}
+        }
         self.warmth.completed(sample);
     }
 }
--- a/crates/oriole_admission/src/gate/running.rs
+++ b/crates/oriole_admission/src/gate/running.rs
@@ -6,12 +6,22 @@
 use oriole_types::digest::Digest;
 
 use super::types::{Offer, WorkId};
+use crate::warmth::Sample;
 
 /// How inexactly a report's age tells when it was made.
 const AGE_TOLERANCE: Duration = Duration::from_millis(5);
 /// Changes kept of the number of requests in flight, to compare with lagging reports.
 const MAX_HISTORY: usize = 512;
 
+/// Outputs in a row that make one piece of evidence.
+const PACED_OUTPUTS: usize = 3;
+/// Requests that must agree on evidence newer than a single one can give.
+const AGREEING_REQUESTS: usize = 3;
+/// Tokens of a stretch from which the warm pace is learned.
+const STRETCH_TOKENS: u32 = 16;
+/// Least tokens of the last, shorter stretch of a request.
+const MIN_STRETCH_TOKENS: u32 = 4;
+
 /// One piece of work at the upstream.
 #[derive(Clone, Debug)]
 pub(super) struct Work {
@@ -19,9 +29,68 @@
     pub(super) started: Duration,
     pub(super) first_output: Option<Duration>,
     pub(super) last_output: Option<Duration>,
-    /// The last output, if it was heard in time.
-    pub(super) reference: Option<Duration>,
+    /// Tokens after the first output.
     pub(super) tokens: u32,
+    /// The last outputs that followed each other at the warm pace, oldest first.
+    paced: VecDeque<Duration>,
+    /// The newest output between two others at the warm pace.
+    between: Option<Duration>,
+    /// The output at which the current stretch began, and the tokens since.
+    stretch: Option<(Duration, u32)>,
+}
+
+impl Work {
+    /// The last output heard, if it was heard in time.
+    pub(super) fn reference(&self) -> Option<Duration> {
+        self.paced.back().copied()
+    }
+
+    /// Notes an output that was heard in time, and whether it came at the warm pace. Gives the
+    /// output that began a run of three, which was made on a warm upstream even if heard late.
+    pub(super) fn heard_in_time(&mut self, now: Duration, warm: bool) -> Option<Duration> {
+        if !warm {
+            self.distrust();
+        }
+        self.paced.push_back(now);
+        if self.paced.len() < PACED_OUTPUTS {
+            return None;
+        }
+        self.between = self.paced.get(PACED_OUTPUTS - 2).copied();
+        self.paced.pop_front()
+    }
+
+    /// Forgets the outputs heard, since they may have been heard late.
+    pub(super) fn distrust(&mut self) {
+        self.paced.clear();
+        self.between = None;
+    }
+
+    /// Notes any output after the first; gives a stretch once it is long enough.
+    pub(super) fn lengthen(&mut self, now: Duration, tokens: u32) -> Option<Sample> {
+        let (from, before) = self.stretch.unwrap_or((now, 0));
+        let tokens = before + tokens;
+        self.stretch = Some((from, tokens));
+        if tokens < STRETCH_TOKENS {
+            return None;
+        }
+        self.stretch = Some((now, 0));
+        let to = now;
+        Some(Sample { from, to, tokens })
+    }
+
+    /// What is left of the current stretch when the work ends.
+    pub(super) fn last_stretch(&self) -> Option<Sample> {
+        let (from, tokens) = self.stretch?;
+        let to = self.last_output?;
+        (tokens >= MIN_STRETCH_TOKENS).then_some(Sample { from, to, tokens })
+    }
+
+    /// All outputs after the first as one sample.
+    pub(super) fn whole(&self) -> Option<Sample> {
+        let (from, to) = (self.first_output?, self.last_output?);
+        let tokens = self.tokens;
+        (tokens >= MIN_STRETCH_TOKENS).then_some(Sample { from, to, tokens })
+    }
 }
 
 /// Work at the upstream.
@@ -63,8 +132,10 @@
             started: now,
             first_output: None,
             last_output: None,
-            reference: None,
             tokens: 0,
+            paced: VecDeque::new(),
+            between: None,
+            stretch: None,
         };
         self.work.insert(offer.id, work);
         self.note(now);
@@ -74,10 +145,18 @@
         self.work.get_mut(&id)
     }
 
+    /// Newest time at which several requests agree that the upstream was warm.
+    pub(super) fn agreed(&self) -> Option<Duration> {
+        let mut between: Vec<_> = self.work.values().filter_map(|w| w.between).collect();
+        between.sort_unstable();
+        let nth = between.len().checked_sub(AGREEING_REQUESTS)?;
+        between.get(nth).copied()
+    }
+
     /// Forgets when the last outputs were heard, since they may have been heard late.
     pub(super) fn distrust_outputs(&mut self) {
         for work in self.work.values_mut() {
-            work.reference = None;
+            work.distrust();
         }
     }
 
--- a/crates/oriole_admission/src/warmth.rs
+++ b/crates/oriole_admission/src/warmth.rs
@@ -6,10 +6,11 @@
 //! turns cold without a warning, all requests that it got since then are among those. So exposure
 //! is what a cold upstream bears, and no interleaving gives it more.
 //!
-//! Evidence is the time between two outputs of one request. An output after a warm time proves the
-//! upstream warm at the output before it. The warm time itself is learned between two of the
-//! upstream's own reports that both say warm, or, if it reports nothing of the kind, from the best
-//! time that has stopped improving.
+//! Evidence is a run of three outputs of one request at the warm pace, or one whole answer. A run
+//! proves the upstream warm at its first output: were that one heard late, the next would look slow.
+//! If several requests agree, it is proven at the output in the middle. The warm pace itself is learned from longer stretches while the
+//! upstream's own reports say warm, and leans to the shorter times, since a busy machine only adds to
+//! them. If the upstream reports nothing of the kind, it is the best pace that has stopped improving.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -17,25 +18,29 @@
 use metrics::counter;
 use oriole_types::value_type;
 
-/// An output time up to this multiple of the warm time is evidence of warmth.
-const WARM_FACTOR: f64 = 2.0;
+/// A pace up to this multiple of the warm pace is evidence of warmth.
+const WARM_FACTOR: f64 = 1.6;
 /// An output time below this multiple of the warm time is no time at all: the outputs had been made
 /// earlier and waited.
 const BURST_FACTOR: f64 = 0.4;
-/// An output time, or a silence, beyond this multiple of the warm time is a sign of cold.
+/// A pace, or a silence, beyond this multiple of the warm pace is a sign of cold.
 const COLD_FACTOR: f64 = 3.0;
 /// Silence that is never a sign of cold, however short the warm time: a scheduler's pause.
 const SILENCE_FLOOR: Duration = Duration::from_millis(30);
 /// Evidence in a row that raises the limit by one.
 const EVIDENCE_PER_STEP: u32 = 4;
-/// Outputs kept until a report tells whether they were warm.
+/// Slow outputs in a row, with no evidence of warmth between them, that are a sign of cold.
+const SLOW_IN_A_ROW: u32 = 4;
+/// Samples kept until a report tells whether they were warm.
 const MAX_SAMPLES: usize = 256;
-/// Completions without a better output time after which the best one counts as warm.
+/// Completions without a better pace after which the best one counts as warm.
 const PLATEAU_COMPLETIONS: u32 = 16;
-/// An output time below this share of the best one is an improvement.
+/// A pace below this share of the best one is an improvement.
 const IMPROVEMENT: f64 = 0.8;
-/// Weight of a new sample in the warm time.
-const PACE_WEIGHT: f64 = 0.1;
+/// Weight of a shorter sample in the warm pace.
+const SHORTER_WEIGHT: f64 = 0.3;
+/// Weight of a longer one.
+const LONGER_WEIGHT: f64 = 0.02;
 
 value_type! {
     /// Why the limit fell back to what a cold upstream bears.
@@ -51,6 +56,20 @@
     }
 }
 
+value_type! {
+    /// What the pace of some outputs tells.
+    pub enum Pace {
+        /// So short that the outputs had waited to be heard.
+        Burst,
+        /// That of a warm upstream.
+        Warm,
+        /// Nothing: between warm and cold, or the warm pace is not known.
+        Unclear,
+        /// That of a cold upstream.
+        Slow,
+    }
+}
+
 impl ColdSign {
     fn as_str(self) -> &'static str {
         match self {
@@ -62,20 +81,24 @@
     }
 }
 
-/// Time from one output of a request to the next.
+/// Time of some outputs of one request in a row.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sample {
-    /// Time of the output before, or of the start.
+    /// Time of the output before the first of them, or of the start.
     pub from: Duration,
-    /// Time of the output.
+    /// Time of the last.
     pub to: Duration,
-    /// Tokens that the output held; 1 for a whole answer.
+    /// Tokens they held; 1 for a whole answer.
     pub tokens: u32,
 }
 
 impl Sample {
+    fn seconds(&self) -> f64 {
+        self.to.saturating_sub(self.from).as_secs_f64()
+    }
+
     fn pace(&self) -> f64 {
-        (self.to.saturating_sub(self.from)).as_secs_f64() / f64::from(self.tokens.max(1))
+        self.seconds() / f64::from(self.tokens.max(1))
     }
 }
 
@@ -86,14 +109,17 @@
     warm_concurrency: u32,
     limit: u32,
     streak: u32,
+    slow_streak: u32,
     warm_at: Option<Duration>,
+    evidence_at: Option<Duration>,
     sign_at: Option<Duration>,
-    /// Warm time of one token or answer, in seconds.
+    /// Warm pace: time of one token or answer, in seconds.
     pace: Option<f64>,
     best: Option<f64>,
     completions_since_best: u32,
     report_at: Option<Duration>,
-    report_warm: Option<bool>,
+    /// Time of the first of the warm reports that followed no cold one.
+    warm_reports_since: Option<Duration>,
     samples: VecDeque<Sample>,
 }
 
@@ -106,13 +132,15 @@
             warm_concurrency,
             limit: cold_concurrency.min(warm_concurrency),
             streak: 0,
+            slow_streak: 0,
             warm_at: None,
+            evidence_at: None,
             sign_at: None,
             pace: None,
             best: None,
             completions_since_best: 0,
             report_at: None,
-            report_warm: None,
+            warm_reports_since: None,
             samples: VecDeque::new(),
         }
     }
@@ -158,11 +186,18 @@
         self.pace.map(Duration::from_secs_f64)
     }
 
-    /// Whether an output came so soon after the one before that both had waited to be heard.
+    /// What the pace of some outputs tells.
     #[must_use]
-    pub fn is_burst(&self, sample: &Sample) -> bool {
-        let soon = |pace: f64| sample.pace() < pace * BURST_FACTOR;
-        self.pace.is_some_and(soon)
+    pub fn judge(&self, sample: &Sample) -> Pace {
+        let Some(warm) = self.pace else {
+            return Pace::Unclear;
+        };
+        match sample.pace() / warm {
+            ratio if ratio < BURST_FACTOR => Pace::Burst,
+            ratio if ratio <= WARM_FACTOR => Pace::Warm,
+            ratio if ratio <= COLD_FACTOR => Pace::Unclear,
+            _ => Pace::Slow,
+        }
     }
 
     /// Whether nothing proves the upstream warm since the last sign of cold.
@@ -182,38 +217,62 @@
         self.sign_at = self.sign_at.max(Some(now));
     }
 
-    /// Takes in one output. The output before must have been heard in time: heard late, it makes a
-    /// cold upstream look warm.
-    pub fn output(&mut self, sample: Sample) {
-        self.note(sample);
-        let Some(pace) = self.pace else { return };
-        // Another request's output within that time says that the upstream is not the cause.
-        let alone = self.warm_at.is_none_or(|at| at <= sample.from);
-        let slow = alone && self.is_silence(sample.pace(), pace);
-        if sample.pace() <= pace * WARM_FACTOR {
-            self.evidence(sample.from);
-        } else if slow {
+    /// Takes in evidence that the upstream was warm at some time; growth needs newer evidence than
+    /// there was.
+    pub fn evidence(&mut self, at: Option<Duration>) {
+        let Some(at) = at.filter(|at| self.evidence_at < Some(*at)) else {
+            return;
+        };
+        self.evidence_at = Some(at);
+        if !self.prove(at) {
+            return;
+        }
+        self.slow_streak = 0;
+        self.streak += 1;
+        if self.streak >= EVIDENCE_PER_STEP {
+            self.streak = 0;
+            self.limit = (self.limit + 1).min(self.warm_concurrency);
+        }
+    }
+
+    /// Takes in a slow output. Another request's evidence within its time says that the upstream is
+    /// not the cause.
+    pub fn slow(&mut self, sample: Sample) {
+        if self.warm_at.is_some_and(|at| at > sample.from) {
+            return;
+        }
+        self.slow_streak += 1;
+        let long = self.is_silence(sample.seconds(), self.pace.unwrap_or(f64::MAX));
+        if long || self.slow_streak >= SLOW_IN_A_ROW {
+            self.slow_streak = 0;
             self.collapse(sample.to, ColdSign::Pace);
         }
     }
 
+    /// Takes in a longer stretch of outputs, to learn the warm pace from if it was warm.
+    pub fn stretch(&mut self, sample: Sample) {
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+    }
+
     /// Takes in the upstream's own report, made at some time.
     pub fn report(&mut self, made_at: Duration, cold: bool) {
         if self.report_at.is_some_and(|at| made_at <= at) {
             return;
         }
-        let before = self.report_at.replace(made_at);
-        let was_warm = self.report_warm.replace(!cold) == Some(true);
+        self.report_at = Some(made_at);
         if cold {
+            self.warm_reports_since = None;
             let outdated = self.warm_at.is_some_and(|at| at > made_at);
             if !outdated {
                 self.collapse(made_at, ColdSign::Report);
             }
             return;
         }
-        if was_warm {
-            self.learn(before.unwrap_or(made_at), made_at);
-        }
+        let since = *self.warm_reports_since.get_or_insert(made_at);
+        self.learn(since, made_at);
         self.prove(made_at);
     }
 
@@ -227,7 +286,7 @@
             self.completions_since_best = 0;
         }
         let settled = self.completions_since_best >= PLATEAU_COMPLETIONS;
-        if self.report_warm.is_none() && self.pace.is_none() && settled {
+        if self.report_at.is_none() && self.pace.is_none() && settled {
             self.pace = self.best;
         }
     }
@@ -245,17 +304,6 @@
         seconds > (pace * COLD_FACTOR).max(SILENCE_FLOOR.as_secs_f64())
     }
 
-    fn evidence(&mut self, at: Duration) {
-        if !self.prove(at) {
-            return;
-        }
-        self.streak += 1;
-        if self.streak >= EVIDENCE_PER_STEP {
-            self.streak = 0;
-            self.limit = (self.limit + 1).min(self.warm_concurrency);
-        }
-    }
-
     /// Notes that the upstream was warm at some time, unless a later sign says otherwise.
     fn prove(&mut self, at: Duration) -> bool {
         if self.sign_at.is_some_and(|sign| at <= sign) {
@@ -265,18 +313,16 @@
         true
     }
 
-    fn note(&mut self, sample: Sample) {
-        if self.samples.len() == MAX_SAMPLES {
-            self.samples.pop_front();
-        }
-        self.samples.push_back(sample);
-    }
-
     fn learn(&mut self, from: Duration, to: Duration) {
         let within = |s: &&Sample| s.from >= from && s.to <= to;
         for sample in self.samples.iter().filter(within) {
             let pace = self.pace.unwrap_or(sample.pace());
-            self.pace = Some(pace + (sample.pace() - pace) * PACE_WEIGHT);
+            let weight = if sample.pace() < pace {
+                SHORTER_WEIGHT
+            } else {
+                LONGER_WEIGHT
+            };
+            self.pace = Some(pace + (sample.pace() - pace) * weight);
         }
         self.samples.retain(|s| s.to > to);
     }
--- a/crates/oriole_admission/tests/gate.rs
+++ b/crates/oriole_admission/tests/gate.rs
@@ -122,10 +122,36 @@
         started.extend(gate.tick(now + ms(at + 4)));
     }
     assert_eq!(started, []);
-    let started = gate.output(now + ms(115), WorkId(1000), 1);
+    assert_eq!(gate.output(now + ms(115), WorkId(1000), 1), []);
+    let started = gate.output(now + ms(120), WorkId(1000), 1);
     assert_eq!(started.len(), 2);
 }
 
+#[test]
+fn output_at_cold_pace_proves_nothing_after_a_busy_time() {
+    let (mut gate, mut now) = warm_gate();
+    let hear = |gate: &mut Gate, now: &mut Duration, gap: u64| {
+        let end = *now + ms(gap);
+        while *now + ms(5) < end {
+            *now += ms(5);
+            gate.tick(*now);
+        }
+        *now = end;
+        gate.output(*now, WorkId(1000), 1)
+    };
+    // A busy machine adds to most gaps, so that their mean comes near the pace of a cold upstream.
+    for n in 0..200 {
+        hear(&mut gate, &mut now, if n % 16 == 0 { 5 } else { 12 });
+        gate.upstream_report(now, report(now, false));
+    }
+    (1..9).for_each(|n| {
+        gate.offer(now, offer(n));
+    });
+    for _ in 0..20 {
+        assert_eq!(hear(&mut gate, &mut now, 20), []);
+    }
+}
+
 #[test]
 fn tick_collapses_on_silence() {
     let (mut gate, now) = warm_gate();
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/cold_start.rs
@@ -0,0 +1,176 @@
+//! `cold-start`: what cold engines get, with admission at the agent and by entries' estimates.
+//!
+//! Engines over real loopback connections start cold; later two turn cold without a warning and one
+//! restarts, while many entries send load that rises and then is steady. The contenders run one after
+//! the other, so that neither takes the machine from the other.
+
+mod agent;
+mod load;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_standins::prelude::*;
+use oriole_types::prelude::*;
+use tokio::time::Instant;
+
+use self::agent::Agent;
+use self::load::{Estimates, Tally, Target};
+use crate::prelude::*;
+
+const ENGINES: usize = 6;
+const ENTRIES: usize = 18;
+pub(super) const COLD_CONCURRENCY: u32 = 2;
+pub(super) const WARM_CONCURRENCY: u32 = 16;
+const TOKENS: u32 = 24;
+const TOKEN_TIME: Duration = Duration::from_millis(5);
+const PREFILL_TIME: Duration = Duration::from_millis(20);
+/// Steady load in requests a second: half of what the warm engines can do.
+const REQUESTS_PER_S: f64 = 280.0;
+/// Time in which the load rises from nothing.
+pub(super) const RAMP: Duration = Duration::from_secs(4);
+const DEFAULT_DURATION: Duration = Duration::from_secs(18);
+/// Parts of the run at which two engines turn cold and one restarts.
+const TURN_AT: [f64; 2] = [0.4, 0.5];
+const RESTART_AT: f64 = 0.6;
+/// Requests above what a cold engine bears.
+const OVERLOAD_AT_MOST: f64 = 0.0;
+
+/// The experiment.
+pub struct ColdStart;
+
+#[async_trait]
+impl Experiment for ColdStart {
+    fn name(&self) -> &'static str {
+        "cold-start"
+    }
+
+    fn about(&self) -> &'static str {
+        "requests above what cold engines bear, at the agent and by entries' estimates"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        let duration = options.duration_or(DEFAULT_DURATION);
+        let seed = options.seed;
+        let agents = by_agents(duration, seed).await?;
+        let estimates = by_estimates(duration, seed).await?;
+        let mut report = Report::default();
+        add(&mut report, "", &agents);
+        add(&mut report, "_estimates", &estimates);
+        report.bound("cold_overload", Limit::AtMost(OVERLOAD_AT_MOST));
+        Ok(report)
+    }
+}
+
+/// What one contender came to.
+struct Outcome {
+    views: Vec<UpstreamView>,
+    warm_after: Option<Duration>,
+    tally: Tally,
+}
+
+async fn by_agents(duration: Duration, seed: u64) -> eyre::Result<Outcome> {
+    let engines = engines().await?;
+    let agents: Vec<_> = engines.iter().map(|e| Agent::spawn(e.addr())).collect();
+    let entries = load::entries(ENTRIES, REQUESTS_PER_S, duration, seed, agents.clone());
+    let outcome = watch(&engines, duration, entries).await;
+    agents.iter().for_each(|a| a.stop());
+    outcome
+}
+
+async fn by_estimates(duration: Duration, seed: u64) -> eyre::Result<Outcome> {
+    let engines = engines().await?;
+    let shared: Vec<_> = engines.iter().map(|e| Estimates::spawn(e.addr())).collect();
+    let entries = load::entries(ENTRIES, REQUESTS_PER_S, duration, seed, shared.clone());
+    let outcome = watch(&engines, duration, entries).await;
+    shared.iter().for_each(|s| s.stop());
+    outcome
+}
+
+async fn engines() -> eyre::Result<Vec<Arc<Engine>>> {
+    let mut engines = Vec::new();
+    for n in 0..ENGINES {
+        let vitals = VitalsConfig {
+            name: VmName::new(&format!("engine-{n}")),
+            initial: VitalsState::Cold,
+            cold_concurrency: COLD_CONCURRENCY,
+            warm_up_requests: 6,
+            ..VitalsConfig::default()
+        };
+        let cfg = EngineConfig {
+            vitals,
+            slots: WARM_CONCURRENCY,
+            prefill_time: PREFILL_TIME,
+            token_time: TOKEN_TIME,
+            ..EngineConfig::default()
+        };
+        engines.push(Arc::new(Engine::bind(cfg).await?));
+    }
+    Ok(engines)
+}
+
+/// Brings the faults about and waits for the load to end.
+async fn watch(
+    engines: &[Arc<Engine>],
+    duration: Duration,
+    load: impl Future<Output = Tally>,
+) -> eyre::Result<Outcome> {
+    let faults = async {
+        let start = Instant::now();
+        let warm_after = warm_time(engines, start + duration.mul_f64(TURN_AT[0])).await;
+        for (n, part) in TURN_AT.iter().enumerate() {
+            tokio::time::sleep_until(start + duration.mul_f64(*part)).await;
+            engines[n].set_state(VitalsState::Cold);
+        }
+        tokio::time::sleep_until(start + duration.mul_f64(RESTART_AT)).await;
+        engines[TURN_AT.len()].set_state(VitalsState::Crash);
+        warm_after
+    };
+    let (warm_after, tally) = tokio::join!(faults, load);
+    let views = engines.iter().map(|e| e.view()).collect();
+    for engine in engines {
+        engine.shutdown().await;
+    }
+    Ok(Outcome {
+        views,
+        warm_after,
+        tally,
+    })
+}
+
+async fn warm_time(engines: &[Arc<Engine>], until: Instant) -> Option<Duration> {
+    let start = Instant::now();
+    while Instant::now() < until {
+        if engines.iter().all(|e| e.view().state == VitalsState::Ok) {
+            return Some(start.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    None
+}
+
+fn add(report: &mut Report, suffix: &str, outcome: &Outcome) {
+    let sum = |f: fn(&UpstreamView) -> u64| outcome.views.iter().map(f).sum::<u64>() as f64;
+    let most = outcome.views.iter().map(|v| v.max_in_flight_cold).max();
+    let warm_after = outcome.warm_after.map_or(f64::NAN, |d| d.as_secs_f64());
+    let tally = &outcome.tally;
+    let mut figure = |name: &str, value: f64| {
+        // A value that does not exist, as the warm time of engines that never warm, is left out.
+        if value.is_finite() {
+            report.figure(&format!("{name}{suffix}"), value);
+        }
+    };
+    figure("cold_overload", sum(|v| v.cold_overload));
+    figure("crashes", sum(|v| v.crashes));
+    figure("max_in_flight_cold", f64::from(most.unwrap_or(0)));
+    figure("all_warm_after_s", warm_after);
+    figure("completed_share", tally.completed_share());
+    figure("lost_attempts", tally.lost as f64);
+    figure(
+        "refusals_per_request",
+        tally.refused as f64 / tally.offered.max(1) as f64,
+    );
+    figure("p50_ms", tally.quantile_ms(0.5));
+    figure("p99_ms", tally.quantile_ms(0.99));
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/cold_start/agent.rs
@@ -0,0 +1,201 @@
+//! A gate beside an engine: the agent's part of the path, without frames.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_admission::prelude::*;
+use oriole_types::prelude::*;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::load::{Attempt, Client, Target};
+use super::{COLD_CONCURRENCY, WARM_CONCURRENCY};
+
+const TICK: Duration = Duration::from_millis(5);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// What a report's age in whole milliseconds may leave out.
+const AGE_ROUNDING: Duration = Duration::from_millis(1);
+
+/// A running agent.
+pub(super) struct Agent {
+    client: Client,
+    start: Instant,
+    state: Mutex<State>,
+    stop: CancellationToken,
+}
+
+struct State {
+    gate: Gate,
+    waiting: HashMap<WorkId, oneshot::Sender<bool>>,
+    next_id: u64,
+    /// Number of the upstream's life as far as it was noticed.
+    life: u64,
+    lost_at: Option<Duration>,
+}
+
+impl Agent {
+    pub(super) fn spawn(engine: SocketAddr) -> Arc<Self> {
+        let start = Instant::now();
+        let cfg = GateConfig {
+            cold_concurrency: COLD_CONCURRENCY,
+            warm_concurrency: WARM_CONCURRENCY,
+            queue_capacity: WARM_CONCURRENCY,
+            ..GateConfig::default()
+        };
+        let mut gate = Gate::new(cfg, Duration::ZERO);
+        gate.set_service_state(Duration::ZERO, ServiceState::InService);
+        let state = State {
+            gate,
+            waiting: HashMap::new(),
+            next_id: 0,
+            life: 0,
+            lost_at: Some(Duration::ZERO),
+        };
+        let agent = Arc::new(Self {
+            client: Client::new(engine),
+            start,
+            state: Mutex::new(state),
+            stop: CancellationToken::new(),
+        });
+        tokio::spawn(agent.clone().tick());
+        tokio::spawn(agent.clone().poll());
+        agent
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn tick(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(TICK);
+        while self.stop.run_until_cancelled(ticks.tick()).await.is_some() {
+            let now = self.now();
+            let mut state = self.lock();
+            let fresh = Confirmation::fresh("domain".into());
+            state.gate.heard_configuration(now, &fresh);
+            let actions = state.gate.tick(now);
+            state.act(actions);
+        }
+    }
+
+    async fn poll(self: Arc<Self>) {
+        let mut ticks = tokio::time::interval(REPORT_INTERVAL);
+        while self.stop.run_until_cancelled(ticks.tick()).await.is_some() {
+            let asked = self.now();
+            let Some(load) = self.client.load().await else {
+                continue;
+            };
+            let age = Duration::from_millis(load.age_ms.into()) + AGE_ROUNDING;
+            let Some(made_at) = asked.checked_sub(age) else {
+                continue;
+            };
+            self.lock()
+                .report(self.now(), made_at, load.in_flight, load.cold);
+        }
+    }
+
+    async fn admit(&self, content: Digest, deadline: Duration) -> Option<(WorkId, u64)> {
+        let (id, life, rx) = {
+            let mut state = self.lock();
+            state.next_id += 1;
+            let id = WorkId(state.next_id);
+            let now = self.now();
+            let offer = Offer::new(id, content, now + deadline);
+            match state.gate.offer(now, offer) {
+                Decision::Admit => return Some((id, state.life)),
+                Decision::Refuse(_) => return None,
+                Decision::Queue => {}
+            }
+            let (tx, rx) = oneshot::channel();
+            state.waiting.insert(id, tx);
+            (id, state.life, rx)
+        };
+        let started = rx.await.unwrap_or(false);
+        started.then_some((id, life))
+    }
+}
+
+impl State {
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            let (id, started) = match action {
+                Action::Start(id) => (id, true),
+                Action::Refuse(id, _) | Action::Lost(id) => (id, false),
+            };
+            if let Some(tx) = self.waiting.remove(&id) {
+                tx.send(started).ok();
+            }
+        }
+    }
+
+    fn report(&mut self, now: Duration, made_at: Duration, in_flight: u32, cold: bool) {
+        if self.lost_at.take_if(|at| made_at >= *at).is_some() {
+            self.gate.upstream_found(now, in_flight);
+        }
+        let report = UpstreamReport {
+            made_at,
+            in_flight,
+            cold: Some(cold),
+        };
+        let actions = self.gate.upstream_report(now, report);
+        self.act(actions);
+    }
+
+    fn lost(&mut self, now: Duration, life: u64) {
+        if self.life != life {
+            return;
+        }
+        self.life += 1;
+        self.lost_at = Some(now);
+        let actions = self.gate.upstream_lost(now);
+        self.act(actions);
+    }
+}
+
+#[async_trait]
+impl Target for Agent {
+    async fn attempt(&self, _entry: usize, prompt: &str, deadline: Duration) -> Attempt {
+        let content = Digest::of(prompt.as_bytes());
+        let Some((id, life)) = self.admit(content, deadline).await else {
+            return Attempt::Refused;
+        };
+        let output = |tokens: u32| {
+            let now = self.now();
+            let mut state = self.lock();
+            let actions = state.gate.output(now, id, tokens);
+            state.act(actions);
+        };
+        let whole = self.client.generate(prompt, output).await;
+        let now = self.now();
+        let mut state = self.lock();
+        if !whole {
+            state.lost(now, life);
+            return Attempt::Lost;
+        }
+        let actions = state.gate.finished(now, id, FinishKind::Complete);
+        state.act(actions);
+        Attempt::Complete
+    }
+
+    fn load(&self, _entry: usize) -> u32 {
+        let load = self.lock().gate.load_report(self.now());
+        let cold = if load.cold || load.leaving {
+            WARM_CONCURRENCY
+        } else {
+            0
+        };
+        load.in_flight + load.queued + cold
+    }
+
+    fn stop(&self) {
+        self.stop.cancel();
+    }
+}
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! All experiments by name. Each has a module of its own.
 
+pub mod cold_start;
 pub mod poison;
 
 use crate::experiment::Experiment;
@@ -7,7 +8,7 @@
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(poison::Poison)]
+    vec![Box::new(cold_start::ColdStart), Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
