Split the gate by job

Change: events, decisions and evidence have a module each; no behaviour changes.

Conclusion: all tests of the crate pass unchanged, golden files included.

--- /dev/null
+++ b/crates/oriole_admission/src/gate/admit.rs
@@ -0,0 +1,220 @@
+//! The decisions: what may run, what waits, and why the rest is refused.
+
+use std::time::Duration;
+
+use metrics::counter;
+use oriole_types::catalog::ServiceState;
+use oriole_types::digest::Digest;
+use oriole_types::outcome::RefusalReason;
+
+use super::{Action, Decision, Gate, Link, Offer, Refusal, Solo, WorkId};
+use crate::poison::{Standing, home_of_suspect, homes};
+
+/// Time after which asking again may help where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl Gate {
+    /// Why nothing may start at all.
+    pub(super) fn closed(&self, now: Duration) -> Option<RefusalReason> {
+        let drained = self.service_state == Some(ServiceState::Drained);
+        if self.leaving || drained {
+            return Some(RefusalReason::Draining);
+        }
+        if self.service_state.is_none() || !self.confirmation.may_act(now) {
+            return Some(RefusalReason::NoConfiguration);
+        }
+        match self.link {
+            Link::Up => None,
+            Link::Unknown => Some(RefusalReason::AgentStarting),
+            Link::Down => Some(RefusalReason::UpstreamUnreachable),
+        }
+    }
+
+    pub(super) fn judge(&self, now: Duration, offer: &Offer) -> Result<Standing, RefusalReason> {
+        if let Some(reason) = self.closed(now) {
+            return Err(reason);
+        }
+        if offer.deadline <= now {
+            return Err(RefusalReason::Deadline);
+        }
+        let standing = self.poison.standing(&offer.content);
+        match standing {
+            Standing::Quarantined => Err(RefusalReason::Quarantined),
+            Standing::Suspect if !self.is_home_of_suspect(&offer.content) => {
+                Err(RefusalReason::NotHome)
+            }
+            Standing::Unproven if !self.is_home(&offer.content) => Err(RefusalReason::NotHome),
+            standing => Ok(standing),
+        }
+    }
+
+    pub(super) fn is_home(&self, content: &Digest) -> bool {
+        let unknown = !self.cfg.enforces_homes || self.pool.is_empty();
+        unknown || homes(content, &self.pool).contains(&&self.cfg.vm)
+    }
+
+    pub(super) fn is_home_of_suspect(&self, content: &Digest) -> bool {
+        let home = home_of_suspect(content, &self.pool);
+        home.is_none_or(|vm| *vm == self.cfg.vm)
+    }
+
+    pub(super) fn offer_usual(&mut self, now: Duration, offer: Offer) -> Decision {
+        if self.queue.is_empty() && self.has_room() {
+            self.running.start(now, &offer);
+            return Decision::Admit;
+        }
+        let wait = self.expected_wait(self.queue.ahead_of(&offer));
+        if now + wait >= offer.deadline {
+            return Decision::Refuse(self.refusal(RefusalReason::Deadline));
+        }
+        if !self.queue.has_room(offer.priority, self.queue_capacity()) {
+            return Decision::Refuse(self.refusal(self.full_reason()));
+        }
+        self.queue.push(offer);
+        Decision::Queue
+    }
+
+    pub(super) fn offer_suspect(&mut self, now: Duration, offer: Offer) -> Decision {
+        if self.solo.is_some() || now < self.solo_rest_until {
+            return Decision::Refuse(self.refusal(RefusalReason::SuspectBusy));
+        }
+        let running = self.running.is_empty();
+        if running {
+            self.running.start(now, &offer);
+        }
+        self.solo = Some(Solo {
+            offer,
+            since: now,
+            running,
+        });
+        if running {
+            Decision::Admit
+        } else {
+            Decision::Queue
+        }
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        let exposed = self.running.started_since(self.warmth.warm_at());
+        self.solo.is_none()
+            && self.running.in_flight() < self.warmth.limit()
+            && exposed < self.warmth.exposure()
+    }
+
+    /// Room in the queue in proportion to what the upstream bears now: what would wait for a cold
+    /// upstream is served sooner elsewhere.
+    pub(super) fn queue_capacity(&self) -> u32 {
+        let limit = self.warmth.limit();
+        let share = self.cfg.queue_capacity * limit / self.warmth.warm_concurrency().max(1);
+        share.max(limit).min(self.cfg.queue_capacity)
+    }
+
+    /// Refuses what no longer fits into the queue, least urgent first.
+    pub(super) fn shed(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.queue.len() > self.queue_capacity() {
+            let Some(offer) = self.queue.pop_last() else {
+                break;
+            };
+            let refusal = self.refusal(self.full_reason());
+            actions.push(Action::Refuse(offer.id, refusal));
+        }
+        actions
+    }
+
+    pub(super) fn full_reason(&self) -> RefusalReason {
+        if self.warmth.is_cold() {
+            RefusalReason::UpstreamCold
+        } else {
+            RefusalReason::QueueFull
+        }
+    }
+
+    /// Time until a place is free for work that has so many others ahead of it.
+    pub(super) fn expected_wait(&self, ahead: u32) -> Duration {
+        let service = self.service_s.unwrap_or(0.0);
+        let limit = f64::from(self.warmth.limit().max(1));
+        Duration::from_secs_f64(service * f64::from(ahead + 1) / limit)
+    }
+
+    pub(super) fn refusal(&self, reason: RefusalReason) -> Refusal {
+        counter!("oriole_admission_refused_total", "reason" => reason.as_str()).increment(1);
+        let retry_after = match reason {
+            RefusalReason::Quarantined | RefusalReason::Draining | RefusalReason::NotHome => None,
+            RefusalReason::SuspectBusy => Some(self.cfg.suspect_rest),
+            RefusalReason::QueueFull | RefusalReason::UpstreamCold => {
+                Some(self.expected_wait(self.queue.len()).max(RETRY_AFTER))
+            }
+            _ => Some(RETRY_AFTER),
+        };
+        Refusal {
+            reason,
+            retry_after,
+        }
+    }
+
+    /// Starts what may start now, most urgent first.
+    pub(super) fn start_waiting(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.closed(now).is_some() {
+            return actions;
+        }
+        if let Some(id) = self.start_solo(now) {
+            actions.push(Action::Start(id));
+        }
+        while self.has_room() {
+            let Some(offer) = self.queue.pop() else { break };
+            actions.push(self.start_or_refuse(now, offer));
+        }
+        actions
+    }
+
+    /// Starts work that waited, unless its content got into disrepute meanwhile.
+    pub(super) fn start_or_refuse(&mut self, now: Duration, offer: Offer) -> Action {
+        let id = offer.id;
+        let refused = match self.judge(now, &offer) {
+            Ok(Standing::Suspect) => RefusalReason::SuspectBusy,
+            Ok(_) => {
+                self.running.start(now, &offer);
+                return Action::Start(id);
+            }
+            Err(reason) => reason,
+        };
+        Action::Refuse(id, self.refusal(refused))
+    }
+
+    pub(super) fn start_solo(&mut self, now: Duration) -> Option<WorkId> {
+        let empty = self.running.is_empty();
+        let solo = self.solo.as_mut().filter(|s| !s.running && empty)?;
+        solo.running = true;
+        let offer = solo.offer.clone();
+        self.running.start(now, &offer);
+        Some(offer.id)
+    }
+
+    pub(super) fn expire(&mut self, now: Duration) -> Vec<Action> {
+        let late = self.queue.take_if(|offer| offer.deadline <= now);
+        let mut actions: Vec<_> = late
+            .into_iter()
+            .map(|id| Action::Refuse(id, self.refusal(RefusalReason::Deadline)))
+            .collect();
+        let patience = self.cfg.suspect_patience;
+        let over =
+            |s: &mut Solo| !s.running && (now >= s.since + patience || now >= s.offer.deadline);
+        if let Some(solo) = self.solo.take_if(over) {
+            self.solo_rest_until = now + self.cfg.suspect_rest;
+            let refusal = self.refusal(RefusalReason::SuspectBusy);
+            actions.push(Action::Refuse(solo.offer.id, refusal));
+        }
+        actions
+    }
+
+    pub(super) fn refuse_waiting(&mut self, reason: RefusalReason) -> Vec<Action> {
+        let mut ids = self.queue.take_if(|_| true);
+        let solo = self.solo.take_if(|s| !s.running);
+        ids.extend(solo.map(|s| s.offer.id));
+        ids.into_iter()
+            .map(|id| Action::Refuse(id, self.refusal(reason)))
+            .collect()
+    }
+}
--- a/crates/oriole_admission/src/gate/mod.rs
+++ b/crates/oriole_admission/src/gate/mod.rs
@@ -9,15 +9,15 @@
 //!
 //! A refusal is always given before the work was sent anywhere.
 
+mod admit;
+mod evidence;
 mod queue;
 mod running;
 mod types;
 
 use std::time::Duration;
 
-use metrics::counter;
-use oriole_types::catalog::{Pool, PoolKind, ServiceState};
-use oriole_types::digest::Digest;
+use oriole_types::catalog::{Pool, ServiceState};
 use oriole_types::fleet::LoadReport;
 use oriole_types::ids::VmName;
 use oriole_types::outcome::RefusalReason;
@@ -27,19 +27,10 @@
 };
 
 use self::queue::Queue;
-use self::running::{Running, Work};
+use self::running::Running;
 use crate::confirmation::{Confirmation, ConfirmationWatch};
-use crate::poison::{CrashId, PoisonLedger, Standing, home_of_suspect, homes};
-use crate::warmth::{ColdSign, Pace, Sample, Warmth};
-
-/// Weight of a new service time in the smoothed one.
-const SERVICE_WEIGHT: f64 = 0.1;
-/// Silence of the daemon itself, in warm times, after which what it hears may be old.
-const PAUSE_FACTOR: f64 = 1.5;
-/// Silence of the daemon itself after which the silence of others means nothing: several ticks.
-const PAUSE: Duration = Duration::from_millis(20);
-/// Time after which asking again may help where nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+use crate::poison::{CrashId, PoisonLedger, Standing};
+use crate::warmth::{ColdSign, Warmth};
 
 /// What is known of the upstream's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,40 +113,6 @@
         }
     }
 
-    /// Notes output of running work: the first, and each later one with the tokens it held.
-    pub fn output(&mut self, now: Duration, id: WorkId, tokens: u32) -> Vec<Action> {
-        let in_time = self.hears_in_time(now);
-        let Some(work) = self.running.get_mut(id) else {
-            return Vec::new();
-        };
-        let first = work.first_output.is_none();
-        work.first_output = work.first_output.or(Some(now));
-        work.last_output = Some(now);
-        let tokens_after_first = if first { 0 } else { tokens };
-        work.tokens += tokens_after_first;
-        let stretch = work.lengthen(now, tokens_after_first);
-        let gap = work.reference().map(|from| Sample {
-            from,
-            to: now,
-            tokens,
-        });
-        let pace = gap.map(|s| self.warmth.judge(&s));
-        let evidence = if in_time && pace != Some(Pace::Burst) {
-            work.heard_in_time(now, pace == Some(Pace::Warm))
-        } else {
-            work.distrust();
-            None
-        };
-        if let Some(slow) = gap.filter(|_| in_time && pace == Some(Pace::Slow)) {
-            self.warmth.slow(slow);
-        }
-        stretch.into_iter().for_each(|s| self.warmth.stretch(s));
-        if evidence.is_some() {
-            self.warmth.evidence(evidence.max(self.running.agreed()));
-        }
-        self.start_waiting(now)
-    }
-
     /// Notes that work has ended at the upstream.
     pub fn finished(&mut self, now: Duration, id: WorkId, kind: FinishKind) -> Vec<Action> {
         let Some(work) = self.running.finish(now, id) else {
@@ -309,256 +266,4 @@
     pub fn configuration_age(&self, now: Duration) -> Option<Duration> {
         self.confirmation.age(now)
     }
-
-    /// Whether what is heard now was made just now. After a pause of this process it was not, and
-    /// what was heard last before the pause may have been late as well.
-    fn hears_in_time(&mut self, now: Duration) -> bool {
-        let before = std::mem::replace(&mut self.heard_at, now);
-        let deaf = now.saturating_sub(before);
-        if deaf > PAUSE {
-            self.paused_until = now;
-        }
-        let Some(pace) = self.warmth.pace() else {
-            return true;
-        };
-        if deaf > pace.mul_f64(PAUSE_FACTOR) {
-            self.awake_since = now;
-            self.running.distrust_outputs();
-        }
-        now > self.awake_since + pace
-    }
-
-    /// Why nothing may start at all.
-    fn closed(&self, now: Duration) -> Option<RefusalReason> {
-        let drained = self.service_state == Some(ServiceState::Drained);
-        if self.leaving || drained {
-            return Some(RefusalReason::Draining);
-        }
-        if self.service_state.is_none() || !self.confirmation.may_act(now) {
-            return Some(RefusalReason::NoConfiguration);
-        }
-        match self.link {
-            Link::Up => None,
-            Link::Unknown => Some(RefusalReason::AgentStarting),
-            Link::Down => Some(RefusalReason::UpstreamUnreachable),
-        }
-    }
-
-    fn judge(&self, now: Duration, offer: &Offer) -> Result<Standing, RefusalReason> {
-        if let Some(reason) = self.closed(now) {
-            return Err(reason);
-        }
-        if offer.deadline <= now {
-            return Err(RefusalReason::Deadline);
-        }
-        let standing = self.poison.standing(&offer.content);
-        match standing {
-            Standing::Quarantined => Err(RefusalReason::Quarantined),
-            Standing::Suspect if !self.is_home_of_suspect(&offer.content) => {
-                Err(RefusalReason::NotHome)
-            }
-            Standing::Unproven if !self.is_home(&offer.content) => Err(RefusalReason::NotHome),
-            standing => Ok(standing),
-        }
-    }
-
-    fn is_home(&self, content: &Digest) -> bool {
-        let unknown = !self.cfg.enforces_homes || self.pool.is_empty();
-        unknown || homes(content, &self.pool).contains(&&self.cfg.vm)
-    }
-
-    fn is_home_of_suspect(&self, content: &Digest) -> bool {
-        let home = home_of_suspect(content, &self.pool);
-        home.is_none_or(|vm| *vm == self.cfg.vm)
-    }
-
-    fn offer_usual(&mut self, now: Duration, offer: Offer) -> Decision {
-        if self.queue.is_empty() && self.has_room() {
-            self.running.start(now, &offer);
-            return Decision::Admit;
-        }
-        let wait = self.expected_wait(self.queue.ahead_of(&offer));
-        if now + wait >= offer.deadline {
-            return Decision::Refuse(self.refusal(RefusalReason::Deadline));
-        }
-        if !self.queue.has_room(offer.priority, self.queue_capacity()) {
-            return Decision::Refuse(self.refusal(self.full_reason()));
-        }
-        self.queue.push(offer);
-        Decision::Queue
-    }
-
-    fn offer_suspect(&mut self, now: Duration, offer: Offer) -> Decision {
-        if self.solo.is_some() || now < self.solo_rest_until {
-            return Decision::Refuse(self.refusal(RefusalReason::SuspectBusy));
-        }
-        let running = self.running.is_empty();
-        if running {
-            self.running.start(now, &offer);
-        }
-        self.solo = Some(Solo {
-            offer,
-            since: now,
-            running,
-        });
-        if running {
-            Decision::Admit
-        } else {
-            Decision::Queue
-        }
-    }
-
-    fn has_room(&self) -> bool {
-        let exposed = self.running.started_since(self.warmth.warm_at());
-        self.solo.is_none()
-            && self.running.in_flight() < self.warmth.limit()
-            && exposed < self.warmth.exposure()
-    }
-
-    /// Room in the queue in proportion to what the upstream bears now: what would wait for a cold
-    /// upstream is served sooner elsewhere.
-    fn queue_capacity(&self) -> u32 {
-        let limit = self.warmth.limit();
-        let share = self.cfg.queue_capacity * limit / self.warmth.warm_concurrency().max(1);
-        share.max(limit).min(self.cfg.queue_capacity)
-    }
-
-    /// Refuses what no longer fits into the queue, least urgent first.
-    fn shed(&mut self) -> Vec<Action> {
-        let mut actions = Vec::new();
-        while self.queue.len() > self.queue_capacity() {
-            let Some(offer) = self.queue.pop_last() else {
-                break;
-            };
-            let refusal = self.refusal(self.full_reason());
-            actions.push(Action::Refuse(offer.id, refusal));
-        }
-        actions
-    }
-
-    fn full_reason(&self) -> RefusalReason {
-        if self.warmth.is_cold() {
-            RefusalReason::UpstreamCold
-        } else {
-            RefusalReason::QueueFull
-        }
-    }
-
-    /// Time until a place is free for work that has so many others ahead of it.
-    fn expected_wait(&self, ahead: u32) -> Duration {
-        let service = self.service_s.unwrap_or(0.0);
-        let limit = f64::from(self.warmth.limit().max(1));
-        Duration::from_secs_f64(service * f64::from(ahead + 1) / limit)
-    }
-
-    fn refusal(&self, reason: RefusalReason) -> Refusal {
-        counter!("oriole_admission_refused_total", "reason" => reason.as_str()).increment(1);
-        let retry_after = match reason {
-            RefusalReason::Quarantined | RefusalReason::Draining | RefusalReason::NotHome => None,
-            RefusalReason::SuspectBusy => Some(self.cfg.suspect_rest),
-            RefusalReason::QueueFull | RefusalReason::UpstreamCold => {
-                Some(self.expected_wait(self.queue.len()).max(RETRY_AFTER))
-            }
-            _ => Some(RETRY_AFTER),
-        };
-        Refusal {
-            reason,
-            retry_after,
-        }
-    }
-
-    /// Starts what may start now, most urgent first.
-    fn start_waiting(&mut self, now: Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if self.closed(now).is_some() {
-            return actions;
-        }
-        if let Some(id) = self.start_solo(now) {
-            actions.push(Action::Start(id));
-        }
-        while self.has_room() {
-            let Some(offer) = self.queue.pop() else { break };
-            actions.push(self.start_or_refuse(now, offer));
-        }
-        actions
-    }
-
-    /// Starts work that waited, unless its content got into disrepute meanwhile.
-    fn start_or_refuse(&mut self, now: Duration, offer: Offer) -> Action {
-        let id = offer.id;
-        let refused = match self.judge(now, &offer) {
-            Ok(Standing::Suspect) => RefusalReason::SuspectBusy,
-            Ok(_) => {
-                self.running.start(now, &offer);
-                return Action::Start(id);
-            }
-            Err(reason) => reason,
-        };
-        Action::Refuse(id, self.refusal(refused))
-    }
-
-    fn start_solo(&mut self, now: Duration) -> Option<WorkId> {
-        let empty = self.running.is_empty();
-        let solo = self.solo.as_mut().filter(|s| !s.running && empty)?;
-        solo.running = true;
-        let offer = solo.offer.clone();
-        self.running.start(now, &offer);
-        Some(offer.id)
-    }
-
-    fn expire(&mut self, now: Duration) -> Vec<Action> {
-        let late = self.queue.take_if(|offer| offer.deadline <= now);
-        let mut actions: Vec<_> = late
-            .into_iter()
-            .map(|id| Action::Refuse(id, self.refusal(RefusalReason::Deadline)))
-            .collect();
-        let patience = self.cfg.suspect_patience;
-        let over =
-            |s: &mut Solo| !s.running && (now >= s.since + patience || now >= s.offer.deadline);
-        if let Some(solo) = self.solo.take_if(over) {
-            self.solo_rest_until = now + self.cfg.suspect_rest;
-            let refusal = self.refusal(RefusalReason::SuspectBusy);
-            actions.push(Action::Refuse(solo.offer.id, refusal));
-        }
-        actions
-    }
-
-    fn refuse_waiting(&mut self, reason: RefusalReason) -> Vec<Action> {
-        let mut ids = self.queue.take_if(|_| true);
-        let solo = self.solo.take_if(|s| !s.running);
-        ids.extend(solo.map(|s| s.offer.id));
-        ids.into_iter()
-            .map(|id| Action::Refuse(id, self.refusal(reason)))
-            .collect()
-    }
-
-    fn completed(&mut self, now: Duration, work: &Work) {
-        let taken = now.saturating_sub(work.started).as_secs_f64();
-        let smoothed = self.service_s.unwrap_or(taken);
-        self.service_s = Some(smoothed + (taken - smoothed) * SERVICE_WEIGHT);
-        if self.cfg.kind == PoolKind::Service {
-            return self.whole_answer(now, work);
-        }
-        work.last_stretch()
-            .into_iter()
-            .for_each(|s| self.warmth.stretch(s));
-        work.whole()
-            .into_iter()
-            .for_each(|s| self.warmth.completed(s));
-    }
-
-    fn whole_answer(&mut self, now: Duration, work: &Work) {
-        let sample = Sample {
-            from: work.started,
-            to: now,
-            tokens: 1,
-        };
-        self.warmth.stretch(sample);
-        match self.warmth.judge(&sample) {
-            Pace::Warm => self.warmth.evidence(Some(sample.from)),
-            Pace::Slow => self.warmth.slow(sample),
-            Pace::Burst | Pace::Unclear => {}
-        }
-        self.warmth.completed(sample);
-    }
 }
