--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,5 +1,8 @@
 //! All experiments by name. Each has a module of its own.
 
+pub mod cold_start;
+pub mod poison;
+
 use crate::experiment::Experiment;
 
 mod claims;
@@ -29,6 +32,7 @@
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
     ]
+    vec![Box::new(cold_start::ColdStart), Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
