--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -14,6 +14,10 @@
 mod path;
 mod poison;
 mod retry_storm;
+mod config_fleet;
+mod config_plain;
+mod config_spread;
+mod restart;
 mod skew;
 mod skew_large;
 mod store_outage;
@@ -28,6 +32,8 @@
         Box::new(path::Path),
         Box::new(poison::Poison),
         Box::new(retry_storm::RetryStorm),
+        Box::new(config_spread::ConfigSpread),
+        Box::new(restart::Restart),
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
