--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -1,23 +1,21 @@
 //! All experiments by name. Each has a module of its own.
 
-pub mod cold_start;
-pub mod poison;
-
 use crate::experiment::Experiment;
 
 mod claims;
 mod claims_baseline;
 mod claims_fleet;
 mod claims_history;
+mod cold_start;
+mod config_fleet;
+mod config_plain;
+mod config_spread;
 mod hot_account;
 mod overload;
 mod path;
 mod poison;
-mod retry_storm;
-mod config_fleet;
-mod config_plain;
-mod config_spread;
 mod restart;
+mod retry_storm;
 mod skew;
 mod skew_large;
 mod store_outage;
@@ -27,18 +25,18 @@
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
         Box::new(claims::Claims),
+        Box::new(cold_start::ColdStart),
+        Box::new(config_spread::ConfigSpread),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(path::Path),
         Box::new(poison::Poison),
-        Box::new(retry_storm::RetryStorm),
-        Box::new(config_spread::ConfigSpread),
         Box::new(restart::Restart),
+        Box::new(retry_storm::RetryStorm),
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
     ]
-    vec![Box::new(cold_start::ColdStart), Box::new(poison::Poison)]
 }
 
 /// The experiment of some name.
