Measure control cost of a daemon over fleet size

Change: oriole-bench run control; bytes of calls and VM lists are counted; the embedded deployment starts its daemons 16 at a time.

--- /dev/null
+++ b/crates/oriole_bench/src/experiments/control.rs
@@ -0,0 +1,195 @@
+//! Control cost of a daemon as the fleet grows, without any request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_kernel::telemetry;
+use oriole_local::prelude::*;
+use oriole_standins::vitals::VitalsState;
+use oriole_types::prelude::*;
+
+use crate::fit::Line;
+use crate::prelude::*;
+use crate::process;
+use crate::scrape::counter_sum;
+
+/// Entry daemons of the fleets that are measured.
+const FLEETS: [usize; 4] = [8, 16, 32, 64];
+
+/// Upstreams for each entry daemon, in tenths, as at the size of the design.
+const UPSTREAMS_PER_ENTRY_TENTHS: usize = 24;
+
+/// Entry daemons and agents at the size of the design.
+const TARGET_DAEMONS: f64 = 340.0 + 820.0;
+
+/// Client accounts of the catalog.
+const ACCOUNTS: usize = 300;
+
+/// Time that a fleet is measured.
+const MEASURED: Duration = Duration::from_secs(5);
+
+/// Time before it, in which connections are made.
+const SETTLING: Duration = Duration::from_secs(2);
+
+/// Services whose bytes are told apart.
+const SERVICES: [&str; 4] = ["load", "limits", "config", "vm_list"];
+
+/// Store calls a second at the size of the design: a tenth of what the store takes.
+const STORE_READS_PER_S: f64 = 200.0;
+
+/// Control cost of a daemon.
+pub struct Control;
+
+#[async_trait]
+impl Experiment for Control {
+    fn name(&self) -> &'static str {
+        "control"
+    }
+
+    fn about(&self) -> &'static str {
+        "processor, memory and bytes a daemon spends on control as the fleet grows"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        telemetry::open();
+        let base_mb = process::resident_mb()?;
+        let mut costs = Vec::new();
+        for entries in FLEETS {
+            costs.push(measure(entries, options.duration_or(MEASURED), base_mb).await?);
+        }
+        Ok(report(&costs))
+    }
+}
+
+/// What one fleet showed, per daemon and second.
+struct Cost {
+    daemons: f64,
+    cpu_share: f64,
+    resident_mb: f64,
+    bytes_per_s: BTreeMap<&'static str, f64>,
+    store_reads_per_s: f64,
+    store_writes_per_s: f64,
+}
+
+fn spec(entries: usize) -> eyre::Result<DeploymentSpec> {
+    let mut spec = DeploymentSpec::named(DeploymentName::Islandwash)?;
+    let upstreams = entries * UPSTREAMS_PER_ENTRY_TENTHS / 10;
+    spec.entries = entries;
+    spec.engines = upstreams - upstreams / 6;
+    spec.services = upstreams / 6;
+    spec.vm_list_period_ms = 1_000;
+    spec.engine.vitals.initial = VitalsState::Ok;
+    spec.service.vitals.initial = VitalsState::Ok;
+    for name in ["north", "south", "east", "west", "centre"] {
+        let domain = FailureDomain {
+            region: "tobago".into(),
+            state: ServiceState::InService,
+        };
+        spec.catalog.domains.insert(name.into(), domain);
+    }
+    for i in spec.catalog.accounts.len()..ACCOUNTS {
+        spec.add_account(&format!("account-{i}"), false);
+    }
+    Ok(spec)
+}
+
+async fn measure(entries: usize, length: Duration, base_mb: f64) -> eyre::Result<Cost> {
+    let deployment = Deployment::start(&spec(entries)?).await?;
+    tokio::time::sleep(SETTLING).await;
+    let before = Reading::take(&deployment)?;
+    tokio::time::sleep(length).await;
+    let after = Reading::take(&deployment)?;
+    let daemons = entries + deployment.platform().upstreams.len();
+    let cost = after.since(&before, daemons as f64, length, base_mb);
+    deployment.shutdown().await;
+    Ok(cost)
+}
+
+/// Counters at one moment.
+struct Reading {
+    cpu: Duration,
+    resident_mb: f64,
+    bytes: BTreeMap<&'static str, f64>,
+    reads: u64,
+    writes: u64,
+}
+
+impl Reading {
+    fn take(deployment: &Deployment) -> eyre::Result<Self> {
+        let text = telemetry::render();
+        let mut bytes: BTreeMap<&'static str, f64> = SERVICES
+            .into_iter()
+            .map(|service| {
+                let label = format!("service=\"{service}\"");
+                // What one daemon sends another receives.
+                let both = 2.0 * counter_sum(&text, "oriole_call_bytes_total", &label);
+                (service, both)
+            })
+            .collect();
+        let listed = counter_sum(&text, "oriole_vm_list_bytes_total", "");
+        *bytes.entry("vm_list").or_default() += listed;
+        let counts = deployment.platform().store.counts();
+        Ok(Self {
+            cpu: process::cpu_time()?,
+            resident_mb: process::resident_mb()?,
+            bytes,
+            reads: counts.reads + counts.watches,
+            writes: counts.writes,
+        })
+    }
+
+    fn since(&self, before: &Self, daemons: f64, length: Duration, base_mb: f64) -> Cost {
+        let seconds = length.as_secs_f64();
+        let cpu = self.cpu.saturating_sub(before.cpu).as_secs_f64();
+        let bytes_per_s = self
+            .bytes
+            .iter()
+            .map(|(service, bytes)| {
+                let earlier = before.bytes.get(service).copied().unwrap_or(0.0);
+                (*service, (bytes - earlier) / daemons / seconds)
+            })
+            .collect();
+        Cost {
+            daemons,
+            cpu_share: cpu / seconds / daemons,
+            resident_mb: (self.resident_mb - base_mb) / daemons,
+            bytes_per_s,
+            store_reads_per_s: (self.reads - before.reads) as f64 / seconds,
+            store_writes_per_s: (self.writes - before.writes) as f64 / seconds,
+        }
+    }
+}
+
+fn report(costs: &[Cost]) -> Report {
+    let mut report = Report::default();
+    let mut line = |name: &str, pick: &dyn Fn(&Cost) -> f64| {
+        let points: Vec<(f64, f64)> = costs.iter().map(|c| (c.daemons, pick(c))).collect();
+        let line = Line::through(&points);
+        report
+            .figure(&format!("{name}_slope"), line.slope)
+            .figure(&format!("{name}_residual"), line.residual)
+            .figure(&format!("{name}_at_target"), line.at(TARGET_DAEMONS))
+            .curve(name, points);
+    };
+    line("cpu_share", &|c| c.cpu_share);
+    line("resident_mb", &|c| c.resident_mb);
+    line("bytes_per_s", &|c| c.bytes_per_s.values().sum());
+    for service in SERVICES {
+        let name = format!("bytes_per_s_{service}");
+        line(&name, &|c| {
+            c.bytes_per_s.get(service).copied().unwrap_or(0.0)
+        });
+    }
+    line("store_reads_per_s", &|c| c.store_reads_per_s);
+    line("store_writes_per_s", &|c| c.store_writes_per_s);
+    report
+        .bound("cpu_share_at_target", Limit::AtMost(0.037))
+        .bound("resident_mb_at_target", Limit::AtMost(256.0))
+        .bound("bytes_per_s_at_target", Limit::AtMost(15_000.0))
+        .bound(
+            "store_reads_per_s_at_target",
+            Limit::AtMost(STORE_READS_PER_S),
+        );
+    report
+}
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -10,6 +10,7 @@
 mod config_fleet;
 mod config_plain;
 mod config_spread;
+mod control;
 mod hot_account;
 mod overload;
 mod path;
@@ -27,6 +28,7 @@
         Box::new(claims::Claims),
         Box::new(cold_start::ColdStart),
         Box::new(config_spread::ConfigSpread),
+        Box::new(control::Control),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(path::Path),
--- a/crates/oriole_local/src/deployment.rs
+++ b/crates/oriole_local/src/deployment.rs
@@ -7,6 +7,7 @@
 
 use eyre::eyre;
 use futures::future::BoxFuture;
+use futures::{StreamExt, TryStreamExt, stream};
 use oriole_agent::prelude::{AgentDaemon, AgentSettings};
 use oriole_entry::prelude::{EntryDaemon, EntrySettings};
 use oriole_kernel::logging;
@@ -18,7 +19,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::faults::LocalFaults;
-use crate::platform::{Platform, loopback};
+use crate::platform::{PlacedUpstream, Platform, loopback};
 use crate::spec::DeploymentSpec;
 use crate::vm::Vm;
 
@@ -28,8 +29,8 @@
 /// Time between two looks at whether the deployment is ready.
 const READY_PERIOD: Duration = Duration::from_millis(20);
 
-/// Time between two reads of the VM list by each daemon, in milliseconds.
-const VM_LIST_PERIOD_MS: u64 = 300;
+/// Daemons that are started at once.
+const STARTS_AT_ONCE: usize = 16;
 
 /// An agent with what is needed to start it again.
 pub(crate) struct AgentVm {
@@ -247,65 +248,62 @@
 }
 
 async fn start_agents(cx: Boot<'_>) -> eyre::Result<Vec<AgentVm>> {
-    let Boot {
-        spec,
-        platform,
-        secret,
-        log,
-    } = cx;
-    let mut agents = Vec::new();
-    for placed in &platform.upstreams {
-        let mut settings = AgentSettings {
-            name: placed.name.clone(),
-            domain: placed.domain.clone(),
-            pool: placed.pool.clone(),
-            address: loopback(),
-            upstream: placed.upstream.addr(),
-            store: platform.store.addr(),
-            vm_list: platform.vm_list.addr(),
-            fleet_secrets: vec![secret.to_owned()],
-            vm_list_period_ms: VM_LIST_PERIOD_MS,
-            log_level: "warning".into(),
-        };
-        let vm = Vm::start(spec.daemon_threads, start_agent(&settings, log)).await?;
-        if let Some(address) = vm.with(AgentDaemon::address) {
-            settings.address = address;
-        }
-        agents.push(AgentVm { settings, vm });
+    let starts = cx.platform.upstreams.iter().map(|p| boot_agent(cx, p));
+    stream::iter(starts)
+        .buffered(STARTS_AT_ONCE)
+        .try_collect()
+        .await
+}
+
+async fn boot_agent(cx: Boot<'_>, placed: &PlacedUpstream) -> eyre::Result<AgentVm> {
+    let mut settings = AgentSettings {
+        name: placed.name.clone(),
+        domain: placed.domain.clone(),
+        pool: placed.pool.clone(),
+        address: loopback(),
+        upstream: placed.upstream.addr(),
+        store: cx.platform.store.addr(),
+        vm_list: cx.platform.vm_list.addr(),
+        fleet_secrets: vec![cx.secret.to_owned()],
+        vm_list_period_ms: cx.spec.vm_list_period_ms,
+        log_level: "warning".into(),
+    };
+    let vm = Vm::start(cx.spec.daemon_threads, start_agent(&settings, cx.log)).await?;
+    if let Some(address) = vm.with(AgentDaemon::address) {
+        settings.address = address;
     }
-    Ok(agents)
+    Ok(AgentVm { settings, vm })
 }
 
 async fn start_entries(cx: Boot<'_>) -> eyre::Result<Vec<EntryVm>> {
-    let Boot {
-        spec,
-        platform,
-        secret,
-        log,
-    } = cx;
-    let domains = spec.catalog.domains.keys().cycle();
-    let mut entries = Vec::new();
-    for (i, domain) in (1..=spec.entries).zip(domains) {
-        let mut settings = EntrySettings {
-            name: VmName::new(&format!("entry-{i}")),
-            domain: domain.clone(),
-            address: loopback(),
-            peer_address: loopback(),
-            store: platform.store.addr(),
-            vm_list: platform.vm_list.addr(),
-            fleet_secrets: vec![secret.to_owned()],
-            vm_list_period_ms: VM_LIST_PERIOD_MS,
-            endpoint_ttl_ms: spec.endpoint_ttl_ms,
-            log_level: "warning".into(),
-        };
-        let vm = Vm::start(spec.daemon_threads, start_entry(&settings, log)).await?;
-        if let Some((address, peer)) = vm.with(|d| (d.address(), d.peer_address())) {
-            settings.address = address;
-            settings.peer_address = peer;
-        }
-        entries.push(EntryVm { settings, vm });
+    let domains = cx.spec.catalog.domains.keys().cycle();
+    let numbered = (1..=cx.spec.entries).zip(domains);
+    let starts = numbered.map(|(i, domain)| boot_entry(cx, i, domain));
+    stream::iter(starts)
+        .buffered(STARTS_AT_ONCE)
+        .try_collect()
+        .await
+}
+
+async fn boot_entry(cx: Boot<'_>, number: usize, domain: &DomainName) -> eyre::Result<EntryVm> {
+    let mut settings = EntrySettings {
+        name: VmName::new(&format!("entry-{number}")),
+        domain: domain.clone(),
+        address: loopback(),
+        peer_address: loopback(),
+        store: cx.platform.store.addr(),
+        vm_list: cx.platform.vm_list.addr(),
+        fleet_secrets: vec![cx.secret.to_owned()],
+        vm_list_period_ms: cx.spec.vm_list_period_ms,
+        endpoint_ttl_ms: cx.spec.endpoint_ttl_ms,
+        log_level: "warning".into(),
+    };
+    let vm = Vm::start(cx.spec.daemon_threads, start_entry(&settings, cx.log)).await?;
+    if let Some((address, peer)) = vm.with(|d| (d.address(), d.peer_address())) {
+        settings.address = address;
+        settings.peer_address = peer;
     }
-    Ok(entries)
+    Ok(EntryVm { settings, vm })
 }
 
 /// Starts an agent daemon with some settings.
--- a/crates/oriole_local/src/spec.rs
+++ b/crates/oriole_local/src/spec.rs
@@ -108,6 +108,8 @@
     pub service: ServiceConfig,
     /// Age of the VM list.
     pub vm_list_lag: Duration,
+    /// Time between two reads of the VM list by each daemon, in milliseconds.
+    pub vm_list_period_ms: u64,
     /// Worker threads of each daemon.
     pub daemon_threads: usize,
     /// Time for which callers keep endpoint answers, in milliseconds.
@@ -143,6 +145,7 @@
             engine: EngineConfig::default(),
             service: ServiceConfig::default(),
             vm_list_lag: Duration::from_millis(500),
+            vm_list_period_ms: 300,
             daemon_threads: 1,
             endpoint_ttl_ms: 2_000,
             log_level: slog::Level::Warning,
--- a/crates/oriole_peers/src/vm_list.rs
+++ b/crates/oriole_peers/src/vm_list.rs
@@ -68,7 +68,9 @@
             .collect()
             .await
             .map_err(unreachable)?;
-        Ok(serde_json::from_slice(&body.to_bytes())?)
+        let body = body.to_bytes();
+        metrics::counter!("oriole_vm_list_bytes_total").increment(body.len() as u64);
+        Ok(serde_json::from_slice(&body)?)
     }
 }
 
--- a/crates/oriole_wire/src/channel.rs
+++ b/crates/oriole_wire/src/channel.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use oriole_types::ids::Attempt;
+use prost::Message;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -29,6 +30,9 @@
 /// Frames that are written before the connection is flushed.
 const FLUSH_BATCH_FRAMES: usize = 128;
 
+/// Bytes of a frame besides its message.
+const FRAME_OVERHEAD_BYTES: usize = 12;
+
 /// Longest time that queued frames are still written after the connection is closed.
 const CLOSE_GRACE: Duration = Duration::from_millis(500);
 
@@ -195,15 +199,16 @@
             shared: &self.shared,
             call,
         };
-        let frame = Body::Call(Call {
+        let frame = Frame::from(Body::Call(Call {
             call,
             service: service.to_owned(),
             payload,
-        });
+        }));
+        count_call_bytes(service, "sent", frame.encoded_len());
         let answer = async {
             self.shared
                 .out
-                .send(frame.into())
+                .send(frame)
                 .await
                 .map_err(|_| WireError::Closed)?;
             tokio::select! {
@@ -212,12 +217,22 @@
                 () = self.shared.closed.cancelled() => Err(WireError::Closed),
             }
         };
-        timeout(wait, answer)
+        let answer = timeout(wait, answer)
             .await
-            .unwrap_or(Err(WireError::Timeout))
+            .unwrap_or(Err(WireError::Timeout))?;
+        count_call_bytes(service, "received", answer.len());
+        Ok(answer)
     }
 }
 
+/// Counts the bytes of a call by service; the frame's own length and tags are added.
+fn count_call_bytes(service: &str, direction: &'static str, len: usize) {
+    let bytes = (len + FRAME_OVERHEAD_BYTES) as u64;
+    metrics::counter!("oriole_call_bytes_total",
+        "service" => service.to_owned(), "direction" => direction)
+    .increment(bytes);
+}
+
 /// Removes a call from the table when its caller stops waiting.
 struct ForgetCall<'a> {
     shared: &'a Shared,
