Serve a part of the upstreams, share limits with few, read the VM list by relays

Change: an entry serves at most 120 upstreams, dealt out over the pools by rendezvous; limit digests go only to entries that hold the same account; two relays a failure domain read the VM list and others long-poll them; who is away is found by the membership detector and no longer by the limits' exchange.

--- a/crates/oriole_agent/src/core.rs
+++ b/crates/oriole_agent/src/core.rs
@@ -9,6 +9,7 @@
 use oriole_catalog::prelude::ConfigFollower;
 use oriole_claims::service::ClaimHandle;
 use oriole_kernel::clock::Clock;
+use oriole_peers::vm_list::VmListFollower;
 use oriole_types::prelude::*;
 use oriole_wire::reply::Trailer;
 use slog::{Logger, info, warn};
@@ -35,6 +36,8 @@
     pub config: Arc<ConfigFollower>,
     /// Configuration in force; `None` until the first one is known.
     pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Follower of the VM list.
+    pub vm_list: Arc<VmListFollower>,
     /// Admission.
     pub gate: Gatekeeper,
     /// The upstream.
--- a/crates/oriole_agent/src/daemon.rs
+++ b/crates/oriole_agent/src/daemon.rs
@@ -155,7 +155,7 @@
         let store: Arc<StoreHandle> = registry.get(STORE)?;
         let catalog = config.ready().await;
         let pool = self.pool(&catalog)?;
-        let core = Arc::new(self.core(config, &store, pool));
+        let core = Arc::new(self.core(config, Arc::clone(&vm_list), &store, pool));
         let handler = AgentHandler::new(Arc::clone(&core));
         let frames = WireServer::bind(
             self.settings.address,
@@ -184,7 +184,13 @@
         })
     }
 
-    fn core(&self, config: Arc<ConfigFollower>, store: &StoreHandle, pool: &Pool) -> AgentCore {
+    fn core(
+        &self,
+        config: Arc<ConfigFollower>,
+        vm_list: Arc<VmListFollower>,
+        store: &StoreHandle,
+        pool: &Pool,
+    ) -> AgentCore {
         let settings = &self.settings;
         let clock = Clock::start();
         let incarnation = Incarnation(self.channel.identity.incarnation);
@@ -216,6 +222,7 @@
             log: self.log.clone(),
             catalog: config.subscribe(),
             config,
+            vm_list,
             gate: Gatekeeper::open(clock, gate),
             upstream: upstream::open(pool.kind, settings.upstream),
             claims: ClaimService::spawn(claims, Arc::clone(&store.0)),
--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -8,6 +8,7 @@
 use oriole_claims::request::{ClaimEnd, ClaimRequest};
 use oriole_peers::config_peer::{CONFIG_SERVICE, serve_config};
 use oriole_peers::note::{LOAD_SERVICE, LoadNote, Note, decode_age};
+use oriole_peers::relayed_list::{VM_LIST_SERVICE, serve_vm_list};
 use oriole_types::prelude::*;
 use oriole_wire::frame::Open;
 use oriole_wire::reply::{Refusal, Reply};
@@ -139,6 +140,7 @@
         match service {
             LOAD_SERVICE => self.trade_notes(peer, payload),
             CONFIG_SERVICE => serve_config(&self.core.config, payload).await,
+            VM_LIST_SERVICE => serve_vm_list(&self.core.vm_list, payload).await,
             _ => Err(format!("no service {service:?}")),
         }
     }
--- a/crates/oriole_entry/src/api/status.rs
+++ b/crates/oriole_entry/src/api/status.rs
@@ -149,7 +149,7 @@
     let loads = state.fleet.loads();
     state
         .fleet
-        .upstreams()
+        .served(&state.name)
         .iter()
         .map(|record| {
             let load = loads.get(&record.name).copied().unwrap_or_default();
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -16,6 +16,7 @@
 use oriole_peers::pool::ChannelPool;
 use oriole_peers::vm_list::VmListFollower;
 use oriole_routing::endpoints::{AnswerConfig, EndpointAnswers};
+use oriole_types::ids::Incarnation;
 use oriole_wire::channel::ChannelConfig;
 use oriole_wire::handshake::Identity;
 use oriole_wire::server::{WireServer, WireServerConfig};
@@ -24,9 +25,11 @@
 
 use crate::api::{self, Server};
 use crate::fleet::Fleet;
+use crate::liveness::Liveness;
 use crate::peers::PeerHandler;
 use crate::poison::Poison;
 use crate::settings::EntrySettings;
+use crate::sharers::Sharers;
 use crate::state::EntryState;
 use crate::traffic::Traffic;
 use crate::watchers::Watchers;
@@ -167,6 +170,8 @@
     fn state(&self, registry: &Registry) -> Result<Arc<EntryState>, KernelError> {
         let config: Arc<ConfigFollower> = registry.get(CONFIG)?;
         let channels: Arc<ChannelPool> = registry.get(CHANNELS)?;
+        let vm_list: Arc<VmListFollower> = registry.get(VM_LIST)?;
+        let incarnation = Incarnation(rand::random::<u64>() | 1);
         let clock = Clock::start();
         let secret = self
             .settings
@@ -185,6 +190,9 @@
             catalog: config.subscribe(),
             config,
             fleet: Fleet::default(),
+            vm_list,
+            liveness: Liveness::open(clock, self.settings.name.clone(), incarnation),
+            sharers: Sharers::default(),
             poison: Poison::open(clock),
             ticket_secret: TicketSecret::new(secret.as_bytes()),
             traffic: Traffic::open(clock, self.settings.domain.clone()),
@@ -198,8 +206,7 @@
         Ok(Arc::new(state))
     }
 
-    async fn run(&self, registry: &Registry, state: &Arc<EntryState>) -> eyre::Result<Running> {
-        let vm_list: Arc<VmListFollower> = registry.get(VM_LIST)?;
+    async fn run(&self, state: &Arc<EntryState>) -> eyre::Result<Running> {
         let channel = channel(&self.settings)?;
         let frames = WireServer::bind(
             self.settings.peer_address,
@@ -218,7 +225,7 @@
             state: Arc::clone(state),
             http,
             frames,
-            _watchers: Watchers::spawn(state, vm_list.subscribe()),
+            _watchers: Watchers::spawn(state),
         })
     }
 }
@@ -235,13 +242,10 @@
 
     async fn start(&self, registry: &Registry) -> Result<(), KernelError> {
         let state = self.state(registry)?;
-        let running = self
-            .run(registry, &state)
-            .await
-            .map_err(|e| KernelError::Start {
-                name: ENTRY.into(),
-                message: e.to_string(),
-            })?;
+        let running = self.run(&state).await.map_err(|e| KernelError::Start {
+            name: ENTRY.into(),
+            message: e.to_string(),
+        })?;
         let (address, peer_address) = (running.http.local_addr(), running.frames.addr());
         info!(self.log, "entry started"; "step" => "start",
             "address" => %address, "peer_address" => %peer_address);
@@ -266,8 +270,7 @@
     async fn leave(self, endpoint_ttl: Duration, log: &Logger) {
         info!(log, "entry leaving"; "step" => "drain");
         self.state.draining.store(true, Ordering::Relaxed);
-        let own = self.state.name.clone();
-        self.state.fleet.set_away(&own, true);
+        self.state.liveness.leave();
         // Callers keep an answer for its lifetime and then some.
         sleep(endpoint_ttl + endpoint_ttl / 2).await;
         self.state.leaving.store(true, Ordering::Relaxed);
--- a/crates/oriole_entry/src/fleet.rs
+++ b/crates/oriole_entry/src/fleet.rs
@@ -4,8 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use oriole_membership::subset::{SERVED_PER_POOL, served_upstreams};
 use oriole_types::prelude::*;
 
+/// Upstreams that an entry serves in all, dealt out over the pools.
+const SERVED_UPSTREAMS: usize = 120;
+
 /// Upstreams and entries as this process sees them.
 #[derive(Default)]
 pub struct Fleet {
@@ -30,6 +34,25 @@
     pub clock_ms: u64,
 }
 
+/// The VMs whose upstreams an entry serves.
+#[must_use]
+pub fn served(list: &VmList, own: &VmName) -> Vec<VmRecord> {
+    let pools: BTreeSet<&PoolName> = list
+        .vms
+        .iter()
+        .filter_map(|vm| match &vm.role {
+            VmRole::Upstream { pool } => Some(pool),
+            VmRole::Entry => None,
+        })
+        .collect();
+    let most = (SERVED_UPSTREAMS / pools.len().max(1)).max(SERVED_PER_POOL);
+    pools
+        .into_iter()
+        .flat_map(|pool| served_upstreams(list, own, pool, most))
+        .cloned()
+        .collect()
+}
+
 impl Fleet {
     /// Takes in a newer VM list.
     pub fn set_list(&self, list: Arc<VmList>) {
@@ -57,27 +80,11 @@
         self.lock().by_name.get(vm).map(|r| r.peer_address)
     }
 
-    /// All VMs with an agent.
+    /// The VMs whose upstreams this entry serves: a part of each pool, spread over the failure
+    /// domains.
     #[must_use]
-    pub fn upstreams(&self) -> Vec<VmRecord> {
-        let is_upstream = |r: &&VmRecord| matches!(r.role, VmRole::Upstream { .. });
-        self.lock()
-            .by_name
-            .values()
-            .filter(is_upstream)
-            .cloned()
-            .collect()
-    }
-
-    /// All VMs with an entry daemon.
-    #[must_use]
-    pub fn entries(&self) -> Vec<VmRecord> {
-        self.lock()
-            .by_name
-            .values()
-            .filter(|r| r.role == VmRole::Entry)
-            .cloned()
-            .collect()
+    pub fn served(&self, own: &VmName) -> Vec<VmRecord> {
+        served(&self.lock().list, own)
     }
 
     /// The live agents of a pool that take new work, as far as operators and the platform say.
@@ -111,14 +118,9 @@
         self.lock().away.clone()
     }
 
-    /// Notes whether a VM can be reached and stays.
-    pub fn set_away(&self, vm: &VmName, away: bool) {
-        let mut inner = self.lock();
-        if away {
-            inner.away.insert(vm.clone());
-        } else {
-            inner.away.remove(vm);
-        }
+    /// Replaces the entries that are leaving or believed dead.
+    pub fn set_away(&self, away: BTreeSet<VmName>) {
+        self.lock().away = away;
     }
 
     /// Notes the load of an upstream.
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -15,6 +15,8 @@
 //! - [`state`]: what handlers and tasks share.
 //! - [`fleet`]: upstreams and entries as this process sees them.
 //! - [`poison`]: suspect and quarantined content.
+//! - [`liveness`]: which other entries live.
+//! - [`sharers`]: which entries share which limits.
 //! - [`watchers`]: tasks that keep that view and the routing machines up to date.
 //! - [`peers`]: what other processes ask of this one.
 //! - [`daemon`]: start and graceful shutdown.
@@ -27,9 +29,11 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod intake;
+pub mod liveness;
 pub mod peers;
 pub mod poison;
 pub mod settings;
+pub mod sharers;
 pub mod state;
 pub mod traffic;
 pub mod watchers;
--- a/crates/oriole_entry/src/peers.rs
+++ b/crates/oriole_entry/src/peers.rs
@@ -1,19 +1,22 @@
 //! What other processes ask of this one.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use oriole_membership::message::Message;
 use oriole_peers::config_peer::{CONFIG_SERVICE, serve_config};
+use oriole_peers::relayed_list::{VM_LIST_SERVICE, serve_vm_list};
 use oriole_types::ids::VmName;
 use oriole_types::outcome::RefusalReason;
 use oriole_wire::frame::Open;
 use oriole_wire::reply::{Refusal, Reply, Trailer};
 use oriole_wire::server::{Handler, PeerInfo};
+use prost::Message as _;
 
+use crate::liveness::{self, MEMBERSHIP_SERVICE};
 use crate::state::EntryState;
-use crate::watchers::{LEAVING, LIMITS_SERVICE};
+use crate::watchers::LIMITS_SERVICE;
 
 /// Answers the frames of other entries.
 pub struct PeerHandler {
@@ -46,13 +49,15 @@
                 let digest = serde_json::from_slice(&payload).map_err(|e| e.to_string())?;
                 let peer = VmName::new(&peer.name);
                 self.state.traffic.peer_limits(&peer, &digest);
-                Ok(if self.state.draining.load(Ordering::Relaxed) {
-                    Bytes::from_static(LEAVING)
-                } else {
-                    Bytes::new()
-                })
+                Ok(Bytes::new())
             }
             CONFIG_SERVICE => serve_config(&self.state.config, payload).await,
+            VM_LIST_SERVICE => serve_vm_list(&self.state.vm_list, payload).await,
+            MEMBERSHIP_SERVICE => {
+                let message = Message::decode(payload).map_err(|e| e.to_string())?;
+                liveness::take_in(&self.state, &VmName::new(&peer.name), &message);
+                Ok(Bytes::new())
+            }
             _ => Err(format!("no service {service:?}")),
         }
     }
--- /dev/null
+++ b/crates/oriole_entry/src/sharers.rs
@@ -0,0 +1,53 @@
+//! Which entries share which accounts' limits with this one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Mutex, PoisonError};
+
+use oriole_routing::limits::LimitDigest;
+use oriole_types::ids::{AccountName, VmName};
+
+/// Which entries share which accounts' limits with this one.
+///
+/// An entry tells another only of the accounts that are steered to both.
+#[derive(Default)]
+pub struct Sharers {
+    by_peer: Mutex<BTreeMap<VmName, BTreeSet<AccountName>>>,
+}
+
+impl Sharers {
+    /// Replaces what is known: for each account that is steered to this entry, all its entries.
+    pub fn set(&self, me: &VmName, holders: &[(AccountName, Vec<VmName>)]) {
+        let mut by_peer: BTreeMap<VmName, BTreeSet<AccountName>> = BTreeMap::new();
+        for (account, vms) in holders.iter().filter(|(_, vms)| vms.contains(me)) {
+            for peer in vms.iter().filter(|vm| *vm != me) {
+                by_peer
+                    .entry(peer.clone())
+                    .or_default()
+                    .insert(account.clone());
+            }
+        }
+        *self.by_peer.lock().unwrap_or_else(PoisonError::into_inner) = by_peer;
+    }
+
+    /// What each peer should be told; peers with nothing to hear are left out.
+    #[must_use]
+    pub fn split(&self, digest: &LimitDigest) -> Vec<(VmName, LimitDigest)> {
+        let by_peer = self.by_peer.lock().unwrap_or_else(PoisonError::into_inner);
+        by_peer
+            .iter()
+            .map(|(peer, accounts)| (peer.clone(), part(digest, accounts)))
+            .filter(|(_, part)| !part.accounts.is_empty())
+            .collect()
+    }
+}
+
+fn part(digest: &LimitDigest, accounts: &BTreeSet<AccountName>) -> LimitDigest {
+    let shared = digest
+        .accounts
+        .iter()
+        .filter(|(account, _)| accounts.contains(*account));
+    LimitDigest {
+        accounts: shared.map(|(a, u)| (a.clone(), *u)).collect(),
+        entries: digest.entries.clone(),
+    }
+}
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -11,6 +11,7 @@
 use oriole_claims::ticket::TicketSecret;
 use oriole_kernel::clock::Clock;
 use oriole_peers::pool::ChannelPool;
+use oriole_peers::vm_list::VmListFollower;
 use oriole_routing::endpoints::EndpointAnswers;
 use oriole_types::prelude::*;
 use slog::{Logger, info};
@@ -21,7 +22,9 @@
 use crate::dispatch;
 use crate::fleet::Fleet;
 use crate::intake::Accepted;
+use crate::liveness::Liveness;
 use crate::poison::Poison;
+use crate::sharers::Sharers;
 use crate::traffic::Traffic;
 
 /// Events of one answer that wait for a slow reader.
@@ -49,6 +52,12 @@
     pub catalog: ConfigReceiver,
     /// Upstreams and entries as this process sees them.
     pub fleet: Fleet,
+    /// Follower of the VM list.
+    pub vm_list: Arc<VmListFollower>,
+    /// Which other entries live.
+    pub liveness: Liveness,
+    /// Which entries share which accounts' limits with this one.
+    pub sharers: Sharers,
     /// Suspect and quarantined content.
     pub poison: Poison,
     /// Secret that minted keys are signed with.
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use oriole_peers::note::{LOAD_SERVICE, LoadNote, Note};
 use oriole_routing::endpoints::AnswerView;
+use oriole_routing::limits::LimitDigest;
 use oriole_types::prelude::*;
 use oriole_wire::error::WireError;
 use prost::Message;
 use rand::RngExt;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::fleet::Home;
+use crate::liveness;
 use crate::state::EntryState;
 
 /// Time between two looks at an upstream that sends no answers.
@@ -40,9 +40,10 @@
 impl Watchers {
     /// Starts all watchers.
     #[must_use]
-    pub fn spawn(state: &Arc<EntryState>, vm_list: watch::Receiver<Arc<VmList>>) -> Self {
+    pub fn spawn(state: &Arc<EntryState>) -> Self {
         let tasks = vec![
-            tokio::spawn(follow_fleet(Arc::clone(state), vm_list)),
+            tokio::spawn(follow_fleet(Arc::clone(state))),
+            tokio::spawn(liveness::watch(Arc::clone(state))),
             tokio::spawn(follow_loads(Arc::clone(state))),
             tokio::spawn(tick_queues(Arc::clone(state))),
             tokio::spawn(exchange_limits(Arc::clone(state))),
@@ -54,14 +55,18 @@
 }
 
 /// Feeds each newer VM list and catalog to the routing machines.
-async fn follow_fleet(state: Arc<EntryState>, mut vm_list: watch::Receiver<Arc<VmList>>) {
+async fn follow_fleet(state: Arc<EntryState>) {
+    let mut vm_list = state.vm_list.subscribe();
     let mut config = state.catalog.clone();
     loop {
         let list = vm_list.borrow_and_update().clone();
         let catalog = config.borrow_and_update().clone();
         state.fleet.set_list(Arc::clone(&list));
+        state.liveness.set_list(&list);
         if let Some(catalog) = catalog {
-            state.traffic.fleet_changed(&list, &catalog);
+            let mut near = VmList::clone(&list);
+            near.vms = crate::fleet::served(&list, &state.name);
+            state.traffic.fleet_changed(&near, &catalog);
             state.poison.configure(&catalog.released_digests);
             share_limits(&state, &list, &catalog);
         }
@@ -93,22 +98,28 @@
         .iter()
         .filter(|vm| vm.role == VmRole::Entry)
         .count();
-    let holders: Vec<(AccountName, usize)> = catalog
+    let holders: Vec<(AccountName, Vec<VmName>)> = catalog
         .accounts
         .keys()
         .map(|account| {
             let subset = state.endpoints.subset(&view, account);
-            (account.clone(), subset.len().max(1))
+            let vms = subset.into_iter().map(|vm| vm.name.clone()).collect();
+            (account.clone(), vms)
         })
         .collect();
-    state.traffic.set_holders(&holders, entries.max(1));
+    state.sharers.set(&state.name, &holders);
+    let counts: Vec<(AccountName, usize)> = holders
+        .into_iter()
+        .map(|(account, vms)| (account, vms.len().max(1)))
+        .collect();
+    state.traffic.set_holders(&counts, entries.max(1));
 }
 
 /// Asks upstreams for their load from time to time.
 async fn follow_loads(state: Arc<EntryState>) {
     loop {
         let mut asks = JoinSet::new();
-        for record in state.fleet.upstreams() {
+        for record in state.fleet.served(&state.name) {
             let state = Arc::clone(&state);
             asks.spawn(async move { ask_load(&state, &record).await });
         }
@@ -169,35 +180,30 @@
         let jitter = rand::rng().random_range(0.8..1.2);
         tokio::time::sleep(LIMITS_PERIOD.mul_f64(jitter)).await;
         let digest = state.traffic.limit_digest();
-        let Ok(payload) = serde_json::to_vec(&digest) else {
-            continue;
-        };
-        let payload = Bytes::from(payload);
         let mut sends = JoinSet::new();
-        for record in state.fleet.entries() {
-            if record.name == state.name {
-                continue;
-            }
-            let (state, payload) = (Arc::clone(&state), payload.clone());
-            sends.spawn(async move { send_limits(&state, &record, payload).await });
+        for (peer, part) in state.sharers.split(&digest) {
+            let state = Arc::clone(&state);
+            sends.spawn(async move { send_limits(&state, &peer, &part).await });
         }
         while sends.join_next().await.is_some() {}
     }
 }
 
-/// Sends a digest; an entry that cannot be reached is left out of endpoint answers.
-async fn send_limits(state: &EntryState, record: &VmRecord, payload: Bytes) {
+/// Sends a digest; one that is lost is made good by the next.
+async fn send_limits(state: &EntryState, peer: &VmName, digest: &LimitDigest) {
+    let Some(addr) = state.fleet.peer_address(peer) else {
+        return;
+    };
+    let Ok(payload) = serde_json::to_vec(digest) else {
+        return;
+    };
     let sent = async {
-        let channel = state.channels.get(record.peer_address).await?;
-        channel.call(LIMITS_SERVICE, payload, LOAD_TIMEOUT).await
+        let channel = state.channels.get(addr).await?;
+        channel
+            .call(LIMITS_SERVICE, payload.into(), LOAD_TIMEOUT)
+            .await
     };
-    match sent.await {
-        Ok(answer) => state
-            .fleet
-            .set_away(&record.name, answer.as_ref() == LEAVING),
-        Err(_) => state.fleet.set_away(&record.name, true),
+    if sent.await.is_err() {
+        metrics::counter!("oriole_limits_lost_total").increment(1);
     }
 }
-
-/// Answer of an entry that is shutting down.
-pub const LEAVING: &[u8] = b"leaving";
--- a/crates/oriole_local/src/deployment.rs
+++ b/crates/oriole_local/src/deployment.rs
@@ -203,13 +203,14 @@
         Ok(())
     }
 
-    /// Whether every entry has heard of the load of every upstream.
+    /// Whether every entry has heard of the load of every upstream it serves.
     fn is_ready(&self) -> bool {
-        let upstreams = self.platform.upstreams.len();
         self.entries.iter().all(|entry| {
             let known = entry.vm.with(|d| {
                 let state = d.state();
-                state.catalog().is_ok() && admitting(&state.fleet.loads()) == upstreams
+                let served = state.fleet.served(&state.name).len();
+                let admitting = admitting(&state.fleet.loads());
+                state.catalog().is_ok() && served > 0 && admitting == served
             });
             known.unwrap_or(false)
         })
--- a/crates/oriole_peers/src/lib.rs
+++ b/crates/oriole_peers/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`note`]: what processes tell each other once a second.
 //! - [`platform`]: store, VM list and configuration as services of a process.
 //! - [`pool`]: one channel per process, connected on demand.
+//! - [`relayed_list`]: the VM list through relays.
 //! - [`vm_list`]: following the platform's lagging VM list.
 #![forbid(unsafe_code)]
 
@@ -13,6 +14,7 @@
 pub mod note;
 pub mod platform;
 pub mod pool;
+pub mod relayed_list;
 pub mod vm_list;
 
 /// Everything that daemons usually need from this crate.
--- a/crates/oriole_peers/src/platform.rs
+++ b/crates/oriole_peers/src/platform.rs
@@ -18,6 +18,7 @@
 
 use crate::config_peer::FrameConfigPeer;
 use crate::pool::ChannelPool;
+use crate::relayed_list::RelayedVmList;
 use crate::vm_list::{HttpVmList, VmListFollower};
 
 /// Name of the service that starts everything here.
@@ -88,7 +89,13 @@
         let store = HttpStore::open(cfg.store, StoreClientConfig::default());
         let store: Arc<dyn Store> = Arc::new(store);
         let channels = Arc::new(ChannelPool::new(cfg.channel.clone()));
-        let source = Arc::new(HttpVmList::open(cfg.vm_list));
+        let platform = Arc::new(HttpVmList::open(cfg.vm_list));
+        let source = Arc::new(RelayedVmList::new(
+            VmName::new(&cfg.channel.identity.name),
+            DomainName::new(&cfg.channel.identity.domain),
+            platform,
+            Arc::clone(&channels),
+        ));
         let vm_list = Arc::new(VmListFollower::spawn(source, cfg.vm_list_period));
         let peer = Arc::new(FrameConfigPeer::new(Arc::clone(&channels)));
         let me = Member {
