--- a/crates/oriole_bench/src/experiments/claims.rs
+++ b/crates/oriole_bench/src/experiments/claims.rs
@@ -31,6 +31,8 @@
 const MAX_WRITES_PER_S: f64 = 100.0;
 /// Bytes a second that a daemon may spend on control.
 const MAX_CONTROL_BYTES_PER_S: f64 = 15_000.0;
+/// Share of a core that a daemon may spend on control.
+const MAX_CONTROL_CORE_SHARE: f64 = 0.037;
 /// Memory of a daemon for control, in bytes.
 const MAX_CONTROL_MEMORY_BYTES: f64 = 256e6;
 
@@ -92,6 +94,7 @@
             "grouped_store_bytes_per_s_per_home",
             Limit::AtMost(MAX_CONTROL_BYTES_PER_S),
         )
+        .bound("history_core_share", Limit::AtMost(MAX_CONTROL_CORE_SHARE))
         .bound(
             "history_home_bytes",
             Limit::AtMost(MAX_CONTROL_MEMORY_BYTES),
--- a/crates/oriole_bench/src/experiments/claims_history.rs
+++ b/crates/oriole_bench/src/experiments/claims_history.rs
@@ -1,7 +1,7 @@
 //! A home with a full retention of claims: its memory, and what a takeover reads.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eyre::eyre;
@@ -123,6 +123,7 @@
     );
     let mut runs = 0;
     let mut now = Duration::ZERO;
+    let start = Instant::now();
     for n in 0..claims {
         now = gap.mul_f64(n as f64);
         runs += drive(
@@ -134,10 +135,13 @@
     }
     now += Duration::from_secs(1);
     runs += drive(&mut home, &mut store, now, Event::Tick);
+    let per_claim = start.elapsed().as_secs_f64() / claims as f64;
     let grown = resident_bytes()?.saturating_sub(before) as f64 - store.bytes() as f64;
     report
         .figure("history_claims", claims as f64)
         .figure("history_runs", runs as f64)
+        .figure("history_us_per_claim", per_claim * 1e6)
+        .figure("history_core_share", per_claim * CLAIMS_PER_S / HOMES)
         .figure("history_home_bytes", grown)
         .figure("history_home_bytes_per_claim", grown / claims as f64)
         .figure(
--- a/crates/oriole_claims/tests/world/mod.rs
+++ b/crates/oriole_claims/tests/world/mod.rs
@@ -20,6 +20,8 @@
 pub const AGENTS: usize = 3;
 /// Bit of a mask that stands for the paused processes.
 const ZOMBIES: u8 = 0x80;
+/// Slot whose homes call the store on demand only.
+const LAZY_SLOT: usize = 2;
 /// Partitions of the pool.
 pub const PARTITIONS: u32 = 2;
 /// Retention of the homes.
@@ -140,6 +142,7 @@
         let mut cfg = ClaimsConfig::new(pool(), vm(slot), Incarnation(incarnation), secret());
         cfg.partitions = PARTITIONS;
         cfg.limits = limits();
+        cfg.eager = slot != LAZY_SLOT;
         // The wall clocks of the agents differ by a good part of the retention.
         let skew = SKEW_MS * slot as u64;
         cfg.wall_at_start_ms = WALL_MS + skew + self.now.as_millis() as u64;
