Refuse a request whose run has not started a moment before its deadline

A refusal sent at the deadline reached the entry after the entry had given the request up as unknown, though nothing had run. It is now sent 50 ms, or a tenth of the timeout, earlier.

--- a/crates/oriole_claims/src/config.rs
+++ b/crates/oriole_claims/src/config.rs
@@ -18,6 +18,9 @@
     pub pool_commits_per_s: f64,
     /// Longest wait of a request for its claim to become durable.
     pub store_patience: Duration,
+    /// Time before its deadline at which a request whose run has not started is refused, so that
+    /// the refusal reaches the entry in time; a tenth of the request's timeout at most.
+    pub reply_margin: Duration,
     /// Delay before the first retry of a failed store call; it doubles with each.
     pub retry_min: Duration,
     /// Longest delay before a retry of a failed store call.
@@ -47,6 +50,7 @@
             issue_ahead: Duration::from_secs(300),
             pool_commits_per_s: 80.0,
             store_patience: Duration::from_secs(2),
+            reply_margin: Duration::from_millis(50),
             retry_min: Duration::from_millis(50),
             retry_max: Duration::from_secs(2),
             hold_off: Duration::from_millis(500),
--- a/crates/oriole_claims/src/home/calls.rs
+++ b/crates/oriole_claims/src/home/calls.rs
@@ -14,10 +14,13 @@
 impl ClaimHome {
     pub(super) fn add_call(&mut self, now: Duration, id: CallId, key: ClaimKey, timeout: Duration) {
         let deadline = now + timeout;
-        let limit = deadline.min(now + self.cfg.limits.store_patience);
+        let margin = self.cfg.limits.reply_margin.min(timeout / 10);
+        let last_start = deadline - margin;
+        let limit = last_start.min(now + self.cfg.limits.store_patience);
         let call = Call {
             key,
             deadline,
+            last_start,
             limit,
             starter: false,
         };
@@ -43,13 +46,16 @@
     }
 
     pub(super) fn end_late(&mut self, now: Duration, id: CallId) {
-        let Some(&Call { key, deadline, .. }) = self.calls.get(&id) else {
+        let Some(&Call {
+            key, last_start, ..
+        }) = self.calls.get(&id)
+        else {
             return;
         };
         let running = self.leave(key, id);
         let end = if running {
             ClaimEnd::Unknown(UnknownReason::Deadline)
-        } else if deadline <= now {
+        } else if last_start <= now {
             ClaimEnd::not_run(RefusalReason::Deadline)
         } else {
             ClaimEnd::not_run(RefusalReason::StoreUnavailable)
--- a/crates/oriole_claims/src/home/mod.rs
+++ b/crates/oriole_claims/src/home/mod.rs
@@ -64,6 +64,8 @@
 struct Call {
     key: ClaimKey,
     deadline: Duration,
+    /// When it is too late to start the call's run.
+    last_start: Duration,
     /// When the call ends if nothing else happens.
     limit: Duration,
     starter: bool,
--- a/crates/oriole_claims/tests/service.rs
+++ b/crates/oriole_claims/tests/service.rs
@@ -107,6 +107,22 @@
     assert_eq!(new, ClaimEnd::FirstRun("answer 3".into()));
 }
 
+/// The refusal must reach the entry before the entry gives the request up as unknown.
+#[tokio::test(start_paused = true)]
+async fn execute_refuses_before_the_deadline() {
+    let (store, runs) = (MemoryStore::new(), Arc::default());
+    let home = only_home(&store);
+    store.set_fault(StoreFault::Down);
+    let req = ClaimRequest {
+        timeout: Duration::from_secs(1),
+        ..request("k")
+    };
+    let asked = tokio::time::Instant::now();
+    let end = execute(&home, req, &runs).await;
+    assert_eq!(end, ClaimEnd::not_run(RefusalReason::Deadline));
+    assert!(asked.elapsed() < Duration::from_millis(960));
+}
+
 #[tokio::test(start_paused = true)]
 async fn execute_after_a_death_is_unknown() {
     let (store, runs) = (MemoryStore::new(), Arc::default());
