--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -6,10 +6,15 @@
 mod claims_baseline;
 mod claims_fleet;
 mod claims_history;
+mod cold_start;
+mod config_fleet;
+mod config_plain;
+mod config_spread;
 mod hot_account;
 mod overload;
 mod path;
 mod poison;
+mod restart;
 mod retry_storm;
 mod skew;
 mod skew_large;
@@ -20,10 +25,13 @@
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
         Box::new(claims::Claims),
+        Box::new(cold_start::ColdStart),
+        Box::new(config_spread::ConfigSpread),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(path::Path),
         Box::new(poison::Poison),
+        Box::new(restart::Restart),
         Box::new(retry_storm::RetryStorm),
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
