--- /dev/null
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -0,0 +1,220 @@
+//! What an entry knows of one upstream and the estimates it draws from that.
+
+use std::time::Duration;
+
+use oriole_types::prelude::*;
+
+use super::config::RouterConfig;
+use super::health::Health;
+
+/// Weight of the newest service time measured by the entry itself.
+const SERVICE_SMOOTHING: f64 = 0.2;
+
+/// Capacity of an upstream as the catalog states it for the upstream's pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatedCapacity {
+    /// Requests in flight it bears in cold start.
+    pub cold: u32,
+    /// Requests in flight it bears warm.
+    pub warm: u32,
+}
+
+/// One upstream as one entry knows it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Failure domain it lies in.
+    pub domain: DomainName,
+    /// What the catalog says it bears.
+    pub stated: StatedCapacity,
+    /// Whether list and catalog let it take new work.
+    pub in_service: bool,
+    /// Requests of this entry that run there.
+    pub own: u32,
+    /// Failures seen.
+    pub health: Health,
+    /// Time until which it gets nothing after a refusal.
+    pub hold_until: Duration,
+    /// Start of its slow start, if it has not passed.
+    pub ramp_from: Option<Duration>,
+    report: Option<Report>,
+    measured: Option<Measured>,
+}
+
+/// The smoothed service time that this entry measured, and when it last did.
+#[derive(Clone, Copy, Debug)]
+struct Measured {
+    service: Duration,
+    at: Duration,
+}
+
+/// The newest load report and when it was made, by this entry's clock.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: LoadReport,
+    made: Duration,
+    own: u32,
+}
+
+impl Report {
+    /// Requests at the upstream when the report was made.
+    fn total(&self) -> f64 {
+        f64::from(self.load.in_flight) + f64::from(self.load.queued)
+    }
+}
+
+impl Upstream {
+    /// An upstream of which nothing is known yet.
+    #[must_use]
+    pub fn new(domain: DomainName, stated: StatedCapacity) -> Self {
+        Self {
+            domain,
+            stated,
+            in_service: false,
+            own: 0,
+            health: Health::default(),
+            hold_until: Duration::ZERO,
+            ramp_from: None,
+            report: None,
+            measured: None,
+        }
+    }
+
+    /// Takes in a load report, unless a newer one is held; returns the load of the upstream as a
+    /// part of its limit.
+    pub fn note_report(&mut self, now: Duration, load: &LoadReport) -> Option<f64> {
+        let made = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
+        if self.report.is_some_and(|r| r.made > made) {
+            return None;
+        }
+        let report = Report {
+            load: *load,
+            made,
+            own: self.own,
+        };
+        self.report = Some(report);
+        Some(report.total() / f64::from(load.limit.max(1)))
+    }
+
+    /// Notes how long a whole answer took.
+    pub fn note_service(&mut self, now: Duration, elapsed: Duration) {
+        let service = self.measured.map_or(elapsed, |held| {
+            let old = held.service.mul_f64(1.0 - SERVICE_SMOOTHING);
+            old + elapsed.mul_f64(SERVICE_SMOOTHING)
+        });
+        self.measured = Some(Measured { service, at: now });
+    }
+
+    /// Starts over after the upstream was away: what it said before counts no more.
+    pub fn restart(&mut self, now: Duration) {
+        self.report = None;
+        self.measured = None;
+        self.health = Health::default();
+        self.hold_until = now;
+        self.ramp_from = Some(now);
+    }
+
+    /// Whether the agent said that it takes no new work, not too long ago.
+    #[must_use]
+    pub fn is_leaving(&self, now: Duration, cfg: &RouterConfig) -> bool {
+        self.report
+            .is_some_and(|r| r.load.leaving && now.saturating_sub(r.made) < cfg.leaving_ttl)
+    }
+
+    /// Most requests in flight that the upstream admits, as far as is known.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        let said = self.report.map(|r| r.load.limit);
+        said.unwrap_or(self.stated.cold)
+            .clamp(1, self.stated.warm.max(1))
+    }
+
+    /// Requests believed at the upstream: what the report said and what this entry did since, a
+    /// belief that fades to the average over the pool as the report ages.
+    #[must_use]
+    pub fn load(&self, now: Duration, pool_load: f64, cfg: &RouterConfig) -> f64 {
+        let own = f64::from(self.own);
+        let average = pool_load * f64::from(self.limit());
+        let believed = self.report.map_or(average, |r| {
+            let age = now.saturating_sub(r.made).as_secs_f64();
+            let belief = (-age / cfg.load_half_life.as_secs_f64()).exp2();
+            let moved = r.total() + own - f64::from(r.own);
+            moved * belief + average * (1.0 - belief)
+        });
+        believed.max(own)
+    }
+
+    /// Requests of a class that this entry may still send: by capacity and by slow start.
+    #[must_use]
+    pub fn room(
+        &self,
+        now: Duration,
+        pool_load: f64,
+        priority: Priority,
+        cfg: &RouterConfig,
+    ) -> f64 {
+        let limit = f64::from(self.limit());
+        let by_load = limit + self.waiting_room(priority, cfg) - self.load(now, pool_load, cfg);
+        by_load.min(self.own_cap(now, cfg) - f64::from(self.own))
+    }
+
+    /// Requests that may wait at the upstream when one of a class is sent. A short queue there
+    /// refills a slot at once and lets the agent put urgent requests first; a cold upstream gets
+    /// none.
+    fn waiting_room(&self, priority: Priority, cfg: &RouterConfig) -> f64 {
+        if self.limit() < self.stated.warm {
+            return 0.0;
+        }
+        let part = match priority {
+            Priority::High => cfg.high_waiting,
+            Priority::Normal | Priority::Low => cfg.usual_waiting,
+        };
+        (part * f64::from(self.limit())).floor()
+    }
+
+    /// Whether nothing fresh is known of the upstream, so that it may be tried although it seems
+    /// full.
+    #[must_use]
+    pub fn is_unknown(&self, now: Duration, cfg: &RouterConfig) -> bool {
+        let own_cap = self.own_cap(now, cfg);
+        let news = self.report.map_or(Duration::ZERO, |r| r.made);
+        f64::from(self.own) + 1.0 <= own_cap && now.saturating_sub(news) >= cfg.probe_min
+    }
+
+    /// Part of its full share that the upstream gets during slow start, between 0 and 1.
+    #[must_use]
+    pub fn ramp(&self, now: Duration, cfg: &RouterConfig) -> f64 {
+        self.ramp_from.map_or(1.0, |from| {
+            let elapsed = now.saturating_sub(from).as_secs_f64();
+            (elapsed / cfg.slow_start.as_secs_f64()).min(1.0)
+        })
+    }
+
+    /// Service time that a request can expect: what this entry measured, a belief that fades to
+    /// the average over the pool as it ages.
+    ///
+    /// Without the fading an upstream whose last requests happened to be long would look slow for
+    /// good, since it gets none that could show otherwise.
+    #[must_use]
+    pub fn service(&self, now: Duration, pool_service: Duration, cfg: &RouterConfig) -> Duration {
+        self.measured.map_or(pool_service, |measured| {
+            let age = now.saturating_sub(measured.at).as_secs_f64();
+            let belief = (-age / cfg.service_half_life.as_secs_f64()).exp2();
+            measured.service.mul_f64(belief) + pool_service.mul_f64(1.0 - belief)
+        })
+    }
+
+    /// Whether the upstream said that it is in cold start.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.report.is_some_and(|r| r.load.cold)
+    }
+
+    /// Most requests that this entry alone may have running there.
+    fn own_cap(&self, now: Duration, cfg: &RouterConfig) -> f64 {
+        if self.health.on_probation() {
+            return 1.0;
+        }
+        let most = f64::from(self.limit()) + self.waiting_room(Priority::High, cfg);
+        (most * self.ramp(now, cfg)).max(1.0)
+    }
+}
--- a/crates/oriole_standins/src/lib.rs
+++ b/crates/oriole_standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`service`]: a plain service whose [`ledger`] counts executions per idempotency key.
 //! - [`vitals`]: the health that engines and services share: states, work in flight, overload.
 //! - [`vm_list`]: the platform's VM list, with a lag.
+//! - [`store`]: the platform's key-value store over HTTP.
 //! - [`faults`]: the control address of an outside driver: ledger, upstreams, faults.
 //! - [`server`]: the small HTTP server that carries all of them.
 #![forbid(unsafe_code)]
@@ -15,6 +16,7 @@
 pub mod ledger;
 pub mod server;
 pub mod service;
+pub mod store;
 pub mod vitals;
 pub mod vm_list;
 
