Find an upstream only by reports made after its loss, and say where content may run

Cause: the agent took any report as what runs at the upstream now. Reports lag: after a restart of the agent, one made before its start may count fewer requests than still run, and a cold upstream would get more than it bears. Work that a loss overtook between its start and its sending was sent all the same, uncounted.

Change: only a report made after the loss, or after the agent's start, finds the upstream; work belongs to the life in which it was offered and is refused as not run if that is over; ages are taken with what their rounding hides. Plain services report their load with a lag and in the same form as engines.

--- a/crates/oriole_admission/src/lib.rs
+++ b/crates/oriole_admission/src/lib.rs
@@ -40,5 +40,5 @@
     pub use crate::gate::{
         Action, Decision, FinishKind, Gate, GateConfig, Offer, Refusal, UpstreamReport, WorkId,
     };
-    pub use crate::poison::{PoisonDigest, PoisonLedger, Standing, homes};
+    pub use crate::poison::{Places, PoisonDigest, PoisonLedger, Standing, homes};
 }
--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -5,8 +5,10 @@
 
 use metrics::counter;
 use oriole_types::digest::Digest;
+use oriole_types::ids::VmName;
 use oriole_types::value_type;
 
+use super::home::{home_of_suspect, homes};
 use super::record::{Crash, CrashId, CrashNote, PoisonDigest, PoisonRecord};
 
 /// Crashes that condemn a content if one of them was in its solo run.
@@ -40,6 +42,15 @@
     }
 }
 
+/// Where a content may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Places<'a> {
+    /// At every upstream of its pool.
+    Anywhere,
+    /// At these, best first; at none if it is quarantined.
+    Only(Vec<&'a VmName>),
+}
+
 /// Crashes by content. Two ledgers merge by union, in any order and any number of times.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonLedger {
@@ -73,6 +84,25 @@
         }
     }
 
+    /// Where a content may run, among the upstreams of its pool as this process sees them. An entry
+    /// sends it nowhere else.
+    #[must_use]
+    pub fn places<'a>(
+        &self,
+        content: &Digest,
+        upstreams: impl IntoIterator<Item = &'a VmName>,
+    ) -> Places<'a> {
+        match self.standing(content) {
+            Standing::Proven => Places::Anywhere,
+            Standing::Unproven => Places::Only(homes(content, upstreams)),
+            Standing::Suspect => {
+                let home = home_of_suspect(content, upstreams);
+                Places::Only(home.into_iter().collect())
+            }
+            Standing::Quarantined => Places::Only(Vec::new()),
+        }
+    }
+
     /// Notes that an upstream crashed while it ran some contents; `solo` says that the one content
     /// was a suspect that ran alone on purpose. Contents that have completed before are not
     /// suspected.
--- a/crates/oriole_admission/src/poison/mod.rs
+++ b/crates/oriole_admission/src/poison/mod.rs
@@ -15,5 +15,5 @@
 mod record;
 
 pub use self::home::{HOMES, home_of_suspect, homes};
-pub use self::ledger::{PoisonLedger, Standing};
+pub use self::ledger::{Places, PoisonLedger, Standing};
 pub use self::record::{CrashId, CrashNote, PoisonDigest, PoisonRecord};
--- a/crates/oriole_admission/tests/gate.rs
+++ b/crates/oriole_admission/tests/gate.rs
@@ -251,6 +251,44 @@
     assert_eq!(ledger.standing(&content), Standing::Suspect);
 }
 
+#[test]
+fn places_narrow_with_each_crash() {
+    let content = Digest::of(b"x");
+    let pool: Vec<_> = (0..16).map(|n| VmName::new(&format!("vm-{n}"))).collect();
+    let mut ledger = PoisonLedger::default();
+    let mut seen = vec![ledger.places(&content, &pool)];
+    for (number, solo) in [(1, false), (2, true)] {
+        let id = CrashId {
+            vm: "vm-1".into(),
+            number,
+        };
+        ledger.crashed(T0, &id, &BTreeSet::from([content]), solo);
+        seen.push(ledger.places(&content, &pool));
+    }
+    let homes = homes(&content, &pool);
+    let narrowed = [homes.clone(), vec![homes[0]], vec![]].map(Places::Only);
+    assert_eq!(seen, narrowed);
+    let other = Digest::of(b"y");
+    ledger.completed(&other, false);
+    assert_eq!(ledger.places(&other, &pool), Places::Anywhere);
+}
+
+#[test]
+fn upstream_that_reports_nothing_of_cold_warms_by_its_best_pace() {
+    let mut gate = open_gate(GateConfig::default());
+    let mut now = T0;
+    for n in 0..30 {
+        gate.heard_configuration(now, &Confirmation::fresh("a".into()));
+        assert_eq!(gate.offer(now, offer(n)), Decision::Admit);
+        for _ in 0..10 {
+            now += ms(5);
+            gate.output(now, WorkId(n), 1);
+        }
+        gate.finished(now, WorkId(n), FinishKind::Complete);
+    }
+    assert!(gate.load_report(now).limit > 2);
+}
+
 #[test]
 fn merge_in_any_order_gives_the_same_standing() {
     let content = Digest::of(b"x");
--- a/crates/oriole_agent/src/gatekeeper.rs
+++ b/crates/oriole_agent/src/gatekeeper.rs
@@ -13,6 +13,9 @@
 use oriole_types::prelude::*;
 use tokio::sync::oneshot;
 
+/// What a report's age in whole milliseconds may leave out.
+const AGE_ROUNDING: Duration = Duration::from_millis(1);
+
 /// The admission gate behind one lock; clones share it.
 #[derive(Clone)]
 pub struct Gatekeeper {
@@ -26,6 +29,7 @@
     next: WorkId,
     poison_sent: BTreeMap<VmName, u64>,
     losses: u64,
+    lost_at: Duration,
 }
 
 /// Work that may run at the upstream; say how it ended.
@@ -49,6 +53,7 @@
             next: WorkId(1),
             poison_sent: BTreeMap::new(),
             losses: 0,
+            lost_at: clock.now(),
         };
         Self {
             clock,
@@ -68,17 +73,22 @@
         deadline: Duration,
         proven: bool,
     ) -> Result<Work, Refusal> {
-        let (id, rx) = self.offer(content, priority, deadline, proven)?;
+        let (work, rx) = self.offer(content, priority, deadline, proven)?;
         let Some(rx) = rx else {
-            return Ok(self.work(id));
+            return Ok(work);
         };
         let mut waiting = Waiting {
             keeper: self,
-            id,
+            id: work.id,
             rx,
         };
         match (&mut waiting.rx).await {
-            Ok(Ok(())) => Ok(self.work(id)),
+            Ok(Ok(())) if work.is_current() => Ok(work),
+            // Lost between its start and now: the gate has forgotten it, so it must not be sent.
+            Ok(Ok(())) => Err(Refusal {
+                reason: RefusalReason::UpstreamUnreachable,
+                retry_after: None,
+            }),
             Ok(Err(refusal)) => Err(refusal),
             Err(_) => Err(Refusal {
                 reason: RefusalReason::Cancelled,
@@ -112,7 +122,7 @@
     /// Notes what the upstream said of its load `age` ago, asked at `asked`.
     pub fn upstream_report(&self, asked: Duration, age: Duration, in_flight: u32, cold: bool) {
         let report = UpstreamReport {
-            made_at: asked.saturating_sub(age),
+            made_at: asked.saturating_sub(age + AGE_ROUNDING),
             in_flight,
             cold: Some(cold),
         };
@@ -124,10 +134,19 @@
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.losses += 1;
+        inner.lost_at = now;
         let actions = inner.gate.upstream_lost(now);
         inner.apply(actions);
     }
 
+    /// Whether a report asked for at some time was made after the last loss, or after the start of
+    /// this agent. An older one does not tell what runs at the upstream now.
+    #[must_use]
+    pub fn is_after_loss(&self, asked: Duration, age: Duration) -> bool {
+        let made_at = asked.checked_sub(age + AGE_ROUNDING);
+        made_at.is_some_and(|at| at >= self.lock().lost_at)
+    }
+
     /// The load as entries get it.
     #[must_use]
     pub fn load(&self) -> LoadReport {
@@ -165,33 +184,30 @@
         priority: Priority,
         deadline: Duration,
         proven: bool,
-    ) -> Result<(WorkId, Option<Verdict>), Refusal> {
+    ) -> Result<(Work, Option<Verdict>), Refusal> {
         let now = self.clock.now();
         let mut inner = self.lock();
         let id = inner.next;
         inner.next = id.next();
+        // Queued work does not outlive a loss, so the count at the offer is that at the start.
+        let work = Work {
+            keeper: self.clone(),
+            id,
+            losses: inner.losses,
+        };
         let mut offer = Offer::new(id, content, deadline).with_priority(priority);
         offer.proven = proven;
         match inner.gate.offer(now, offer) {
-            Decision::Admit => Ok((id, None)),
+            Decision::Admit => Ok((work, None)),
             Decision::Queue => {
                 let (tx, rx) = oneshot::channel();
                 inner.waiting.insert(id, tx);
-                Ok((id, Some(rx)))
+                Ok((work, Some(rx)))
             }
             Decision::Refuse(refusal) => Err(refusal),
         }
     }
 
-    fn work(&self, id: WorkId) -> Work {
-        let losses = self.lock().losses;
-        Work {
-            keeper: self.clone(),
-            id,
-            losses,
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/oriole_agent/src/watchers.rs
+++ b/crates/oriole_agent/src/watchers.rs
@@ -46,8 +46,10 @@
         let asked = core.clock.now();
         match core.upstream.load().await {
             Ok(load) => {
-                core.upstream_found(load.in_flight);
                 let age = Duration::from_millis(u64::from(load.age_ms));
+                if core.gate.is_after_loss(asked, age) {
+                    core.upstream_found(load.in_flight);
+                }
                 core.gate
                     .upstream_report(asked, age, load.in_flight, load.cold);
             }
--- a/crates/oriole_standins/src/engine/load.rs
+++ b/crates/oriole_standins/src/engine/load.rs
@@ -10,6 +10,8 @@
 
 /// Shortest time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+/// Samples kept while nobody reads them.
+const MAX_SAMPLES: usize = 1024;
 
 domain_type! {
     /// Answer of `GET /v1/load`.
@@ -68,6 +70,9 @@
             cold: view.state == VitalsState::Cold,
             age_ms: 0,
         };
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
         self.samples.push_back((Instant::now(), load));
     }
 }
--- a/crates/oriole_standins/src/engine/mod.rs
+++ b/crates/oriole_standins/src/engine/mod.rs
@@ -6,7 +6,7 @@
 //! - `GET /v1/load` gives a load report that lags.
 
 mod generate;
-mod load;
+pub(crate) mod load;
 mod orders;
 mod prefix;
 mod slots;
--- a/crates/oriole_standins/src/service.rs
+++ b/crates/oriole_standins/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -10,8 +10,9 @@
 use hyper::body::Incoming;
 use oriole_types::digest::Digest;
 use oriole_types::domain_type;
-use oriole_types::fleet::LoadReport;
 
+use crate::engine::load::LaggingLoad;
+use crate::engine::lock;
 use crate::ledger::Ledger;
 use crate::server::{self, Body, Cut, Handler, HttpServer};
 use crate::vitals::{Running, UpstreamView, Vitals, VitalsConfig, VitalsState};
@@ -23,6 +24,8 @@
     pub vitals: VitalsConfig,
     /// Time one request takes while warm.
     pub service_time: Duration,
+    /// Age of load reports.
+    pub report_lag: Duration,
 }
 
 impl Default for ServiceConfig {
@@ -30,6 +33,7 @@
         Self {
             vitals: VitalsConfig::default(),
             service_time: Duration::from_millis(2),
+            report_lag: Duration::from_millis(200),
         }
     }
 }
@@ -65,6 +69,7 @@
         let core = Core {
             vitals: vitals.clone(),
             service_time: cfg.service_time,
+            load: Mutex::new(LaggingLoad::new(cfg.report_lag)),
             ledger,
         };
         let server = HttpServer::bind(Arc::new(core), cut).await?;
@@ -97,6 +102,7 @@
 struct Core {
     vitals: Vitals,
     service_time: Duration,
+    load: Mutex<LaggingLoad>,
     ledger: Ledger,
 }
 
@@ -123,6 +129,7 @@
         let Ok(running) = self.vitals.begin(&String::from_utf8_lossy(&body)) else {
             return server::no_answer().await;
         };
+        lock(&self.load).sample(&self.vitals.view(), 0);
         let crashed = running.crashed();
         let answer = self.execute(running, key, Digest::of(&body));
         // What has begun goes on even if the client leaves, but not beyond the end of the process.
@@ -163,13 +170,7 @@
     }
 
     fn load(&self) -> Response<Body> {
-        let view = self.vitals.view();
-        let report = LoadReport {
-            in_flight: view.in_flight,
-            cold: view.state == VitalsState::Cold,
-            service_ms: self.service_time.as_millis() as u32,
-            ..LoadReport::default()
-        };
+        let report = lock(&self.load).report(&self.vitals.view(), 0);
         server::json(StatusCode::OK, &report)
     }
 }
