Send a request that failed an upstream only to its home

Cause: an entry retried an idempotent request at another upstream right after one had crashed under it. News of the suspicion take up to seconds, so a poisonous request crashed one upstream after the other, as far as its retries went; and a request known as suspect was picked an upstream that had to refuse it.

Change: after a failed upstream, a refusal as not_home, or with suspect content, the entry picks only the suspect's home, where it runs alone. Work that a claim binds to its agent runs alone there, since it can run nowhere else.

The tests of the whole path and of admission pass, with one more for bound suspects.

--- a/crates/oriole_admission/src/gate/admit.rs
+++ b/crates/oriole_admission/src/gate/admit.rs
@@ -38,6 +38,9 @@
             return Err(RefusalReason::Deadline);
         }
         let standing = self.poison.standing(&offer.content);
+        if offer.bound && standing != Standing::Quarantined {
+            return Ok(standing);
+        }
         match standing {
             Standing::Quarantined => Err(RefusalReason::Quarantined),
             Standing::Suspect if !self.is_home_of_suspect(&offer.content) => {
--- a/crates/oriole_admission/src/gate/types.rs
+++ b/crates/oriole_admission/src/gate/types.rs
@@ -69,6 +69,9 @@
     pub deadline: Duration,
     /// Whether the entry knows that the content has completed before.
     pub proven: bool,
+    /// Whether the work can run nowhere else, as the key of a request that is not idempotent binds
+    /// it; homes do not apply to it.
+    pub bound: bool,
 }
 
 impl Offer {
@@ -81,6 +84,7 @@
             priority: Priority::Normal,
             deadline,
             proven: false,
+            bound: false,
         }
     }
 
--- a/crates/oriole_admission/tests/gate.rs
+++ b/crates/oriole_admission/tests/gate.rs
@@ -273,6 +273,30 @@
     assert_eq!(ledger.places(&other, &pool), Places::Anywhere);
 }
 
+#[test]
+fn suspect_runs_away_from_its_home_only_if_bound() {
+    let mut gate = open_gate(GateConfig::default());
+    let pool = ["upstream", "other"].map(VmName::new);
+    gate.set_pool(&pool);
+    let away = (0..99).find(|n| homes(&offer(*n).content, &pool)[0] == &pool[1]);
+    let mut offer = offer(away.unwrap());
+    let id = CrashId {
+        vm: "other".into(),
+        number: 1,
+    };
+    let contents = BTreeSet::from([offer.content]);
+    gate.poison_mut().crashed(T0, &id, &contents, false);
+    assert_eq!(
+        reason(gate.offer(T0, offer.clone())),
+        Some(RefusalReason::NotHome)
+    );
+    offer.bound = true;
+    assert_eq!(gate.offer(T0, offer), Decision::Admit);
+    // It runs alone all the same.
+    let beside = Offer::new(WorkId(1000), Digest::of(b"beside"), T0 + ms(60_000));
+    assert_eq!(gate.offer(T0, beside), Decision::Queue);
+}
+
 #[test]
 fn upstream_that_reports_nothing_of_cold_warms_by_its_best_pace() {
     let mut gate = open_gate(GateConfig::default());
--- a/crates/oriole_agent/src/gatekeeper.rs
+++ b/crates/oriole_agent/src/gatekeeper.rs
@@ -32,6 +32,15 @@
     lost_at: Duration,
 }
 
+/// What the gate must know of content besides its digest.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trust {
+    /// Whether the entry knows that the content has completed before.
+    pub proven: bool,
+    /// Whether the work can run at no other upstream.
+    pub bound: bool,
+}
+
 /// Work that may run at the upstream; say how it ended.
 ///
 /// Dropping it leaves the work counted until it is known that the upstream is done with it, so
@@ -71,9 +80,9 @@
         content: Digest,
         priority: Priority,
         deadline: Duration,
-        proven: bool,
+        trust: Trust,
     ) -> Result<Work, Refusal> {
-        let (work, rx) = self.offer(content, priority, deadline, proven)?;
+        let (work, rx) = self.offer(content, priority, deadline, trust)?;
         let Some(rx) = rx else {
             return Ok(work);
         };
@@ -183,7 +192,7 @@
         content: Digest,
         priority: Priority,
         deadline: Duration,
-        proven: bool,
+        trust: Trust,
     ) -> Result<(Work, Option<Verdict>), Refusal> {
         let now = self.clock.now();
         let mut inner = self.lock();
@@ -196,7 +205,8 @@
             losses: inner.losses,
         };
         let mut offer = Offer::new(id, content, deadline).with_priority(priority);
-        offer.proven = proven;
+        offer.proven = trust.proven;
+        offer.bound = trust.bound;
         match inner.gate.offer(now, offer) {
             Decision::Admit => Ok((work, None)),
             Decision::Queue => {
--- a/crates/oriole_agent/src/run.rs
+++ b/crates/oriole_agent/src/run.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::core::AgentCore;
-use crate::gatekeeper::Work;
+use crate::gatekeeper::{Trust, Work};
 use crate::upstream::{Answer, Job, UpstreamError};
 
 /// Largest answer of a request that is not idempotent, in bytes.
@@ -97,10 +97,15 @@
 }
 
 async fn admit(core: &AgentCore, job: &Job, proven: bool) -> Result<Work, Refusal> {
+    let trust = Trust {
+        proven,
+        // The claim of a request that is not idempotent binds it to this agent.
+        bound: !job.head.idempotent,
+    };
     let timeout = Duration::from_millis(u64::from(job.head.timeout_ms));
     let deadline = core.clock.now() + timeout;
     core.gate
-        .admit(job.head.content, job.head.priority, deadline, proven)
+        .admit(job.head.content, job.head.priority, deadline, trust)
         .await
         .map_err(|refused| {
             let reason = refused.reason.as_str();
--- a/crates/oriole_entry/src/dispatch.rs
+++ b/crates/oriole_entry/src/dispatch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriole_admission::poison::home_of_suspect;
 use oriole_peers::note::encode_age;
 use oriole_routing::queue::Waiting;
 use oriole_routing::retry::{AttemptEnd, RetryAsk, RetryDecision};
@@ -79,6 +80,8 @@
     pub(crate) attempts: Attempt,
     position: u64,
     exclude: Vec<VmName>,
+    /// Whether this request failed an upstream, or was told to run elsewhere as a suspect.
+    suspected: bool,
 }
 
 /// How an attempt ended.
@@ -104,6 +107,7 @@
             attempts: 0,
             position: 0,
             exclude: Vec::new(),
+            suspected: false,
         }
     }
 
@@ -194,6 +198,7 @@
                     self.note_load(&vm, load);
                     guard.refused(reason, retry_after_ms, load.as_ref());
                     self.exclude.push(vm.clone());
+                    self.suspected |= reason == RefusalReason::NotHome;
                     let message = format!("the upstream refused the request: {reason}");
                     let refusal = Refusal::new(reason, message).retry_after(retry_after_ms);
                     return AttemptOutcome::NotRun(refusal);
@@ -202,6 +207,7 @@
                     self.note_load(&vm, load);
                     guard.failed(load.as_ref());
                     self.exclude.push(vm);
+                    self.suspected |= reason == UnknownReason::UpstreamFailed;
                     return AttemptOutcome::Unknown(reason);
                 }
             }
@@ -273,6 +279,22 @@
         Instant::now() + left
     }
 
+    /// Where the request must not go. Once it is suspect only its home is left, where it runs alone:
+    /// a poisonous request that is sent on would crash one upstream after the other.
+    fn excluded(&self) -> Vec<VmName> {
+        let content = &self.accepted.head.content;
+        if !self.suspected && !self.state.poison.is_suspect(content) {
+            return self.exclude.clone();
+        }
+        let Some(catalog) = self.state.catalog.borrow().clone() else {
+            return self.exclude.clone();
+        };
+        let mut members = self.state.fleet.pool_members(&self.accepted.pool, &catalog);
+        let home = home_of_suspect(content, &members).cloned();
+        members.retain(|vm| Some(vm) != home.as_ref());
+        members
+    }
+
     fn pick_ask(&self) -> PickAsk {
         let head = &self.accepted.head;
         let body = &self.accepted.body;
@@ -281,7 +303,7 @@
         PickAsk {
             pool: self.accepted.pool.clone(),
             prefix: is_engine.then(|| xxh3_64(prefix)),
-            exclude: self.exclude.clone(),
+            exclude: self.excluded(),
             waiting: Waiting {
                 account: head.account.clone(),
                 weight: self.accepted.weight,
--- a/crates/oriole_entry/src/poison.rs
+++ b/crates/oriole_entry/src/poison.rs
@@ -55,6 +55,12 @@
         self.lock().ledger.standing(content) == Standing::Proven
     }
 
+    /// Whether an upstream crashed while it ran the content.
+    #[must_use]
+    pub fn is_suspect(&self, content: &Digest) -> bool {
+        self.lock().ledger.standing(content) == Standing::Suspect
+    }
+
     /// Notes that content completed.
     pub fn completed(&self, content: &Digest) {
         self.lock().ledger.completed(content, false);
