--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -4,11 +4,16 @@
 
 pub mod skew;
 pub mod skew_large;
+pub mod switch;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(skew::Skew), Box::new(skew_large::SkewLarge)]
+    vec![
+        Box::new(skew::Skew),
+        Box::new(skew_large::SkewLarge),
+        Box::new(switch::Switch),
+    ]
 }
 
 /// The experiment of some name.
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/switch/timeline.rs
@@ -0,0 +1,48 @@
+//! Events in order of their time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// Milliseconds since the start of a run.
+pub type Ms = u64;
+
+/// Events that are due at some time; those of one time come in the order they were added.
+#[derive(Debug)]
+pub struct Timeline<E> {
+    now: Ms,
+    next: u64,
+    due: BinaryHeap<Reverse<(Ms, u64)>>,
+    events: BTreeMap<u64, E>,
+}
+
+impl<E> Default for Timeline<E> {
+    fn default() -> Self {
+        Self {
+            now: 0,
+            next: 0,
+            due: BinaryHeap::new(),
+            events: BTreeMap::new(),
+        }
+    }
+}
+
+impl<E> Timeline<E> {
+    /// The time of the last event.
+    pub fn now(&self) -> Ms {
+        self.now
+    }
+
+    /// Adds an event that is due after some time.
+    pub fn after(&mut self, delay: Ms, event: E) {
+        self.next += 1;
+        self.due.push(Reverse((self.now + delay, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    /// Takes the next event and moves the time to it.
+    pub fn pop(&mut self) -> Option<E> {
+        let Reverse((at, number)) = self.due.pop()?;
+        self.now = at;
+        self.events.remove(&number)
+    }
+}
--- /dev/null
+++ b/crates/oriole_bench/src/experiments/switch/votes.rs
@@ -0,0 +1,302 @@
+//! The switch as it is built: ranks vote, the closer decides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriole_placement::prelude::{ExpertMap, LayerMap, MapId, MapVersion};
+use oriole_rollout::prelude::*;
+use oriole_rollout::standin::{StandinConfig, StandinEngine};
+use oriole_types::ids::{Fence, Incarnation};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use super::conditions::{Conditions, Costs, ENGINE_MS, LEAD_MS, LOAD_MS, NET_MS, STEP_MS, TICK_MS};
+use super::timeline::{Ms, Timeline};
+
+/// Time after which a group that does not settle counts as stuck, in milliseconds.
+const STUCK_MS: Ms = 120_000;
+/// Fencing number of the coordinator.
+const FENCE: Fence = Fence(1);
+
+enum Event {
+    Net(Party, Envelope),
+    Order(usize, EngineOrder),
+    State(usize, Box<EngineState>),
+    Loaded(usize),
+    Tick(usize),
+    Step,
+    Resume(usize),
+}
+
+/// A group whose ranks run the real machines against stand-in engines in simulated time.
+pub struct VotingGroup {
+    rng: ChaCha8Rng,
+    timeline: Timeline<Event>,
+    agents: Vec<RankAgent>,
+    engines: Vec<StandinEngine>,
+    stalled: Vec<Vec<(Party, Envelope)>>,
+    is_stalled: Vec<bool>,
+    loss: f64,
+    settling: bool,
+    attempts: u32,
+    outcome: Option<bool>,
+    base: Option<MapId>,
+    /// What has been counted so far.
+    pub costs: Costs,
+}
+
+impl VotingGroup {
+    /// A group under its first map.
+    pub fn new(ranks: usize, seed: u64) -> Self {
+        let run = |r: usize| Incarnation(r as u64 + 1);
+        let agent = |r| RankAgent::new(RankConfig::default(), r as RankId, ranks, run(r));
+        let engine = |r| StandinEngine::new(StandinConfig::default(), run(r), 0);
+        let mut group = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            timeline: Timeline::default(),
+            agents: (0..ranks).map(agent).collect(),
+            engines: (0..ranks).map(engine).collect(),
+            stalled: vec![Vec::new(); ranks],
+            is_stalled: vec![false; ranks],
+            loss: 0.0,
+            settling: false,
+            attempts: 0,
+            outcome: None,
+            base: None,
+            costs: Costs::default(),
+        };
+        for rank in 0..ranks {
+            group.timeline.after(TICK_MS, Event::Tick(rank));
+        }
+        group.timeline.after(STEP_MS, Event::Step);
+        group.run_for(1_000);
+        group.switch(&Conditions::default());
+        group.costs = Costs::default();
+        group
+    }
+
+    /// Switches to another map; returns whether it came into force.
+    pub fn switch(&mut self, conditions: &Conditions) -> bool {
+        self.costs.switches += 1;
+        self.loss = conditions.loss;
+        let map = self.next_map();
+        let id = map.id();
+        self.stage(&Arc::new(map));
+        let proposal = self.proposal(id);
+        self.outcome = None;
+        for rank in 0..self.agents.len() {
+            self.order_rank(rank, GroupMessage::Propose(proposal));
+        }
+        if let Some((rank, ms)) = conditions.stalled_agent {
+            self.is_stalled[rank] = true;
+            self.timeline.after(ms, Event::Resume(rank));
+        }
+        self.settle(&proposal)
+    }
+
+    /// Lets time pass without a switch.
+    pub fn run_for(&mut self, ms: Ms) {
+        let end = self.timeline.now() + ms;
+        while self.timeline.now() < end {
+            self.next_event();
+        }
+    }
+
+    /// A map of the next version; its content does not matter to the switch.
+    fn next_map(&self) -> ExpertMap {
+        let version = self.base.map_or(MapVersion(1), |id| id.version.next());
+        let layer = LayerMap {
+            experts: vec![0],
+            shares: vec![version.0 as u16],
+        };
+        ExpertMap {
+            version: MapVersion(version.0 + u64::from(self.attempts)),
+            slots_per_rank: 1,
+            layers: vec![layer],
+        }
+    }
+
+    fn stage(&mut self, map: &Arc<ExpertMap>) {
+        let id = map.id();
+        let deadline = self.timeline.now() + STUCK_MS;
+        while self.timeline.now() < deadline {
+            let missing: Vec<usize> = (0..self.engines.len())
+                .filter(|r| !self.engines[*r].state().staged.contains(&id))
+                .collect();
+            if missing.is_empty() {
+                return self.run_for(2 * TICK_MS);
+            }
+            for rank in missing {
+                self.order_rank(rank, GroupMessage::Prepare(map.clone()));
+            }
+            self.run_for(2 * LOAD_MS + 4 * TICK_MS);
+        }
+    }
+
+    fn proposal(&mut self, next: MapId) -> Proposal {
+        self.attempts += 1;
+        let lead = if self.base.is_some() {
+            LEAD_MS / STEP_MS
+        } else {
+            0
+        };
+        let steps = self.engines.iter().map(|e| e.state().next_step);
+        Proposal {
+            switch: SwitchId {
+                fence: FENCE,
+                version: next.version,
+                attempt: self.attempts,
+            },
+            base: self.base,
+            next,
+            at_step: steps.max().unwrap_or(0) + lead,
+            closer: (self.attempts as usize % self.agents.len()) as RankId,
+        }
+    }
+
+    /// Runs until no rank is waiting for the outcome and, if committed, all use the next map.
+    fn settle(&mut self, proposal: &Proposal) -> bool {
+        let start = self.timeline.now();
+        self.settling = true;
+        let mut known = None;
+        while self.timeline.now() < start + STUCK_MS {
+            self.next_event();
+            let commits = |a: &RankAgent| a.committed() == Some(*proposal);
+            let all = self.agents.iter().all(commits);
+            let none = self.outcome == Some(false);
+            if (all || none) && known.is_none() {
+                known = Some(self.timeline.now() - start);
+            }
+            let held = self.engines.iter().any(|e| e.state().hold.is_some());
+            let uses = |e: &StandinEngine| e.state().active == Some(proposal.next);
+            if known.is_some() && !held && (none || self.engines.iter().all(uses)) {
+                break;
+            }
+        }
+        self.settling = false;
+        self.costs.settle_ms += known.unwrap_or(STUCK_MS);
+        let committed = self.agents[0].committed() == Some(*proposal);
+        if committed {
+            self.base = Some(proposal.next);
+            self.costs.committed += 1;
+        }
+        committed
+    }
+
+    fn order_rank(&mut self, rank: usize, message: GroupMessage) {
+        let from = Party::Coordinator(FENCE);
+        self.send(from, Incarnation(0), Party::Rank(rank as RankId), message);
+    }
+
+    fn send(&mut self, from: Party, incarnation: Incarnation, to: Party, message: GroupMessage) {
+        self.costs.messages += 1;
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let envelope = Envelope {
+            from,
+            incarnation,
+            message,
+        };
+        let delay = self.rng.random_range(NET_MS);
+        self.timeline.after(delay, Event::Net(to, envelope));
+    }
+
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.timeline.now())
+    }
+
+    fn next_event(&mut self) {
+        match self.timeline.pop() {
+            Some(Event::Net(to, envelope)) => self.hand_over(to, envelope),
+            Some(Event::Order(rank, order)) => self.obey(rank, &order),
+            Some(Event::State(rank, state)) if !self.is_stalled[rank] => {
+                let now = self.now();
+                let actions = self.agents[rank].on_engine(now, *state);
+                self.carry_out(rank, actions);
+            }
+            Some(Event::Loaded(rank)) => self.engines[rank].end_load(true),
+            Some(Event::Tick(rank)) => self.tick(rank),
+            Some(Event::Step) => self.step(),
+            Some(Event::Resume(rank)) => self.resume(rank),
+            _ => {}
+        }
+    }
+
+    fn hand_over(&mut self, to: Party, envelope: Envelope) {
+        let Party::Rank(rank) = to else {
+            if let GroupMessage::Outcome { commit, .. } = envelope.message {
+                self.outcome = Some(commit);
+            }
+            return;
+        };
+        let rank = usize::from(rank);
+        if self.is_stalled[rank] {
+            self.stalled[rank].push((to, envelope));
+            return;
+        }
+        let now = self.now();
+        let actions = self.agents[rank].on_message(now, envelope);
+        self.carry_out(rank, actions);
+    }
+
+    fn resume(&mut self, rank: usize) {
+        self.is_stalled[rank] = false;
+        for (to, envelope) in std::mem::take(&mut self.stalled[rank]) {
+            self.hand_over(to, envelope);
+        }
+    }
+
+    fn tick(&mut self, rank: usize) {
+        self.timeline.after(TICK_MS, Event::Tick(rank));
+        if !self.is_stalled[rank] {
+            let now = self.now();
+            let actions = self.agents[rank].on_tick(now);
+            self.carry_out(rank, actions);
+        }
+    }
+
+    fn carry_out(&mut self, rank: usize, actions: Vec<RankAction>) {
+        let incarnation = self.agents[rank].incarnation();
+        for action in actions {
+            match action {
+                RankAction::Send(to, message) => {
+                    self.send(Party::Rank(rank as RankId), incarnation, to, message);
+                }
+                RankAction::Order(order) => {
+                    self.timeline.after(ENGINE_MS, Event::Order(rank, order));
+                }
+                RankAction::PollEngine => {
+                    let state = self.engines[rank].state().clone();
+                    self.timeline
+                        .after(ENGINE_MS, Event::State(rank, Box::new(state)));
+                }
+                RankAction::ReadMap(_) | RankAction::Restart => {}
+            }
+        }
+    }
+
+    fn obey(&mut self, rank: usize, order: &EngineOrder) {
+        self.engines[rank].order(order);
+        if self.engines[rank].state().loading.is_some() {
+            self.timeline.after(LOAD_MS, Event::Loaded(rank));
+        }
+        let state = self.engines[rank].state().clone();
+        self.timeline
+            .after(ENGINE_MS, Event::State(rank, Box::new(state)));
+    }
+
+    /// One step of the whole group, if no rank has to wait.
+    fn step(&mut self) {
+        self.timeline.after(STEP_MS, Event::Step);
+        let maps: Option<Vec<MapId>> = self.engines.iter().map(StandinEngine::ready_for).collect();
+        match maps {
+            Some(maps) => {
+                let mixed = maps.iter().any(|m| *m != maps[0]);
+                self.costs.mixed_steps += u64::from(mixed);
+                self.engines.iter_mut().for_each(StandinEngine::begin_step);
+            }
+            None => self.costs.stalled_steps += u64::from(self.settling),
+        }
+    }
+}
--- a/crates/oriole_rollout/src/rank.rs
+++ b/crates/oriole_rollout/src/rank.rs
@@ -28,15 +28,19 @@
 pub struct RankConfig {
     /// Time after which an unanswered message or order is sent again.
     pub resend: Duration,
-    /// Time after which the closer gives up waiting for votes.
+    /// Time after which an unanswered greeting is sent again.
+    pub greet_every: Duration,
+    /// Time after which the closer gives up waiting for votes. Less than the time ahead at which
+    /// switches are proposed, so that a rank that does not vote costs no step.
     pub vote_timeout: Duration,
 }
 
 impl Default for RankConfig {
     fn default() -> Self {
         Self {
-            resend: Duration::from_millis(200),
-            vote_timeout: Duration::from_secs(2),
+            resend: Duration::from_millis(50),
+            greet_every: Duration::from_millis(200),
+            vote_timeout: Duration::from_millis(300),
         }
     }
 }
@@ -251,6 +255,7 @@
             GroupMessage::HaveMap(map) => self.keep_map(map),
             GroupMessage::StaleRun(run) if run == self.incarnation => out.push(RankAction::Restart),
             GroupMessage::Vote { proposal, yes } => self.on_vote(now, from, proposal, yes, out),
+            GroupMessage::Propose(p) if from == p.closer => self.on_asked(now, p, out),
             GroupMessage::Outcome { proposal, commit } if from == proposal.closer => {
                 self.on_outcome(proposal, commit);
             }
@@ -288,7 +293,7 @@
                     run,
                 });
                 if proposal.closer == self.me {
-                    self.closing = Some(Closing::new(proposal, now + self.cfg.vote_timeout));
+                    self.closing = Some(Closing::new(proposal, now, now + self.cfg.vote_timeout));
                 }
             }
             None => self.refuse(proposal, "not_ready", out),
--- a/crates/oriole_rollout/src/rank/closing.rs
+++ b/crates/oriole_rollout/src/rank/closing.rs
@@ -15,15 +15,17 @@
     yes: BTreeSet<RankId>,
     refused: bool,
     deadline: Duration,
+    asked: Duration,
 }
 
 impl Closing {
-    pub fn new(proposal: Proposal, deadline: Duration) -> Self {
+    pub fn new(proposal: Proposal, now: Duration, deadline: Duration) -> Self {
         Self {
             proposal,
             yes: BTreeSet::new(),
             refused: false,
             deadline,
+            asked: now,
         }
     }
 }
@@ -88,6 +90,33 @@
             self.decide(proposal, false, out);
         } else if own == Some(true) && closing.yes.len() + 1 == self.ranks {
             self.decide(proposal, true, out);
+        } else {
+            self.ask_again(now, out);
+        }
+    }
+
+    /// Asks the ranks that have not voted: the proposal may not have reached them.
+    fn ask_again(&mut self, now: Duration, out: &mut Actions) {
+        let Some(closing) = &mut self.closing else {
+            return;
+        };
+        if now < closing.asked + self.cfg.resend {
+            return;
+        }
+        closing.asked = now;
+        for rank in (0..self.ranks as RankId).filter(|r| *r != self.me) {
+            if !closing.yes.contains(&rank) {
+                let message = GroupMessage::Propose(closing.proposal);
+                out.push(RankAction::Send(Party::Rank(rank), message));
+            }
+        }
+    }
+
+    /// Takes in a proposal that its closer passes on.
+    pub(super) fn on_asked(&mut self, now: Duration, proposal: Proposal, out: &mut Actions) {
+        if self.synced && proposal.switch.fence >= self.fence {
+            self.fence = proposal.switch.fence;
+            self.consider(now, proposal, out);
         }
     }
 
--- a/crates/oriole_rollout/src/rank/syncing.rs
+++ b/crates/oriole_rollout/src/rank/syncing.rs
@@ -17,7 +17,10 @@
             self.synced = true;
             return;
         }
-        if self.greeted.is_some_and(|at| now < at + self.cfg.resend) {
+        if self
+            .greeted
+            .is_some_and(|at| now < at + self.cfg.greet_every)
+        {
             return;
         }
         self.greeted = Some(now);
--- /dev/null
+++ b/crates/oriole_rollout/tests/election.rs
@@ -0,0 +1,180 @@
+//! The coordinator's election against a store with faults.
+
+use std::time::Duration;
+
+use oriole_rollout::election::{
+    Election, ElectionConfig, FenceRecord, Office, StoreOp, StoreReply,
+};
+use oriole_store::prelude::{Expect, LeaseId, StoreError, StoreVersion};
+use oriole_types::ids::{Fence, GroupName, Incarnation};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+/// A store with leases that fails, and whose answers to writes get lost.
+struct FaultyStore {
+    rng: ChaCha8Rng,
+    faults: f64,
+    leases: Vec<(LeaseId, Duration, Duration)>,
+    leader: Option<(Incarnation, LeaseId)>,
+    fence: Option<(FenceRecord, StoreVersion)>,
+}
+
+impl FaultyStore {
+    fn call(&mut self, now: Duration, op: StoreOp) -> StoreReply {
+        let live: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|l| now < l.2)
+            .map(|l| l.0)
+            .collect();
+        self.leader.take_if(|(_, lease)| !live.contains(lease));
+        if self.rng.random_bool(self.faults) {
+            return StoreReply::Failed(StoreError::Unavailable);
+        }
+        let reply = self.obey(now, op, &live);
+        if reply == StoreReply::Done && self.rng.random_bool(self.faults) {
+            return StoreReply::Failed(StoreError::Ambiguous);
+        }
+        reply
+    }
+
+    fn obey(&mut self, now: Duration, op: StoreOp, live: &[LeaseId]) -> StoreReply {
+        match op {
+            StoreOp::Grant(ttl) => {
+                let lease = LeaseId(self.leases.len() as u64 + 1);
+                self.leases.push((lease, ttl, now + ttl));
+                StoreReply::Granted(lease)
+            }
+            StoreOp::PutLeased(_, me, lease) if self.leader.is_none() && live.contains(&lease) => {
+                self.leader = Some((me, lease));
+                StoreReply::Done
+            }
+            StoreOp::PutLeased(..) => StoreReply::Failed(StoreError::Conflict),
+            StoreOp::ReadFence(_) => StoreReply::Fence(self.fence),
+            StoreOp::PutFence(_, record, expect) => self.put_fence(record, expect),
+            StoreOp::Renew(lease) if live.contains(&lease) => {
+                let entry = self.leases.iter_mut().find(|l| l.0 == lease).unwrap();
+                entry.2 = now + entry.1;
+                StoreReply::Done
+            }
+            StoreOp::Renew(_) => StoreReply::Failed(StoreError::LeaseLapsed),
+        }
+    }
+
+    fn put_fence(&mut self, record: FenceRecord, expect: Expect) -> StoreReply {
+        let holds = match (expect, &self.fence) {
+            (Expect::Absent, found) => found.is_none(),
+            (Expect::Version(v), Some((_, version))) => v == *version,
+            _ => false,
+        };
+        if !holds {
+            return StoreReply::Failed(StoreError::Conflict);
+        }
+        let version = self.fence.map_or(StoreVersion(1), |(_, v)| v.next());
+        self.fence = Some((record, version));
+        StoreReply::Done
+    }
+}
+
+struct Candidates {
+    store: FaultyStore,
+    elections: Vec<Election>,
+    won: Vec<Fence>,
+}
+
+impl Candidates {
+    fn new(faults: f64, seed: u64) -> Self {
+        let group = GroupName::new("g");
+        let cfg = ElectionConfig::default();
+        let election = |i| Election::new(cfg, group.clone(), Incarnation(i));
+        Self {
+            store: FaultyStore {
+                rng: ChaCha8Rng::seed_from_u64(seed),
+                faults,
+                leases: Vec::new(),
+                leader: None,
+                fence: None,
+            },
+            elections: (1..=3).map(election).collect(),
+            won: Vec::new(),
+        }
+    }
+
+    /// One candidate's tick, with all calls that follow from it.
+    fn tick(&mut self, now: Duration, i: usize) {
+        let (mut op, office) = self.elections[i].on_tick(now);
+        self.note(office);
+        while let Some(call) = op {
+            let reply = self.store.call(now, call);
+            let (next, office) = self.elections[i].on_reply(now, reply);
+            self.note(office);
+            op = next;
+        }
+    }
+
+    fn note(&mut self, office: Option<Office>) {
+        if let Some(Office::Won(fence)) = office {
+            assert!(
+                self.won.last().is_none_or(|last| fence > *last),
+                "fencing number {fence} follows {:?}",
+                self.won
+            );
+            self.won.push(fence);
+        }
+    }
+
+    fn holders(&self) -> usize {
+        self.elections
+            .iter()
+            .filter(|e| e.fence().is_some())
+            .count()
+    }
+}
+
+/// Candidates are paused at random for longer than a lease; the store fails one call in four.
+#[test]
+fn election_fences_grow() {
+    let mut offices = 0;
+    for seed in 0..200 {
+        let mut all = Candidates::new(0.25, seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed + 1_000);
+        let mut paused_until = [Duration::ZERO; 3];
+        for ms in (0..600_000).step_by(500) {
+            let now = Duration::from_millis(ms);
+            for (i, paused) in paused_until.iter_mut().enumerate() {
+                if rng.random_bool(0.002) {
+                    *paused = now + Duration::from_secs(rng.random_range(1..60));
+                }
+                if now >= *paused {
+                    all.tick(now, i);
+                }
+            }
+        }
+        assert!(!all.won.is_empty(), "seed {seed}: nobody ever won");
+        offices += all.won.len();
+    }
+    assert!(offices > 400, "offices change hands: {offices}");
+}
+
+#[test]
+fn election_one_holder_without_faults() {
+    let mut all = Candidates::new(0.0, 1);
+    for ms in (0..60_000).step_by(500) {
+        (0..3).for_each(|i| all.tick(Duration::from_millis(ms), i));
+        assert!(all.holders() <= 1);
+    }
+    assert_eq!(all.won, vec![Fence(1)]);
+    assert_eq!(all.holders(), 1);
+}
+
+#[test]
+fn election_holder_stops_before_lease_lapses_in_outage() {
+    let mut all = Candidates::new(0.0, 1);
+    all.tick(Duration::ZERO, 0);
+    assert_eq!(all.holders(), 1);
+    all.store.faults = 1.0;
+    for ms in (500..=10_000).step_by(500) {
+        all.tick(Duration::from_millis(ms), 0);
+    }
+    assert_eq!(all.holders(), 0);
+}
