Vote only when no order to the engine is under way

A run of 100,000 fuzz cases found steps with two maps: a closer that had restarted ordered its engine to lift the hold of the switch, then counted the ranks' repeated votes on the same switch and took the engine's older answer for its own vote. A rank now votes only while no order is under way. The run also found a group that stood still when all bodies of maps were lost while a switch was decided for a later step; its hold now makes room for the vote on a map from scratch.

--- a/crates/oriole_rollout/src/rank.rs
+++ b/crates/oriole_rollout/src/rank.rs
@@ -401,14 +401,15 @@
         self.fetch_maps(now, out);
     }
 
-    /// Votes once the engine holds; refuses if it has passed the step or has been restarted.
+    /// Votes once the engine holds and no order is on its way that could lift the hold; refuses if
+    /// the engine has passed the step or has been restarted.
     fn vote(&mut self, now: Duration, out: &mut Actions) {
         let (Some(mut undecided), Some(engine)) = (self.undecided, &self.engine) else {
             return;
         };
         let p = undecided.proposal;
         let holds = engine.hold.is_some_and(|h| h.switch == p.switch);
-        let ready = holds && engine.run == undecided.run;
+        let ready = holds && engine.run == undecided.run && !self.steering.is_waiting();
         let lost = engine.run != undecided.run || engine.next_step > p.at_step;
         if undecided.voted.is_none() && !ready {
             if lost {
--- a/crates/oriole_rollout/src/rank/fetching.rs
+++ b/crates/oriole_rollout/src/rank/fetching.rs
@@ -10,7 +10,9 @@
 impl RankAgent {
     /// Asks for the bodies of maps that are in force or decided.
     pub(super) fn fetch_maps(&mut self, now: Duration, out: &mut Actions) {
-        let due = self.fetched.is_none_or(|at| now >= at + self.cfg.resend);
+        let due = self
+            .fetched
+            .is_none_or(|at| now >= at + self.cfg.greet_every);
         if !self.synced || !due {
             return;
         }
--- a/crates/oriole_rollout/src/rank/steering.rs
+++ b/crates/oriole_rollout/src/rank/steering.rs
@@ -27,6 +27,11 @@
         self.ever_adopted
     }
 
+    /// Whether an order is on its way that may still change the engine's state.
+    pub fn is_waiting(&self) -> bool {
+        self.sent.is_some()
+    }
+
     pub fn seen(&mut self, state: &EngineState) {
         let adopted = |(run, sequence)| run == state.run && state.sequence > sequence;
         if self.adopting.is_some_and(adopted) {
@@ -91,8 +96,11 @@
 
     /// Lifts a hold whose switch is decided.
     fn lift(&self, engine: &EngineState, held: SwitchId) -> Option<EngineOp> {
-        if self.undecided.is_some_and(|u| u.proposal.switch == held) {
-            return None;
+        match self.undecided {
+            Some(u) if u.proposal.switch == held => return None,
+            // An engine that uses no map can run no step: the hold makes room for the vote.
+            Some(_) if engine.active.is_none() => return Some(EngineOp::Release(held)),
+            _ => {}
         }
         match self.committed {
             Some(c) if c.switch == held => {
--- a/crates/oriole_rollout/tests/switch_fuzz.rs
+++ b/crates/oriole_rollout/tests/switch_fuzz.rs
@@ -246,6 +246,72 @@
     assert!(finds(broken), "{broken:?} was not found");
 }
 
+/// Sequences that once failed.
+fn replay(ranks: usize, events: &[Event]) {
+    let setup = Setup {
+        ranks,
+        checks_fencing: false,
+    };
+    let mut world = start(&setup, None);
+    events.iter().for_each(|e| apply(&mut world, e));
+    check_progress(world);
+}
+
+/// The closer restarts, orders its engine to lift the hold, and is asked to count votes again
+/// while that order is on its way.
+#[test]
+fn replay_vote_while_release_is_under_way() {
+    let stalled = |rank, rounds| Event::Stalled { rank, rounds };
+    replay(
+        2,
+        &[
+            Event::Fair(2),
+            stalled(0, 1),
+            Event::Fair(6),
+            stalled(1, 6),
+            Event::Cut { rank: 0, rounds: 3 },
+            stalled(1, 1),
+            Event::RestartAgent(1),
+            stalled(0, 1),
+            stalled(1, 1),
+            Event::Fair(1),
+        ],
+    );
+    replay(
+        3,
+        &[
+            stalled(1, 4),
+            Event::Cut { rank: 2, rounds: 2 },
+            Event::RestartAgent(2),
+            stalled(0, 1),
+            stalled(2, 1),
+            Event::Cut { rank: 0, rounds: 1 },
+        ],
+    );
+}
+
+/// All bodies of maps are lost while a switch is decided for a step that has not been reached.
+#[test]
+fn replay_all_lost_before_decided_step() {
+    let stalled = |rank, rounds| Event::Stalled { rank, rounds };
+    replay(
+        2,
+        &[
+            stalled(0, 1),
+            Event::StartCoordinator,
+            Event::RestartAgent(0),
+            Event::Fair(6),
+            stalled(0, 3),
+            Event::Cut { rank: 1, rounds: 6 },
+            Event::Fair(9),
+            Event::RestartAgent(1),
+            Event::RestartVm(0),
+            Event::Cut { rank: 0, rounds: 1 },
+            Event::RestartEngine(1),
+        ],
+    );
+}
+
 /// A rank restarts after its vote while another rank's vote is held up; then that vote arrives.
 fn restart_during_vote(broken: Option<Broken>) {
     let setup = Setup {
