--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -20,6 +20,9 @@
 mod skew;
 mod skew_large;
 mod store_outage;
+pub mod skew;
+pub mod skew_large;
+pub mod switch;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
@@ -38,6 +41,9 @@
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
+        Box::new(skew::Skew),
+        Box::new(skew_large::SkewLarge),
+        Box::new(switch::Switch),
     ]
 }
 
