Send changed items between processes, not whole parts

A relay that serves 72 processes sent each the changed parts and the whole root for every change.

Answers to processes at one of the last 8 revisions now carry the changed items, the new references and the new records; the receiver rebuilds the parts and checks them against the digests of the root. What cannot be rebuilt is asked for as a whole.

--- a/crates/oriole_catalog/src/spread/calls.rs
+++ b/crates/oriole_catalog/src/spread/calls.rs
@@ -8,8 +8,8 @@
 use tokio::time::timeout;
 
 use super::machine::{AskReason, PeerSays};
-use super::peer::{ConfigPeer, PeerAnswer};
-use crate::stored::{Bundle, ROOT_KEY, Root, Snapshot, SnapshotError, read_parts};
+use super::peer::{ConfigPeer, Contents, PeerAnswer};
+use crate::stored::{ROOT_KEY, Root, Snapshot, SnapshotError, read_parts};
 
 /// How a call ended.
 pub(super) enum CallEnd {
@@ -117,20 +117,31 @@
     })
 }
 
+/// A question to a peer.
+pub(super) struct Question {
+    pub(super) peer: VmName,
+    pub(super) reason: AskReason,
+    pub(super) wait: Duration,
+    /// Longest time for the answer.
+    pub(super) longest: Duration,
+    /// Whether the whole catalog is wanted, because changes could not be applied.
+    pub(super) whole: bool,
+}
+
 pub(super) async fn ask_peer(
     peers: Arc<dyn ConfigPeer>,
     held: Arc<Snapshot>,
-    peer: VmName,
-    reason: AskReason,
-    wait: Duration,
-    longest: Duration,
+    question: Question,
 ) -> CallEnd {
+    let Question { peer, reason, .. } = question;
     let have = match reason {
         // Above every revision, so that the answer is without contents.
         AskReason::Probe => Revision(u64::MAX),
+        _ if question.whole => Revision::default(),
         _ => held.revision(),
     };
-    let answer = timeout(longest, peers.fetch(&peer, have, wait)).await;
+    let answer = peers.fetch(&peer, have, question.wait);
+    let answer = timeout(question.longest, answer).await;
     let end = match answer {
         Ok(Ok(answer)) => take(&held, answer),
         _ => Err(CallError::Unanswered),
@@ -146,10 +157,13 @@
     let Some(bytes) = answer.bundle else {
         return Ok((says, None));
     };
-    let Bundle { root, parts } = Bundle::decode(&bytes)?;
+    let newer = match Contents::decode(&bytes)? {
+        Contents::Whole(bundle) => held.advance(bundle.root, bundle.parts)?,
+        Contents::Changes(delta) => delta.apply(held)?,
+    };
     let says = PeerSays {
-        revision: root.revision,
+        revision: newer.revision(),
         ..says
     };
-    Ok((says, Some(held.advance(root, parts)?)))
+    Ok((says, Some(newer)))
 }
--- a/crates/oriole_catalog/src/spread/follower.rs
+++ b/crates/oriole_catalog/src/spread/follower.rs
@@ -17,16 +17,16 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use super::calls::{CallEnd, CallError, StoreCall, StoreSays, ask_peer, ask_store};
+use super::calls::{CallEnd, CallError, Question, StoreCall, StoreSays, ask_peer, ask_store};
 use super::config::FollowerConfig;
 use super::machine::{Action, Event, PeerSays, SpreadMachine};
 use super::members::Member;
-use super::peer::{ConfigPeer, PeerAnswer};
+use super::peer::{ConfigPeer, Contents, PeerAnswer};
 use super::status::{ConfigEvent, ConfigSource, ConfigStatus};
-use crate::stored::{Root, Snapshot, SnapshotError};
+use crate::stored::{Delta, Snapshot, SnapshotError};
 
-/// Earlier roots kept, so that peers can be brought up by what changed alone.
-const KEPT_ROOTS: usize = 64;
+/// Earlier revisions kept, so that peers can be brought up by what changed alone.
+const KEPT_REVISIONS: usize = 8;
 /// Events kept for slow readers.
 const KEPT_EVENTS: usize = 64;
 /// Orders that may wait for the task.
@@ -68,8 +68,8 @@
 #[derive(Default)]
 struct State {
     snapshot: Arc<Snapshot>,
-    earlier: VecDeque<Arc<Root>>,
-    /// Encoded bundles by the revision they start from.
+    earlier: VecDeque<Arc<Snapshot>>,
+    /// Encoded contents by the revision they start from.
     bundles: BTreeMap<Revision, Bytes>,
     confirmed_at: Option<Duration>,
     relay: bool,
@@ -116,6 +116,7 @@
             store,
             peers,
             seen: Seen::default(),
+            whole_wanted: false,
             calls: FuturesUnordered::new(),
             cfg,
         };
@@ -255,16 +256,21 @@
         if let Some(bytes) = self.bundles.get(&have) {
             return Some(bytes.clone());
         }
-        let held = self.earlier.iter().find(|root| root.revision == have);
-        let bytes = self.snapshot.bundle_for(held.map(|r| &**r)).encode().ok()?;
+        let known = self.earlier.iter().find(|s| s.revision() == have);
+        let delta = known.and_then(|old| Delta::between(old, &self.snapshot));
+        let contents = match delta {
+            Some(delta) => Contents::Changes(delta),
+            None => Contents::Whole(self.snapshot.bundle()),
+        };
+        let bytes = contents.encode().ok()?;
         self.bundles.insert(have, bytes.clone());
         Some(bytes)
     }
 
     fn install(&mut self, snapshot: Snapshot, source: ConfigSource) {
         let before = std::mem::replace(&mut self.snapshot, Arc::new(snapshot));
-        self.earlier.push_front(Arc::clone(before.root()));
-        self.earlier.truncate(KEPT_ROOTS);
+        self.earlier.push_front(before);
+        self.earlier.truncate(KEPT_REVISIONS);
         self.bundles.clear();
         self.source = Some(source);
         self.refusal = None;
@@ -287,6 +293,8 @@
     store: Arc<dyn Store>,
     peers: Arc<dyn ConfigPeer>,
     seen: Seen,
+    /// Whether the last changes of a peer could not be applied.
+    whole_wanted: bool,
     calls: FuturesUnordered<BoxFuture<'static, CallEnd>>,
 }
 
@@ -328,8 +336,14 @@
             }
             Action::AskPeer { peer, reason, wait } => {
                 let peers = Arc::clone(&self.peers);
-                let longest = wait + self.cfg.spread.peer_timeout;
-                Box::pin(ask_peer(peers, held, peer, reason, wait, longest))
+                let question = Question {
+                    peer,
+                    reason,
+                    wait,
+                    longest: wait + self.cfg.spread.peer_timeout,
+                    whole: self.whole_wanted,
+                };
+                Box::pin(ask_peer(peers, held, question))
             }
         };
         self.calls.push(call);
@@ -385,7 +399,11 @@
         &mut self,
         end: Result<(PeerSays, Option<Snapshot>), CallError>,
     ) -> Option<PeerSays> {
+        if let Err(CallError::Unusable(_)) = end {
+            self.whole_wanted = true;
+        }
         let (says, snapshot) = self.usable(end, ConfigSource::Peer)?;
+        self.whole_wanted = false;
         if let Some(snapshot) = snapshot {
             self.offer(snapshot, ConfigSource::Peer);
         }
--- /dev/null
+++ b/crates/oriole_catalog/src/stored/delta.rs
@@ -0,0 +1,108 @@
+//! What changed between two revisions, item by item.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use oriole_types::prelude::*;
+use serde_json::Value;
+
+use super::part::PartName;
+use super::root::{ChangeRecord, PartRef, Root};
+use super::snapshot::{Snapshot, SnapshotError};
+use crate::edit::Edit;
+use crate::section::{ItemPath, Section, catalog_of, items_of};
+
+oriole_types::domain_type! {
+    /// New state of one item.
+    struct ItemState {
+        section: Section,
+        name: String,
+        /// Absent if the item was removed.
+        value: Option<Value>,
+    }
+}
+
+oriole_types::domain_type! {
+    /// The changes that lead from one revision to another.
+    ///
+    /// Use it in place of a [`Bundle`](super::Bundle) where the receiver's revision is known: a
+    /// change of one item moves a few hundred bytes.
+    pub struct Delta {
+        /// Revision it starts from.
+        pub base: Revision,
+        /// Revision it leads to.
+        pub revision: Revision,
+        parts: BTreeMap<PartName, PartRef>,
+        removed: Vec<PartName>,
+        changes: Vec<ChangeRecord>,
+        items: BTreeMap<PartName, Vec<ItemState>>,
+    }
+}
+
+impl Delta {
+    /// The delta between two revisions, or `None` if a part of them cannot be read.
+    #[must_use]
+    pub fn between(old: &Snapshot, new: &Snapshot) -> Option<Self> {
+        let mut items = BTreeMap::new();
+        let mut parts = BTreeMap::new();
+        for (name, part) in old.missing(new.root()) {
+            let before = old.part(&name).unwrap_or_default();
+            let edit = Edit::between(&before, &new.part(&name)?);
+            let states = edit.changes.into_iter().map(|c| ItemState {
+                section: c.path.section,
+                name: c.path.name,
+                value: c.after,
+            });
+            items.insert(name.clone(), states.collect());
+            parts.insert(name, part);
+        }
+        let gone = old.root().parts.keys();
+        let gone = gone.filter(|name| !new.root().parts.contains_key(*name));
+        Some(Self {
+            base: old.revision(),
+            revision: new.revision(),
+            parts,
+            removed: gone.cloned().collect(),
+            changes: new.root().changes_after(old.revision()),
+            items,
+        })
+    }
+
+    /// The revision that the delta leads to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the delta starts from another revision, or if the outcome has not the digests that
+    /// the new root names.
+    pub fn apply(self, old: &Snapshot) -> Result<Snapshot, SnapshotError> {
+        if self.base != old.revision() {
+            return Err(SnapshotError::OtherBase(self.base));
+        }
+        let mut fresh = BTreeMap::new();
+        for (name, states) in self.items {
+            let part = old.part(&name).unwrap_or_default();
+            let text = changed_part(&part, states);
+            let text = text.map_err(|e| SnapshotError::Undecodable(e.to_string()))?;
+            fresh.insert(name, Arc::from(text));
+        }
+        let mut root = Root::clone(old.root());
+        root.revision = self.revision;
+        root.parts.retain(|name, _| !self.removed.contains(name));
+        root.parts.extend(self.parts);
+        root.add_changes(self.changes);
+        old.advance(Arc::new(root), fresh)
+    }
+}
+
+/// The part as the author of the change wrote it; the digest tells whether it is.
+fn changed_part(part: &Catalog, states: Vec<ItemState>) -> Result<String, serde_json::Error> {
+    let mut items = items_of(part);
+    for state in states {
+        let path = ItemPath::new(state.section, state.name);
+        match state.value {
+            Some(value) => drop(items.insert(path, value)),
+            None => drop(items.remove(&path)),
+        }
+    }
+    serde_json::to_string(&catalog_of(&items, Revision::default())?)
+}
--- a/crates/oriole_catalog/src/stored/mod.rs
+++ b/crates/oriole_catalog/src/stored/mod.rs
@@ -1,6 +1,7 @@
 //! The catalog as the store holds it: one root value, parts, and the roots of earlier revisions.
 
 mod change;
+mod delta;
 mod part;
 mod repository;
 mod root;
@@ -8,6 +9,7 @@
 mod trim;
 
 pub use change::{Accepted, ChangeError, ChangeMeta};
+pub use delta::Delta;
 pub use part::{PartName, split};
 pub(crate) use repository::read_parts;
 pub use repository::{Repository, RepositoryConfig, RepositoryError};
--- a/crates/oriole_catalog/src/stored/repository.rs
+++ b/crates/oriole_catalog/src/stored/repository.rs
@@ -75,6 +75,8 @@
     pub(super) store: Arc<dyn Store>,
     pub(super) cfg: RepositoryConfig,
     rng: Arc<Mutex<StdRng>>,
+    /// The revision read last; parts it shares with the next one are not read again.
+    last: Arc<Mutex<Snapshot>>,
 }
 
 /// A whole revision with the version that its root has in the store.
@@ -92,7 +94,13 @@
     pub fn open(store: Arc<dyn Store>, cfg: RepositoryConfig) -> Self {
         let seed = cfg.seed.unwrap_or_else(rand::random);
         let rng = Arc::new(Mutex::new(StdRng::seed_from_u64(seed)));
-        Self { store, cfg, rng }
+        let last = Arc::default();
+        Self {
+            store,
+            cfg,
+            rng,
+            last,
+        }
     }
 
     /// A fresh name for a change.
@@ -106,6 +114,14 @@
         self.cfg.backoff.pause(failed_tries, &mut *self.rng())
     }
 
+    fn last(&self) -> Snapshot {
+        self.lock_last().clone()
+    }
+
+    fn lock_last(&self) -> MutexGuard<'_, Snapshot> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn rng(&self) -> MutexGuard<'_, StdRng> {
         self.rng.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -169,8 +185,9 @@
                 });
             };
             tries += 1;
-            match self.assemble(&Snapshot::default(), root).await {
+            match self.assemble(&self.last(), root).await {
                 Ok(snapshot) => {
+                    *self.lock_last() = snapshot.clone();
                     return Ok(Current {
                         snapshot,
                         expect: Expect::Version(stored.version),
--- a/crates/oriole_catalog/src/stored/root.rs
+++ b/crates/oriole_catalog/src/stored/root.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// Adds later changes, newest first.
+    pub(super) fn add_changes(&mut self, later: Vec<ChangeRecord>) {
+        self.changes.splice(0..0, later);
+        self.changes.truncate(MAX_CHANGES);
+    }
+
     /// The change that made a revision, if this root still lists it.
     #[must_use]
     pub fn change_of(&self, revision: Revision) -> Option<&ChangeRecord> {
--- a/crates/oriole_catalog/src/stored/snapshot.rs
+++ b/crates/oriole_catalog/src/stored/snapshot.rs
@@ -26,12 +26,15 @@
     /// A part has not the content that the root names.
     #[error("part {0} has another digest than the root says")]
     Digest(PartName),
+    /// A delta starts from another revision than the one held.
+    #[error("a delta starts from revision {0}")]
+    OtherBase(Revision),
     /// The bytes are not JSON of the expected shape.
     #[error("cannot be decoded: {0}")]
     Undecodable(String),
 }
 
-/// A root with the parts that its receiver lacks.
+/// A whole revision as it is sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bundle {
     /// Root.
@@ -56,6 +59,7 @@
         match self {
             Self::Missing(_) => "part_missing",
             Self::Digest(_) => "digest",
+            Self::OtherBase(_) => "other_base",
             Self::Undecodable(_) => "undecodable",
         }
     }
@@ -139,6 +143,11 @@
             .collect()
     }
 
+    /// The contents of one part, if it is held and can be read.
+    pub(super) fn part(&self, name: &PartName) -> Option<Catalog> {
+        serde_json::from_str(self.parts.get(name)?).ok()
+    }
+
     fn holds(&self, name: &PartName, part: &PartRef) -> bool {
         let held = self.root.parts.get(name);
         held.is_some_and(|held| held.digest == part.digest)
@@ -184,18 +193,12 @@
         })
     }
 
-    /// What a process needs that holds the parts of some root, or nothing.
+    /// The whole revision for a process that holds none, or one that is not known here.
     #[must_use]
-    pub fn bundle_for(&self, held: Option<&Root>) -> Bundle {
-        let lacks = |name: &PartName| {
-            let theirs = held.and_then(|root| root.parts.get(name));
-            let ours = self.root.parts.get(name);
-            theirs.map(|p| p.digest) != ours.map(|p| p.digest)
-        };
-        let parts = self.parts.iter().filter(|(name, _)| lacks(name));
+    pub fn bundle(&self) -> Bundle {
         Bundle {
             root: Arc::clone(&self.root),
-            parts: parts.map(|(n, t)| (n.clone(), Arc::clone(t))).collect(),
+            parts: self.parts.clone(),
         }
     }
 }
--- /dev/null
+++ b/crates/oriole_catalog/tests/delta.rs
@@ -0,0 +1,117 @@
+//! What is sent between processes: changes of items, or the whole catalog.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{meta, repository};
+use oriole_catalog::prelude::*;
+use oriole_catalog::stored::{Delta, SnapshotError};
+use oriole_store::prelude::*;
+use oriole_types::prelude::*;
+
+/// Client accounts at the size that the design is for.
+const ACCOUNTS: usize = 2_700;
+/// Bytes a second that a daemon may spend on control.
+const CONTROL_BYTES_PER_S: usize = 15_000;
+/// Processes that hear from one relay at that size.
+const LISTENERS: usize = 72;
+/// Seconds between two changes at that size.
+const CHANGE_INTERVAL_S: usize = 86_400 / 1_700;
+
+fn account(i: usize) -> ClientAccount {
+    ClientAccount {
+        key_digests: vec![Digest::of(&i.to_be_bytes())],
+        requests_per_s: 10,
+        burst: 20,
+        max_in_flight: 8,
+        weight: 1,
+    }
+}
+
+/// Two revisions: many accounts, then what some change makes of them.
+async fn revisions(change: impl FnOnce(&mut Catalog)) -> (Snapshot, Snapshot) {
+    let repository = repository(&MemoryStore::new(), 1);
+    let first = Edit::by(&Catalog::default(), |c| {
+        let accounts = (0..ACCOUNTS).map(|i| (format!("a-{i}").as_str().into(), account(i)));
+        c.accounts.extend(accounts);
+        c.released_digests = (0..3u8).map(|i| Digest::of(&[i])).collect();
+    });
+    repository.change(&first, &meta("ada")).await.unwrap();
+    let old = repository.read().await.unwrap();
+    let second = Edit::by(old.catalog(), change);
+    repository.change(&second, &meta("ada")).await.unwrap();
+    (old, repository.read().await.unwrap())
+}
+
+#[tokio::test]
+async fn delta_leads_to_the_same_revision() {
+    let (old, new) = revisions(|c| {
+        c.accounts.insert("new".into(), account(ACCOUNTS));
+        c.accounts.remove("a-1");
+        c.accounts.get_mut("a-2").unwrap().weight = 7;
+        c.released_digests.clear();
+        c.vms.insert("vm".into(), ServiceState::Drained);
+    })
+    .await;
+    let delta = Delta::between(&old, &new).unwrap();
+    let text = serde_json::to_string(&delta).unwrap();
+    let delta: Delta = serde_json::from_str(&text).unwrap();
+    assert_eq!(delta.apply(&old).unwrap(), new);
+}
+
+#[tokio::test]
+async fn delta_from_another_revision() {
+    let (old, new) = revisions(|c| drop(c.accounts.remove("a-1"))).await;
+    let delta = Delta::between(&old, &new).unwrap();
+    assert_eq!(
+        delta.apply(&new),
+        Err(SnapshotError::OtherBase(Revision(1)))
+    );
+}
+
+#[tokio::test]
+async fn delta_that_was_altered() {
+    let (old, new) = revisions(|c| c.accounts.get_mut("a-2").unwrap().weight = 7).await;
+    let delta = Delta::between(&old, &new).unwrap();
+    let text = serde_json::to_string(&delta).unwrap();
+    let altered = text.replace("\"weight\":7", "\"weight\":9");
+    assert_ne!(altered, text);
+    let delta: Delta = serde_json::from_str(&altered).unwrap();
+    assert!(matches!(delta.apply(&old), Err(SnapshotError::Digest(_))));
+}
+
+#[tokio::test(start_paused = true)]
+async fn change_of_one_item_fits_control_budget() {
+    let store = MemoryStore::new();
+    let operator = repository(&store, 1);
+    let member = Member {
+        name: "vm".into(),
+        domain: "gela".into(),
+    };
+    let cfg = FollowerConfig::default();
+    let follower = ConfigFollower::spawn(cfg, member, Arc::new(store.clone()), Arc::new(NoPeers));
+    let mut sizes = Vec::new();
+    for round in 1..3 {
+        let catalog = Arc::clone(operator.read().await.unwrap().catalog());
+        let edit = Edit::by(&catalog, |c| {
+            let accounts = (0..ACCOUNTS).map(|i| (format!("a-{i}").as_str().into(), account(i)));
+            c.accounts.extend(accounts);
+            c.accounts.get_mut("a-2").unwrap().weight = round;
+        });
+        operator.change(&edit, &meta("ada")).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let answer = follower
+            .serve(Revision(u64::from(round) - 1), Duration::ZERO)
+            .await;
+        sizes.push(answer.bundle.unwrap().len());
+    }
+    let [_whole, change] = sizes[..] else {
+        panic!()
+    };
+    assert!(
+        change * LISTENERS / CHANGE_INTERVAL_S < CONTROL_BYTES_PER_S,
+        "{change}"
+    );
+}
