--- a/crates/oriole_bench/src/experiments/hot_account.rs
+++ b/crates/oriole_bench/src/experiments/hot_account.rs
@@ -106,6 +106,7 @@
     setup.traffic.push(Traffic {
         account,
         per_s,
+        ledgers: false,
         one_key: case.one_key,
         high_low,
         limits,
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,13 +2,14 @@
 
 use crate::experiment::Experiment;
 
-pub mod hot_account;
-pub mod overload;
-pub mod retry_storm;
 mod claims;
 mod claims_baseline;
 mod claims_fleet;
 mod claims_history;
+pub mod departure;
+pub mod hot_account;
+pub mod overload;
+pub mod retry_storm;
 mod skew;
 mod skew_large;
 mod store_outage;
@@ -17,6 +18,7 @@
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
+        Box::new(departure::Departure),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(retry_storm::RetryStorm),
--- a/crates/oriole_bench/src/service/contender.rs
+++ b/crates/oriole_bench/src/service/contender.rs
@@ -7,7 +7,7 @@
 use oriole_types::prelude::*;
 use rand_chacha::ChaCha8Rng;
 
-use super::setup::{ENTRY, POOL, Setup};
+use super::setup::Setup;
 
 /// Retries of a simple balancer for each request.
 const SIMPLE_RETRIES: u32 = 3;
@@ -45,6 +45,10 @@
     pub id: usize,
     /// Account.
     pub account: AccountName,
+    /// Pool that serves it.
+    pub pool: PoolName,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
     /// Urgency.
     pub priority: Priority,
     /// By when the whole answer must be there.
@@ -63,7 +67,7 @@
     /// With the whole answer.
     Answered,
     /// Refused by the agent.
-    Refused(RefusalReason),
+    Refused(RefusalReason, Option<Duration>),
     /// The upstream failed.
     Failed,
 }
@@ -93,20 +97,19 @@
 /// An entry that uses the real machines.
 pub struct OrioleEntry {
     limiter: Limiter,
-    queue: WaitQueue<Request>,
+    queues: BTreeMap<PoolName, WaitQueue<Request>>,
     /// Router; open to the world, which feeds it the fleet.
     pub router: Router,
     budget: RetryBudget,
     catalog: Catalog,
     permits: BTreeMap<usize, Permit>,
-    pool: PoolName,
     rng: ChaCha8Rng,
 }
 
 /// A balancer that knows nothing but its own requests.
 pub struct SimpleEntry {
     least: bool,
-    upstreams: Vec<VmName>,
+    upstreams: BTreeMap<PoolName, Vec<VmName>>,
     own: BTreeMap<VmName, u32>,
     next: usize,
 }
@@ -119,7 +122,7 @@
             Contender::Oriole => Self::Oriole(Box::new(OrioleEntry::new(setup, i, rng))),
             _ => Self::Simple(SimpleEntry {
                 least: contender == Contender::LeastConnections,
-                upstreams: Vec::new(),
+                upstreams: BTreeMap::new(),
                 own: BTreeMap::new(),
                 next: i,
             }),
@@ -134,15 +137,19 @@
                 e.router.fleet_changed(now, list, catalog);
             }
             Self::Simple(e) => {
-                let usable = |r: &&VmRecord| {
-                    r.role != VmRole::Entry && catalog.takes_work(&r.name, &r.domain)
-                };
-                e.upstreams = list
+                e.upstreams.clear();
+                for r in list
                     .vms
                     .iter()
-                    .filter(usable)
-                    .map(|r| r.name.clone())
-                    .collect();
+                    .filter(|r| catalog.takes_work(&r.name, &r.domain))
+                {
+                    if let VmRole::Upstream { pool } = &r.role {
+                        e.upstreams
+                            .entry(pool.clone())
+                            .or_default()
+                            .push(r.name.clone());
+                    }
+                }
             }
         }
     }
@@ -223,24 +230,24 @@
         let domain = super::setup::domain_name(setup.domain_of(i));
         let cfg = RouterConfig {
             cross_domain_rtt: setup.one_way * 2,
+            phase: (i as u64) << 32,
             ..RouterConfig::default()
         };
         let mut limiter = Limiter::new(LimiterConfig::default());
         limiter.set_entry_holders(setup.entries);
         Self {
             limiter,
-            queue: WaitQueue::new(QueueConfig::default()),
+            queues: BTreeMap::new(),
             router: Router::new(cfg, domain),
             budget: RetryBudget::new(RetryConfig::default()),
             catalog: Catalog::default(),
             permits: BTreeMap::new(),
-            pool: POOL.into(),
             rng,
         }
     }
 
     fn arrived(&mut self, now: Duration, req: Request) -> Vec<Action> {
-        let entry = ENTRY.into();
+        let entry = EntryName::new(req.pool.as_str());
         match self
             .limiter
             .admit(now, &self.catalog, &req.account, &entry, None)
@@ -248,14 +255,14 @@
             Ok(permit) => self.permits.insert(req.id, permit),
             Err(refusal) => return vec![Action::Refuse(req, refusal.reason)],
         };
-        let capacity = self.router.capacity(now, &self.pool);
+        let capacity = self.router.capacity(now, &req.pool);
         if let Err(reason) = capacity.admit(req.priority) {
             return vec![self.refuse(req, reason)];
         }
         self.budget.request();
         let waiting = self.waiting(&req);
         let mut out = Vec::new();
-        match self.queue.push(now, waiting, req) {
+        match self.queue(&req.pool).push(now, waiting, req) {
             Ok((_, displaced)) => {
                 let displaced = displaced.map(|p| self.refuse(p.value, RefusalReason::QueueFull));
                 out.extend(displaced);
@@ -268,7 +275,7 @@
 
     fn woken(&mut self, now: Duration, req: Request) -> Vec<Action> {
         let waiting = self.waiting(&req);
-        self.queue.push_back(now, waiting, req);
+        self.queue(&req.pool).push_back(now, waiting, req);
         self.dispatch(now)
     }
 
@@ -290,8 +297,9 @@
                 out.extend(self.dispatch(now));
                 return out;
             }
-            AttemptResult::Refused(reason) => {
-                self.router.refused(now, vm, reason, None, Some(load));
+            AttemptResult::Refused(reason, retry_after) => {
+                self.router
+                    .refused(now, vm, reason, retry_after, Some(load));
                 AttemptEnd::NotRun {
                     reason,
                     retry_after: None,
@@ -312,7 +320,7 @@
         let ask = RetryAsk {
             attempts: req.attempts,
             priority: req.priority,
-            idempotent: true,
+            idempotent: req.idempotent,
             end,
             deadline: req.deadline,
             service: self.service(),
@@ -327,14 +335,30 @@
         }
     }
 
+    fn queue(&mut self, pool: &PoolName) -> &mut WaitQueue<Request> {
+        let queue = || WaitQueue::new(QueueConfig::default());
+        self.queues.entry(pool.clone()).or_insert_with(queue)
+    }
+
     fn dispatch(&mut self, now: Duration) -> Vec<Action> {
         let mut out = Vec::new();
-        while let Some(expired) = self.queue.pop_expired(now) {
+        let pools: Vec<PoolName> = self.queues.keys().cloned().collect();
+        for pool in pools {
+            self.dispatch_pool(now, &pool, &mut out);
+        }
+        out
+    }
+
+    fn dispatch_pool(&mut self, now: Duration, pool: &PoolName, out: &mut Vec<Action>) {
+        while let Some(expired) = self.queue(pool).pop_expired(now) {
             out.push(self.refuse(expired.value, RefusalReason::Deadline));
         }
         loop {
-            let (router, pool, rng) = (&self.router, &self.pool, &mut self.rng);
-            let sent = self.queue.pop_with(now, |req| {
+            let (router, rng) = (&self.router, &mut self.rng);
+            let Some(queue) = self.queues.get_mut(pool) else {
+                return;
+            };
+            let sent = queue.pop_with(now, |req| {
                 let pick = PickRequest {
                     pool,
                     prefix: req.key,
@@ -347,7 +371,7 @@
                     Err(_) => Offer::Stop,
                 }
             });
-            let Some((popped, vm)) = sent else { return out };
+            let Some((popped, vm)) = sent else { return };
             let mut req = popped.value;
             self.router.started(now, &vm, req.key);
             req.attempts += 1;
@@ -384,16 +408,14 @@
 
 impl SimpleEntry {
     fn send(&mut self, mut req: Request) -> Action {
-        if self.upstreams.is_empty() {
-            return Action::Refuse(req, RefusalReason::NoUpstream);
-        }
         self.next += 1;
-        let turn = |i: usize| &self.upstreams[(self.next + i) % self.upstreams.len()];
+        let upstreams = self.upstreams.get(&req.pool).map_or(&[][..], Vec::as_slice);
+        let in_turn = (0..upstreams.len()).map(|i| &upstreams[(self.next + i) % upstreams.len()]);
+        let own = |vm: &&VmName| self.own.get(*vm).copied().unwrap_or(0);
         let vm = if self.least {
-            let own = |vm: &&VmName| self.own.get(*vm).copied().unwrap_or(0);
-            (0..self.upstreams.len()).map(turn).min_by_key(own)
+            in_turn.min_by_key(own)
         } else {
-            Some(turn(0))
+            { in_turn }.next()
         };
         let Some(vm) = vm.cloned() else {
             return Action::Refuse(req, RefusalReason::NoUpstream);
@@ -409,8 +431,9 @@
         }
         match result {
             AttemptResult::Answered => Action::Answer(req),
+            AttemptResult::Failed if !req.idempotent => Action::Fail(req),
             _ if req.attempts <= SIMPLE_RETRIES => self.send(req),
-            AttemptResult::Refused(reason) => Action::Refuse(req, reason),
+            AttemptResult::Refused(reason, _) => Action::Refuse(req, reason),
             AttemptResult::Failed => Action::Fail(req),
         }
     }
--- /dev/null
+++ b/crates/oriole_bench/src/service/engine.rs
@@ -0,0 +1,336 @@
+//! An engine that streams tokens and can be cold, behind the real gate of the agent or behind a
+//! plain limit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_admission::prelude::*;
+use oriole_types::prelude::*;
+use rand_chacha::ChaCha8Rng;
+
+use super::upstream::{Attempt, Effect, Upstream, draw_service};
+
+/// Time between two tokens of a warm engine.
+const WARM_PACE: Duration = Duration::from_millis(20);
+
+/// How much slower a cold engine gives tokens.
+const COLD_SLOWDOWN: f64 = 4.0;
+
+/// Requests after which a cold engine is warm.
+const WARM_AFTER: u32 = 30;
+
+/// Time between two reports of the engine to its agent.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+
+/// Lag of a report.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+
+/// Who admits requests to the engine.
+pub enum Admission {
+    /// The agent's gate.
+    Gate(Box<Gate>),
+    /// A limit on connections that knows nothing of cold start.
+    Limit(usize),
+}
+
+/// Sizes of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Kind of upstream.
+    pub kind: PoolKind,
+    /// Name of its VM.
+    pub vm: VmName,
+    /// Requests in flight that it bears in cold start.
+    pub cold: u32,
+    /// Requests in flight that it bears warm.
+    pub warm: u32,
+    /// Median time of a whole answer while warm.
+    pub service: Duration,
+    /// Spread of the logarithm of service times.
+    pub sigma: f64,
+}
+
+/// One engine.
+pub struct Engine {
+    cfg: EngineConfig,
+    admission: Admission,
+    waiting: BTreeMap<u64, Attempt>,
+    running: BTreeMap<u64, Running>,
+    order: u64,
+    drained: bool,
+    /// Requests it still has to answer until it is warm.
+    cold_for: u32,
+    overload: u64,
+    reported: Duration,
+    history: Vec<(Duration, u32, bool)>,
+}
+
+struct Running {
+    attempt: Attempt,
+    started: Duration,
+    tokens_left: u32,
+    pace: Duration,
+    since_cold: bool,
+}
+
+impl Engine {
+    /// A cold engine whose agent has just started.
+    #[must_use]
+    pub fn new(cfg: EngineConfig, gated: bool) -> Self {
+        let admission = if gated {
+            Admission::Gate(Box::new(gate(&cfg)))
+        } else {
+            Admission::Limit(cfg.warm as usize)
+        };
+        Self {
+            cfg,
+            admission,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            order: 0,
+            drained: false,
+            cold_for: WARM_AFTER,
+            overload: 0,
+            reported: Duration::ZERO,
+            history: Vec::new(),
+        }
+    }
+
+    fn is_cold(&self) -> bool {
+        self.cold_for > 0
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        id: u64,
+        attempt: Attempt,
+        rng: &mut ChaCha8Rng,
+    ) -> [Effect; 2] {
+        let since_cold = self.running.values().filter(|r| r.since_cold).count() as u32;
+        if self.is_cold() && since_cold >= self.cfg.cold {
+            self.overload += 1;
+        }
+        let service = draw_service(self.cfg.service, self.cfg.sigma, rng);
+        let (tokens_left, pace) = match self.cfg.kind {
+            PoolKind::Engine => {
+                let tokens = (service.as_secs_f64() / WARM_PACE.as_secs_f64()).round();
+                (tokens.max(1.0) as u32, WARM_PACE)
+            }
+            PoolKind::Service => (1, service),
+        };
+        let since_cold = self.is_cold();
+        let running = Running {
+            attempt,
+            started: now,
+            tokens_left,
+            pace,
+            since_cold,
+        };
+        let first = self.pace_of(&running);
+        self.running.insert(id, running);
+        [Effect::Started, Effect::Due(id, first)]
+    }
+
+    /// Time to the next token: a cold engine is slow, and slower still beyond what it bears.
+    fn pace_of(&self, running: &Running) -> Duration {
+        if !self.is_cold() {
+            return running.pace;
+        }
+        let crowd = self.running.len() as f64 / f64::from(self.cfg.cold.max(1));
+        running.pace.mul_f64(COLD_SLOWDOWN * crowd.max(1.0))
+    }
+
+    fn act(&mut self, now: Duration, actions: Vec<Action>, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        let mut out = Vec::new();
+        for action in actions {
+            match action {
+                Action::Start(id) => {
+                    if let Some(attempt) = self.waiting.remove(&id.0) {
+                        out.extend(self.start(now, id.0, attempt, rng));
+                    }
+                }
+                Action::Refuse(id, refusal) => {
+                    if let Some(attempt) = self.waiting.remove(&id.0) {
+                        out.push(Effect::Refused(
+                            attempt,
+                            refusal.reason,
+                            refusal.retry_after,
+                        ));
+                    }
+                }
+                Action::Lost(id) => {
+                    if let Some(r) = self.running.remove(&id.0) {
+                        out.push(Effect::Ended(
+                            r.attempt,
+                            false,
+                            now.saturating_sub(r.started),
+                        ));
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    fn ended(&mut self, now: Duration, id: u64, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        let Some(r) = self.running.remove(&id) else {
+            return Vec::new();
+        };
+        self.cold_for = self.cold_for.saturating_sub(u32::from(r.since_cold));
+        let mut out = vec![Effect::Ended(
+            r.attempt,
+            true,
+            now.saturating_sub(r.started),
+        )];
+        if let Admission::Gate(gate) = &mut self.admission {
+            let actions = gate.finished(now, WorkId(id), FinishKind::Complete);
+            out.extend(self.act(now, actions, rng));
+        }
+        out
+    }
+
+    /// Lets the engine report to its agent, late.
+    fn report_to_agent(&mut self, now: Duration) -> Vec<Action> {
+        self.history
+            .push((now, self.running.len() as u32, self.is_cold()));
+        self.history.retain(|(at, ..)| *at + REPORT_LAG * 2 >= now);
+        if now < self.reported + REPORT_PERIOD {
+            return Vec::new();
+        }
+        self.reported = now;
+        let old = |h: &&(Duration, u32, bool)| h.0 + REPORT_LAG <= now;
+        let Some((made_at, in_flight, cold)) = self.history.iter().rev().find(old).copied() else {
+            return Vec::new();
+        };
+        let Admission::Gate(gate) = &mut self.admission else {
+            return Vec::new();
+        };
+        let cold = (self.cfg.kind == PoolKind::Engine).then_some(cold);
+        gate.upstream_report(
+            now,
+            UpstreamReport {
+                made_at,
+                in_flight,
+                cold,
+            },
+        )
+    }
+}
+
+impl Upstream for Engine {
+    fn arrived(&mut self, now: Duration, attempt: Attempt, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        self.order += 1;
+        let id = self.order;
+        let gate = match &mut self.admission {
+            Admission::Limit(limit) if self.running.len() >= *limit => {
+                return vec![Effect::Refused(attempt, RefusalReason::UpstreamFull, None)];
+            }
+            Admission::Limit(_) => return self.start(now, id, attempt, rng).into(),
+            Admission::Gate(gate) => gate,
+        };
+        let content = Digest::of(&(attempt.req.id as u64).to_be_bytes());
+        let offer = Offer::new(WorkId(id), content, attempt.req.deadline);
+        match gate.offer(now, offer.with_priority(attempt.req.priority)) {
+            Decision::Admit => self.start(now, id, attempt, rng).into(),
+            Decision::Queue => {
+                self.waiting.insert(id, attempt);
+                Vec::new()
+            }
+            Decision::Refuse(refusal) => {
+                vec![Effect::Refused(
+                    attempt,
+                    refusal.reason,
+                    refusal.retry_after,
+                )]
+            }
+        }
+    }
+
+    fn due(&mut self, now: Duration, id: u64, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        let Some(running) = self.running.get_mut(&id) else {
+            return Vec::new();
+        };
+        running.tokens_left -= 1;
+        let done = running.tokens_left == 0;
+        let mut out = Vec::new();
+        if let (Admission::Gate(gate), PoolKind::Engine) = (&mut self.admission, self.cfg.kind) {
+            let actions = gate.output(now, WorkId(id), 1);
+            out.extend(self.act(now, actions, rng));
+        }
+        if done {
+            out.extend(self.ended(now, id, rng));
+        } else {
+            out.push(Effect::Due(id, self.pace_of(&self.running[&id])));
+        }
+        out
+    }
+
+    fn tick(&mut self, now: Duration, rng: &mut ChaCha8Rng) -> Vec<Effect> {
+        let mut actions = self.report_to_agent(now);
+        if let Admission::Gate(gate) = &mut self.admission {
+            gate.heard_configuration(now, &Confirmation::fresh("domain0".into()));
+            actions.extend(gate.tick(now));
+        }
+        self.act(now, actions, rng)
+    }
+
+    fn set_state(
+        &mut self,
+        now: Duration,
+        state: ServiceState,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<Effect> {
+        let returns = self.drained && state == ServiceState::InService;
+        self.drained = state == ServiceState::Drained;
+        if returns {
+            self.turn_cold();
+        }
+        let Admission::Gate(gate) = &mut self.admission else {
+            return Vec::new();
+        };
+        let actions = gate.set_service_state(now, state);
+        self.act(now, actions, rng)
+    }
+
+    fn set_failing(&mut self, _failing: bool) {}
+
+    fn turn_cold(&mut self) {
+        self.cold_for = WARM_AFTER;
+        for running in self.running.values_mut() {
+            running.since_cold = false;
+        }
+    }
+
+    fn report(&self, now: Duration) -> LoadReport {
+        match &self.admission {
+            Admission::Gate(gate) => gate.load_report(now),
+            Admission::Limit(limit) => LoadReport {
+                in_flight: self.running.len() as u32,
+                limit: *limit as u32,
+                ..LoadReport::default()
+            },
+        }
+    }
+
+    fn cold_overload(&self) -> u64 {
+        self.overload
+    }
+}
+
+/// A gate whose agent knows that nothing runs and that it is in service.
+fn gate(cfg: &EngineConfig) -> Gate {
+    let now = Duration::ZERO;
+    let gate_cfg = GateConfig {
+        vm: cfg.vm.clone(),
+        kind: cfg.kind,
+        cold_concurrency: cfg.cold,
+        warm_concurrency: cfg.warm,
+        ..GateConfig::default()
+    };
+    let mut gate = Gate::new(gate_cfg, now);
+    gate.set_service_state(now, ServiceState::InService);
+    gate.upstream_found(now, 0);
+    gate.heard_configuration(now, &Confirmation::fresh("domain0".into()));
+    gate
+}
--- a/crates/oriole_bench/src/service/mod.rs
+++ b/crates/oriole_bench/src/service/mod.rs
@@ -7,12 +7,18 @@
 //! - [`setup`]: sizes, load and faults of a run.
 //! - [`world`]: the event loop.
 //! - [`contender`]: what an entry does: the real machines, or one of two simple balancers.
-//! - [`upstream`]: a fake upstream behind an agent that admits up to its limit.
+//! - [`callers`]: which entry a caller sends to.
+//! - [`upstream`]: what an upstream with its agent does.
+//! - [`slots`]: a warm upstream with slots.
+//! - [`engine`]: an engine that can be cold, behind the agent's real gate.
 //! - [`outcome`]: what became of the requests.
 
+pub mod callers;
 pub mod contender;
+pub mod engine;
 pub mod outcome;
 pub mod setup;
+pub mod slots;
 pub mod upstream;
 pub mod world;
 
--- a/crates/oriole_bench/src/service/outcome.rs
+++ b/crates/oriole_bench/src/service/outcome.rs
@@ -55,9 +55,9 @@
     pub ended: Vec<Ended>,
     /// Requests admitted above what a cold upstream bears.
     pub cold_overload: u64,
-    /// When an upstream of each failure domain last got new work.
-    pub last_new_work: Vec<Duration>,
-    /// Requests that ran at an upstream when it was drained and were cut off.
+    /// When an attempt started at an upstream, and the number of its failure domain.
+    pub started: Vec<(Duration, usize)>,
+    /// Attempts that ran in a failure domain when it was drained and did not end well.
     pub cut: u64,
 }
 
--- a/crates/oriole_bench/src/service/setup.rs
+++ b/crates/oriole_bench/src/service/setup.rs
@@ -5,11 +5,18 @@
 
 use oriole_types::prelude::*;
 
-/// Pool that serves everything.
-pub const POOL: &str = "models";
+use super::engine::{Engine, EngineConfig};
+use super::slots::Slots;
+use super::upstream::Upstream;
 
-/// Catalog entry that everything asks for.
-pub const ENTRY: &str = "draft";
+/// Pool of the model engines.
+pub const MODELS: &str = "models";
+
+/// Pool of the plain services, whose requests must not run twice.
+pub const LEDGERS: &str = "ledgers";
+
+/// Service time of a plain service.
+const LEDGER_SERVICE: Duration = Duration::from_millis(20);
 
 /// Requests of one account.
 #[derive(Clone, Debug)]
@@ -18,6 +25,8 @@
     pub account: AccountName,
     /// Requests a second.
     pub per_s: f64,
+    /// Whether it asks the plain services instead of the model engines.
+    pub ledgers: bool,
     /// Whether all requests have one key and one prompt prefix.
     pub one_key: bool,
     /// Parts of the requests that are high and low; the rest is normal.
@@ -44,8 +53,12 @@
 pub struct Setup {
     /// Entries.
     pub entries: usize,
-    /// Upstreams.
+    /// Model engines.
     pub upstreams: usize,
+    /// Plain services; they are numbered after the engines.
+    pub ledgers: usize,
+    /// Whether engines can be cold, behind the agent's real gate; otherwise they are warm slots.
+    pub engines: bool,
     /// Failure domains.
     pub domains: usize,
     /// Requests in flight that a warm upstream bears.
@@ -77,6 +90,8 @@
         Self {
             entries: 18,
             upstreams: 16,
+            ledgers: 0,
+            engines: false,
             domains: 3,
             warm: 16,
             cold: 2,
@@ -113,6 +128,7 @@
         let traffic = |(i, part): (usize, &f64)| Traffic {
             account: AccountName::new(&format!("account{i}")),
             per_s: per_s * part,
+            ledgers: false,
             one_key: false,
             high_low: (0.1, 0.3),
             limits: unlimited(),
@@ -131,9 +147,11 @@
     #[must_use]
     pub fn vm_list(&self) -> VmList {
         let entries = (0..self.entries).map(|i| self.record(&entry_name(i), i, VmRole::Entry));
-        let role = VmRole::Upstream { pool: POOL.into() };
+        let role = |i| VmRole::Upstream {
+            pool: self.pool_of(i),
+        };
         let upstreams =
-            (0..self.upstreams).map(|i| self.record(&upstream_name(i), i, role.clone()));
+            (0..self.all_upstreams()).map(|i| self.record(&upstream_name(i), i, role(i)));
         VmList {
             version: 1,
             vms: entries.chain(upstreams).collect(),
@@ -147,36 +165,81 @@
             revision: Revision(1),
             ..Catalog::default()
         };
-        let pool = Pool {
-            kind: PoolKind::Engine,
-            cold_concurrency: self.cold,
-            warm_concurrency: self.warm,
-            checks_fencing: false,
-            claim_partitions: 8,
-        };
-        catalog.pools.insert(POOL.into(), pool);
         let timeout_ms = self.timeout.as_millis() as u32;
-        let entry = CatalogEntry {
-            owner: "bench".to_owned(),
-            class: RequestClass {
-                idempotent: true,
-                priority: Priority::Normal,
-                stream: false,
-            },
-            pool: POOL.into(),
-            model: None,
-            max_body_bytes: 1 << 20,
-            requests_per_s: 1_000_000,
-            default_timeout_ms: timeout_ms,
-            max_timeout_ms: timeout_ms,
-        };
-        catalog.entries.insert(ENTRY.into(), entry);
+        for (name, kind) in [(MODELS, PoolKind::Engine), (LEDGERS, PoolKind::Service)] {
+            let pool = Pool {
+                kind,
+                cold_concurrency: self.cold,
+                warm_concurrency: self.warm,
+                checks_fencing: false,
+                claim_partitions: 8,
+            };
+            catalog.pools.insert(name.into(), pool);
+            let idempotent = kind == PoolKind::Engine;
+            let entry = CatalogEntry {
+                owner: "bench".to_owned(),
+                class: RequestClass {
+                    idempotent,
+                    priority: Priority::Normal,
+                    stream: false,
+                },
+                pool: name.into(),
+                model: None,
+                max_body_bytes: 1 << 20,
+                requests_per_s: 1_000_000,
+                default_timeout_ms: timeout_ms,
+                max_timeout_ms: timeout_ms,
+            };
+            catalog.entries.insert(name.into(), entry);
+        }
         for t in &self.traffic {
             catalog.accounts.insert(t.account.clone(), t.limits.clone());
         }
         catalog
     }
 
+    /// Number of upstreams of both kinds.
+    #[must_use]
+    pub fn all_upstreams(&self) -> usize {
+        self.upstreams + self.ledgers
+    }
+
+    /// Pool of an upstream.
+    #[must_use]
+    pub fn pool_of(&self, upstream: usize) -> PoolName {
+        if upstream < self.upstreams {
+            MODELS.into()
+        } else {
+            LEDGERS.into()
+        }
+    }
+
+    /// The upstream with some number; `gated` says whether a real gate admits.
+    #[must_use]
+    pub fn upstream(&self, i: usize, gated: bool) -> Box<dyn Upstream> {
+        if !self.engines {
+            return Box::new(Slots::new(self.warm, self.service, self.sigma));
+        }
+        let is_engine = i < self.upstreams;
+        let cfg = EngineConfig {
+            kind: if is_engine {
+                PoolKind::Engine
+            } else {
+                PoolKind::Service
+            },
+            vm: upstream_name(i),
+            cold: self.cold,
+            warm: self.warm,
+            service: if is_engine {
+                self.service
+            } else {
+                LEDGER_SERVICE
+            },
+            sigma: self.sigma,
+        };
+        Box::new(Engine::new(cfg, gated))
+    }
+
     /// Failure domain of the VM with some number.
     #[must_use]
     pub fn domain_of(&self, i: usize) -> usize {
--- a/crates/oriole_bench/src/service/world.rs
+++ b/crates/oriole_bench/src/service/world.rs
@@ -5,29 +5,29 @@
 use std::time::Duration;
 
 use oriole_membership::load_feed::{LOAD_PERIOD, LoadFeed};
-use oriole_routing::prelude::*;
 use oriole_types::prelude::*;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::callers::{CALLERS, Callers};
 use super::contender::{Action, AttemptResult, Contender, Entry, Request};
 use super::outcome::{End, Ended, Outcomes};
-use super::setup::{Fault, Setup, domain_name, entry_name, upstream_name};
-use super::upstream::{Admitted, Run, Upstream};
+use super::setup::{Fault, LEDGERS, MODELS, Setup, domain_name, entry_name, upstream_name};
+use super::upstream::{Attempt, Effect, Upstream};
 
 /// Time between two ticks of an entry.
-const TICK: Duration = Duration::from_millis(10);
+const ENTRY_TICK: Duration = Duration::from_millis(10);
 
-/// Time between two digests of an entry.
-const DIGEST_PERIOD: Duration = Duration::from_secs(1);
+/// Time between two ticks of an agent.
+const AGENT_TICK: Duration = Duration::from_millis(5);
 
 /// Time between two looks of an agent at who is without news of its load.
 const FEED_TICK: Duration = Duration::from_millis(100);
 
-/// Callers of each account.
-const CALLERS: u64 = 12;
+/// Time between two digests of an entry.
+const DIGEST_PERIOD: Duration = Duration::from_secs(1);
 
-/// Time for which an attempt waits for a dead process.
+/// Time for which a caller waits for a dead entry.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Longest time until a change of the catalog has reached every process.
@@ -42,74 +42,37 @@
 }
 
 enum Event {
-    Offer {
-        account: usize,
-    },
-    AtEntry {
-        entry: usize,
-        id: usize,
-    },
-    AtAgent {
-        entry: usize,
-        req: Request,
-        vm: VmName,
-    },
-    UpstreamDone {
-        entry: usize,
-        req: Request,
-        vm: VmName,
-        started: Duration,
-        ok: bool,
-    },
-    AtEntryAgain {
-        entry: usize,
-        back: Back,
-    },
-    Woken {
-        entry: usize,
-        req: Request,
-    },
-    Tick {
-        entry: usize,
-    },
-    Digest {
-        entry: usize,
-    },
-    Feed {
-        upstream: usize,
-    },
+    Offer(usize),
+    AtEntry(usize, usize),
+    AtAgent(usize, Attempt),
+    Due(usize, u64),
+    AtEntryAgain(Box<Back>),
+    Woken(usize, Request),
+    EntryTick(usize),
+    AgentTick(usize),
+    Digest(usize),
+    Feed(usize),
     Fault(Fault),
-    EntryHears {
-        entry: usize,
-    },
-    AgentHears {
-        upstream: usize,
-    },
+    EntryHears(usize),
+    AgentHears(usize),
 }
 
 /// An attempt that ended, on its way back.
 struct Back {
-    req: Request,
-    vm: VmName,
+    attempt: Attempt,
+    upstream: usize,
     result: AttemptResult,
     took: Duration,
     load: LoadReport,
 }
 
-/// An attempt that waits at an agent.
-#[derive(Clone)]
-struct Parked {
-    entry: usize,
-    req: Request,
-    vm: VmName,
-}
-
 struct Flight {
     account: usize,
     priority: Priority,
     sent: Duration,
     caller: u64,
-    tries: usize,
+    entry: usize,
+    done: bool,
 }
 
 struct Queued(Duration, u64, Event);
@@ -121,13 +84,14 @@
     catalog: Catalog,
     entries: Vec<Entry>,
     dead: BTreeSet<usize>,
-    upstreams: Vec<Upstream<Parked>>,
+    upstreams: Vec<Box<dyn Upstream>>,
     feeds: Vec<LoadFeed>,
     number: BTreeMap<VmName, usize>,
     entry_number: BTreeMap<VmName, usize>,
-    answers: EndpointAnswers,
+    callers: Callers,
     events: BinaryHeap<Reverse<Queued>>,
     flights: Vec<Flight>,
+    drained_at: BTreeMap<usize, Duration>,
     rngs: Vec<ChaCha8Rng>,
     rng: ChaCha8Rng,
     now: Duration,
@@ -143,28 +107,29 @@
             rng
         };
         let (list, catalog) = (setup.vm_list(), setup.catalog());
-        let entry = |i: usize| Entry::new(contender, setup, i, stream(1000 + i as u64));
-        let mut entries: Vec<Entry> = (0..setup.entries).map(entry).collect();
-        for entry in &mut entries {
+        let entry = |i: usize| {
+            let mut entry = Entry::new(contender, setup, i, stream(1000 + i as u64));
             entry.fleet_changed(Duration::ZERO, &list, &catalog);
-        }
-        let upstream = Upstream::new(setup.warm, setup.cold, setup.service, setup.sigma);
-        let mut feed = LoadFeed::new(LOAD_PERIOD);
+            entry
+        };
+        let entries: Vec<Entry> = (0..setup.entries).map(entry).collect();
         let names: Vec<VmName> = (0..setup.entries).map(entry_name).collect();
+        let mut feed = LoadFeed::new(LOAD_PERIOD);
         feed.set_subscribers(names.iter());
+        let gated = contender == Contender::Oriole;
+        let all = setup.all_upstreams();
         let mut world = Self {
             contender,
             entries,
             dead: BTreeSet::new(),
-            upstreams: (0..setup.upstreams).map(|_| upstream.clone()).collect(),
-            feeds: vec![feed; setup.upstreams],
-            number: (0..setup.upstreams)
-                .map(|i| (upstream_name(i), i))
-                .collect(),
+            upstreams: (0..all).map(|i| setup.upstream(i, gated)).collect(),
+            feeds: vec![feed; all],
+            number: (0..all).map(|i| (upstream_name(i), i)).collect(),
             entry_number: (0..setup.entries).map(|i| (entry_name(i), i)).collect(),
-            answers: EndpointAnswers::default(),
+            callers: Callers::default(),
             events: BinaryHeap::new(),
             flights: Vec::new(),
+            drained_at: BTreeMap::new(),
             rngs: (0..setup.traffic.len()).map(|i| stream(i as u64)).collect(),
             rng: stream(999),
             now: Duration::ZERO,
@@ -174,7 +139,6 @@
             catalog,
             setup,
         };
-        world.outcomes.last_new_work = vec![Duration::ZERO; setup.domains];
         world.schedule_all();
         world
     }
@@ -184,17 +148,23 @@
             self.schedule_offer(account);
         }
         for entry in 0..self.setup.entries {
-            let offset = TICK.mul_f64(entry as f64 / self.setup.entries as f64);
-            self.after(offset, Event::Tick { entry });
-            self.after(offset * 100, Event::Digest { entry });
+            let offset = ENTRY_TICK.mul_f64(entry as f64 / self.setup.entries as f64);
+            self.after(offset, Event::EntryTick(entry));
+            self.after(offset * 100, Event::Digest(entry));
         }
-        for upstream in 0..self.setup.upstreams {
-            self.after(FEED_TICK, Event::Feed { upstream });
+        for upstream in 0..self.upstreams.len() {
+            self.after(AGENT_TICK, Event::AgentTick(upstream));
+            self.after(FEED_TICK, Event::Feed(upstream));
         }
         for (at, fault) in &self.setup.faults {
             self.after(*at, Event::Fault(fault.clone()));
         }
-        self.set_holders();
+        for t in &self.setup.traffic {
+            let holders = self.callers.holders(&self.list, &self.catalog, &t.account);
+            for entry in &mut self.entries {
+                entry.set_holders(self.now, &t.account, holders);
+            }
+        }
     }
 
     fn run(&mut self) {
@@ -206,40 +176,43 @@
             self.now = at;
             self.handle(event);
         }
-        self.outcomes.cold_overload = self.upstreams.iter().map(|u| u.cold_overload).sum();
+        self.outcomes.cold_overload = self.upstreams.iter().map(|u| u.cold_overload()).sum();
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Offer { account } => self.offer(account),
-            Event::AtEntry { entry, id } => self.at_entry(entry, id),
-            Event::AtAgent { entry, req, vm } => self.at_agent(entry, req, vm),
-            Event::UpstreamDone {
-                entry,
-                req,
-                vm,
-                started,
-                ok,
-            } => {
-                self.upstream_done(entry, req, vm, started, ok);
+            Event::Offer(account) => self.offer(account),
+            Event::AtEntry(entry, id) => self.at_entry(entry, id),
+            Event::AtAgent(i, attempt) => {
+                let effects = self.upstreams[i].arrived(self.now, attempt, &mut self.rng);
+                self.affect(i, effects);
+            }
+            Event::Due(i, id) => {
+                let effects = self.upstreams[i].due(self.now, id, &mut self.rng);
+                self.affect(i, effects);
             }
-            Event::AtEntryAgain { entry, back } => self.at_entry_again(entry, back),
-            Event::Woken { entry, req } => {
+            Event::AtEntryAgain(back) => self.at_entry_again(*back),
+            Event::Woken(entry, req) => {
                 let actions = self.entries[entry].woken(self.now, req);
                 self.act(entry, actions);
             }
-            Event::Tick { entry } => {
+            Event::EntryTick(entry) => {
                 let actions = self.entries[entry].tick(self.now);
                 self.act(entry, actions);
-                self.after(TICK, Event::Tick { entry });
+                self.after(ENTRY_TICK, Event::EntryTick(entry));
+            }
+            Event::AgentTick(i) => {
+                let effects = self.upstreams[i].tick(self.now, &mut self.rng);
+                self.affect(i, effects);
+                self.after(AGENT_TICK, Event::AgentTick(i));
             }
-            Event::Digest { entry } => self.digest(entry),
-            Event::Feed { upstream } => self.feed(upstream),
+            Event::Digest(entry) => self.digest(entry),
+            Event::Feed(upstream) => self.feed(upstream),
             Event::Fault(fault) => self.fault(&fault),
-            Event::EntryHears { entry } => {
+            Event::EntryHears(entry) => {
                 self.entries[entry].fleet_changed(self.now, &self.list, &self.catalog);
             }
-            Event::AgentHears { upstream } => self.agent_hears(upstream),
+            Event::AgentHears(upstream) => self.agent_hears(upstream),
         }
     }
 
@@ -248,7 +221,7 @@
         let u: f64 = self.rngs[account].random();
         let gap = Duration::from_secs_f64(-(1.0 - u).ln() / per_s);
         if self.now + gap < self.setup.end() {
-            self.after(gap, Event::Offer { account });
+            self.after(gap, Event::Offer(account));
         }
     }
 
@@ -261,60 +234,57 @@
             p if p < high + low => Priority::Low,
             _ => Priority::Normal,
         };
-        let id = self.flights.len();
-        self.flights.push(Flight {
+        let (id, sent) = (self.flights.len(), self.now);
+        let flight = Flight {
             account,
             priority,
-            sent: self.now,
+            sent,
             caller,
-            tries: 0,
-        });
+            entry: 0,
+            done: false,
+        };
+        self.flights.push(flight);
         self.send_to_entry(id);
         self.schedule_offer(account);
     }
 
-    /// A caller sends to the next address of its answer.
     fn send_to_entry(&mut self, id: usize) {
         let entry = self.entry_for(id);
-        let flight = &mut self.flights[id];
-        flight.tries += 1;
+        self.flights[id].entry = entry;
         let wait = if self.dead.contains(&entry) {
             CONNECT_TIMEOUT
         } else {
             self.setup.one_way
         };
-        self.after(wait, Event::AtEntry { entry, id });
+        self.after(wait, Event::AtEntry(entry, id));
     }
 
     fn entry_for(&mut self, id: usize) -> usize {
-        let flight = &self.flights[id];
         if self.contender != Contender::Oriole {
             return self.rng.random_range(0..self.setup.entries);
         }
-        let away = self.dead.iter().map(|i| entry_name(*i)).collect();
-        let (room, caller) = (BTreeMap::new(), flight.caller);
-        let view = AnswerView {
-            list: &self.list,
-            catalog: &self.catalog,
-            away: &away,
-            room: &room,
-        };
+        let flight = &self.flights[id];
         let account = &self.setup.traffic[flight.account].account;
-        let answer = self.answers.answer(&view, account, caller);
-        let endpoint = &answer.endpoints[flight.tries % answer.endpoints.len()];
-        self.entry_number[&endpoint.vm]
+        let (list, catalog) = (&self.list, &self.catalog);
+        let entry = self
+            .callers
+            .entry(self.now, list, catalog, account, flight.caller);
+        self.entry_number[&entry]
     }
 
     fn at_entry(&mut self, entry: usize, id: usize) {
         if self.dead.contains(&entry) {
-            self.send_to_entry(id);
+            self.go_elsewhere(id);
             return;
         }
         let flight = &self.flights[id];
         let traffic = &self.setup.traffic[flight.account];
+        let pool = if traffic.ledgers { LEDGERS } else { MODELS };
         let req = Request {
             id,
             account: traffic.account.clone(),
+            pool: pool.into(),
+            idempotent: !traffic.ledgers,
             priority: flight.priority,
             deadline: flight.sent + self.setup.timeout,
             key: traffic.one_key.then_some(flight.account as u64),
@@ -325,14 +295,27 @@
         self.act(entry, actions);
     }
 
+    /// A caller's entry is dead: it goes on to its next address.
+    fn go_elsewhere(&mut self, id: usize) {
+        let flight = &self.flights[id];
+        let account = &self.setup.traffic[flight.account].account;
+        self.callers
+            .failed(account, flight.caller, &entry_name(flight.entry));
+        self.send_to_entry(id);
+    }
+
     fn act(&mut self, entry: usize, actions: Vec<Action>) {
+        if self.dead.contains(&entry) {
+            return;
+        }
         for action in actions {
             match action {
                 Action::Send(req, vm) => {
-                    let wait = self.distance(entry, self.number[&vm]);
-                    self.after(wait, Event::AtAgent { entry, req, vm });
+                    let i = self.number[&vm];
+                    let attempt = Attempt { entry, req };
+                    self.after(self.distance(entry, i), Event::AtAgent(i, attempt));
                 }
-                Action::Wake(req, after) => self.after(after, Event::Woken { entry, req }),
+                Action::Wake(req, after) => self.after(after, Event::Woken(entry, req)),
                 Action::Refuse(req, reason) => self.end(&req, End::Refused(reason)),
                 Action::Fail(req) => self.end(&req, End::Failed),
                 Action::Answer(req) => self.end(&req, End::Completed),
@@ -340,106 +323,88 @@
         }
     }
 
-    fn at_agent(&mut self, entry: usize, req: Request, vm: VmName) {
-        let i = self.number[&vm];
-        let wait = self.distance(entry, i);
-        let parked = Parked {
-            entry,
-            req: req.clone(),
-            vm: vm.clone(),
-        };
-        let upstream = &mut self.upstreams[i];
-        match upstream.admit(req.priority, req.deadline, &mut self.rng, || parked) {
-            Admitted::Runs(run) => self.runs(Parked { entry, req, vm }, run),
-            Admitted::Waits => {}
-            Admitted::Refused(reason) => {
-                let load = self.upstreams[i].report();
-                let result = AttemptResult::Refused(reason);
-                let back = Back {
-                    req,
-                    vm,
-                    result,
-                    took: wait * 2,
-                    load,
-                };
-                self.after(wait, Event::AtEntryAgain { entry, back });
+    fn affect(&mut self, upstream: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Started => {
+                    let domain = self.setup.domain_of(upstream);
+                    self.outcomes.started.push((self.now, domain));
+                }
+                Effect::Due(id, after) => self.after(after, Event::Due(upstream, id)),
+                Effect::Refused(attempt, reason, retry_after) => {
+                    let result = AttemptResult::Refused(reason, retry_after);
+                    self.go_back(attempt, upstream, result, Duration::ZERO);
+                }
+                Effect::Ended(attempt, ok, took) => {
+                    let result = if ok {
+                        AttemptResult::Answered
+                    } else {
+                        AttemptResult::Failed
+                    };
+                    let drained = self.drained_at.get(&self.setup.domain_of(upstream));
+                    let ran = drained.is_some_and(|at| self.now.saturating_sub(took) <= *at);
+                    self.outcomes.cut += u64::from(ran && !ok);
+                    self.go_back(attempt, upstream, result, took);
+                }
             }
         }
     }
 
-    fn runs(&mut self, parked: Parked, run: Run) {
-        let Parked { entry, req, vm } = parked;
-        let (i, started) = (self.number[&vm], self.now);
-        self.outcomes.last_new_work[self.setup.domain_of(i)] = started;
-        self.after(
-            run.took,
-            Event::UpstreamDone {
-                entry,
-                req,
-                vm,
-                started,
-                ok: run.ok,
-            },
-        );
-    }
-
-    fn upstream_done(&mut self, entry: usize, req: Request, vm: VmName, at: Duration, ok: bool) {
-        let i = self.number[&vm];
-        let took = self.now.saturating_sub(at);
-        self.upstreams[i].ended(took, ok);
-        while let Some((parked, run)) = self.upstreams[i].next(&mut self.rng) {
-            self.runs(parked, run);
-        }
-        let result = if ok {
-            AttemptResult::Answered
-        } else {
-            AttemptResult::Failed
-        };
-        let load = self.upstreams[i].report();
-        let wait = self.distance(entry, i);
-        self.feeds[i].answered(self.now, &entry_name(entry));
+    fn go_back(
+        &mut self,
+        attempt: Attempt,
+        upstream: usize,
+        result: AttemptResult,
+        took: Duration,
+    ) {
+        let load = self.upstreams[upstream].report(self.now);
+        let wait = self.distance(attempt.entry, upstream);
+        self.feeds[upstream].answered(self.now, &entry_name(attempt.entry));
         let back = Back {
-            req,
-            vm,
+            attempt,
+            upstream,
             result,
             took: took + wait * 2,
             load,
         };
-        self.after(wait, Event::AtEntryAgain { entry, back });
+        self.after(wait, Event::AtEntryAgain(Box::new(back)));
     }
 
-    fn at_entry_again(&mut self, entry: usize, back: Back) {
+    fn at_entry_again(&mut self, back: Back) {
         let Back {
-            req,
-            vm,
+            attempt,
+            upstream,
             result,
             took,
             load,
         } = back;
-        if self.dead.contains(&entry) {
-            return;
-        }
+        let Attempt { entry, req } = attempt;
+        let vm = upstream_name(upstream);
         let actions = self.entries[entry].ended(self.now, req, &vm, result, took, &load);
         self.act(entry, actions);
     }
 
     fn end(&mut self, req: &Request, end: End) {
-        let flight = &self.flights[req.id];
         let at = self.now + self.setup.one_way;
         let late = end == End::Completed && at > req.deadline;
         let end = if late { End::Late } else { end };
-        let ended = Ended {
+        self.end_flight(req.id, at, req.attempts, end);
+    }
+
+    fn end_flight(&mut self, id: usize, at: Duration, attempts: u32, end: End) {
+        let flight = &mut self.flights[id];
+        if std::mem::replace(&mut flight.done, true) || flight.sent < self.setup.warm_up {
+            return;
+        }
+        self.outcomes.ended.push(Ended {
             account: flight.account,
             priority: flight.priority,
             sent: flight.sent,
             at,
-            attempts: req.attempts,
-            accepted: req.attempts > 0,
+            attempts,
+            accepted: attempts > 0,
             end,
-        };
-        if flight.sent >= self.setup.warm_up {
-            self.outcomes.ended.push(ended);
-        }
+        });
     }
 
     fn digest(&mut self, entry: usize) {
@@ -456,28 +421,47 @@
                 }
             }
         }
-        self.after(DIGEST_PERIOD, Event::Digest { entry });
+        self.after(DIGEST_PERIOD, Event::Digest(entry));
     }
 
     /// An agent tells its load to the entries that got no answer lately.
     fn feed(&mut self, upstream: usize) {
-        let (load, vm) = (self.upstreams[upstream].report(), upstream_name(upstream));
+        let (load, vm) = (
+            self.upstreams[upstream].report(self.now),
+            upstream_name(upstream),
+        );
         for name in self.feeds[upstream].due(self.now, &load) {
             let entry = self.entry_number[&name];
             self.entries[entry].load_told(self.now, &vm, &load);
         }
-        self.after(FEED_TICK, Event::Feed { upstream });
+        self.after(FEED_TICK, Event::Feed(upstream));
     }
 
     fn fault(&mut self, fault: &Fault) {
         match fault {
-            Fault::Failing(i, failing) => self.upstreams[*i].failing = *failing,
+            Fault::Failing(i, failing) => self.upstreams[*i].set_failing(*failing),
             Fault::TurnCold(i) => self.upstreams[*i].turn_cold(),
-            Fault::EntryDies(i) => drop(self.dead.insert(*i)),
+            Fault::EntryDies(i) => self.entry_dies(*i),
             Fault::Domain(domain, state) => self.set_domain(*domain, *state),
         }
     }
 
+    /// Callers lose their connections; they send again elsewhere what may run twice.
+    fn entry_dies(&mut self, entry: usize) {
+        self.dead.insert(entry);
+        self.callers.died(self.now, entry);
+        let lost: Vec<usize> = (0..self.flights.len())
+            .filter(|id| !self.flights[*id].done && self.flights[*id].entry == entry)
+            .collect();
+        for id in lost {
+            if self.setup.traffic[self.flights[id].account].ledgers {
+                self.end_flight(id, self.now + self.setup.one_way, 1, End::Failed);
+            } else {
+                self.go_elsewhere(id);
+            }
+        }
+    }
+
     /// A change of the catalog reaches each process at a time of its own.
     fn set_domain(&mut self, domain: usize, state: ServiceState) {
         let region = String::new();
@@ -485,40 +469,26 @@
             .domains
             .insert(domain_name(domain), FailureDomain { region, state });
         self.catalog.revision = self.catalog.revision.next();
+        self.drained_at.remove(&domain);
+        if state == ServiceState::Drained {
+            self.drained_at.insert(domain, self.now);
+        }
         for entry in 0..self.setup.entries {
             let delay = CATALOG_SPREAD.mul_f64(self.rng.random());
-            self.after(delay, Event::EntryHears { entry });
+            self.after(delay, Event::EntryHears(entry));
         }
-        for upstream in 0..self.setup.upstreams {
+        for upstream in 0..self.upstreams.len() {
             let delay = CATALOG_SPREAD.mul_f64(self.rng.random());
-            self.after(delay, Event::AgentHears { upstream });
+            self.after(delay, Event::AgentHears(upstream));
         }
     }
 
     fn agent_hears(&mut self, upstream: usize) {
-        let domain = domain_name(self.setup.domain_of(upstream));
-        let drained = self.catalog.domain_state(&domain) == ServiceState::Drained;
-        let u = &mut self.upstreams[upstream];
-        if u.drained && !drained {
-            u.turn_cold();
-        }
-        u.drained = drained;
-    }
-
-    fn set_holders(&mut self) {
-        let (away, room) = (BTreeSet::new(), BTreeMap::new());
-        let view = AnswerView {
-            list: &self.list,
-            catalog: &self.catalog,
-            away: &away,
-            room: &room,
-        };
-        for t in &self.setup.traffic {
-            let holders = self.answers.subset(&view, &t.account).len();
-            for entry in &mut self.entries {
-                entry.set_holders(self.now, &t.account, holders);
-            }
-        }
+        let state = self
+            .catalog
+            .domain_state(&domain_name(self.setup.domain_of(upstream)));
+        let effects = self.upstreams[upstream].set_state(self.now, state, &mut self.rng);
+        self.affect(upstream, effects);
     }
 
     fn distance(&self, entry: usize, upstream: usize) -> Duration {
--- a/crates/oriole_entry/src/traffic.rs
+++ b/crates/oriole_entry/src/traffic.rs
@@ -82,7 +82,7 @@
     #[must_use]
     pub fn open(clock: Clock, domain: DomainName) -> Self {
         let machines = Machines {
-            router: Router::new(RouterConfig::default(), domain),
+            router: Router::new(router_config(), domain),
             limiter: Limiter::new(LimiterConfig::default()),
             retries: RetryBudget::new(RetryConfig::default()),
             queues: BTreeMap::new(),
@@ -465,6 +465,13 @@
     Refusal::new(reason, message).retry_after(CAPACITY_RETRY_MS)
 }
 
+fn router_config() -> RouterConfig {
+    RouterConfig {
+        phase: rand::random(),
+        ..RouterConfig::default()
+    }
+}
+
 /// Advice to a caller that found no capacity, in milliseconds.
 const CAPACITY_RETRY_MS: u32 = 1_000;
 
--- a/crates/oriole_routing/src/picking/config.rs
+++ b/crates/oriole_routing/src/picking/config.rs
@@ -24,6 +24,12 @@
     pub usual_waiting: f64,
     /// Time over which an upstream that returned regains its full share.
     pub slow_start: Duration,
+    /// Part of what an upstream in cold start bears that the entries together send there although
+    /// others would finish sooner: only work makes it warm.
+    pub warming_load: f64,
+    /// A number that differs between entries, so that they do not warm the same upstream at the
+    /// same moment.
+    pub phase: u64,
     /// Time for which an upstream is left alone after it refused without saying how long.
     pub hold_after_refusal: Duration,
     /// Time after which an agent's word that it is leaving is checked again.
@@ -55,6 +61,8 @@
             high_waiting: 0.25,
             usual_waiting: 0.1,
             slow_start: Duration::from_secs(10),
+            warming_load: 0.7,
+            phase: 0,
             hold_after_refusal: Duration::from_millis(50),
             leaving_ttl: Duration::from_secs(10),
             prefix_saving: 0.3,
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -5,6 +5,7 @@
 
 use metrics::counter;
 use oriole_types::prelude::*;
+use rand::seq::IteratorRandom;
 use rand::{Rng, RngExt};
 
 use super::config::RouterConfig;
@@ -155,9 +156,12 @@
         let Some(upstream) = pool.upstreams.get_mut(vm) else {
             return;
         };
-        if let Some(part) = upstream.note_report(now, load) {
+        if !upstream.note_report(now, load) {
+            return;
+        }
+        if let Some((part, weight)) = upstream.sample() {
             let held = pool.load.unwrap_or(part);
-            pool.load = Some(held + LOAD_SMOOTHING * (part - held));
+            pool.load = Some(held + LOAD_SMOOTHING * weight * (part - held));
         }
     }
 
@@ -196,7 +200,7 @@
         if upstream.room(now, average, Priority::Low, &cfg) < 1.0 {
             pool.probed = now;
         }
-        upstream.own += 1;
+        upstream.started(now);
         pool.own += 1;
     }
 
@@ -335,6 +339,9 @@
         if candidates.is_empty() {
             return Err(self.why_none(now, pool));
         }
+        if let Some(cold) = self.to_warm(now, &candidates, req.priority, rng) {
+            return Ok(cold.vm.clone());
+        }
         let first = draw(&candidates, None, rng);
         let second = draw(&candidates, Some(first), rng);
         let holder = req
@@ -352,6 +359,22 @@
         best.map(|c| c.vm.clone()).ok_or(RefusalReason::NoCapacity)
     }
 
+    /// An upstream in cold start whose turn it is to get a request, since it would never become
+    /// warm if it got none.
+    fn to_warm<'a, 'b>(
+        &self,
+        now: Duration,
+        candidates: &'a [Candidate<'b>],
+        priority: Priority,
+        rng: &mut impl Rng,
+    ) -> Option<&'a Candidate<'b>> {
+        if priority == Priority::High {
+            return None;
+        }
+        let due = |c: &&Candidate<'_>| c.upstream.is_warming_due(now, self.entries, &self.cfg);
+        candidates.iter().filter(due).choose(rng)
+    }
+
     fn candidates<'a>(
         &'a self,
         now: Duration,
--- a/crates/oriole_routing/src/picking/upstream.rs
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -38,6 +38,7 @@
     pub ramp_from: Option<Duration>,
     report: Option<Report>,
     measured_service: Option<Duration>,
+    started: Duration,
 }
 
 /// The newest load report and when it was made, by this entry's clock.
@@ -69,23 +70,61 @@
             ramp_from: None,
             report: None,
             measured_service: None,
+            started: Duration::ZERO,
         }
     }
 
-    /// Takes in a load report, unless a newer one is held; returns the load of the upstream as a
-    /// part of its limit.
-    pub fn note_report(&mut self, now: Duration, load: &LoadReport) -> Option<f64> {
+    /// Takes in a load report, unless a newer one is held; returns whether it was newer.
+    pub fn note_report(&mut self, now: Duration, load: &LoadReport) -> bool {
         let made = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
-        if self.report.is_some_and(|r| r.made > made) {
-            return None;
+        let newer = self.report.is_none_or(|r| r.made <= made);
+        if newer {
+            self.report = Some(Report {
+                load: *load,
+                made,
+                own: self.own,
+            });
         }
-        let report = Report {
-            load: *load,
-            made,
-            own: self.own,
+        newer
+    }
+
+    /// What the newest report says for the average over the pool: the load as a part of the limit,
+    /// and how much that counts. A cold upstream counts little, and requests that wait there say
+    /// nothing of the others.
+    #[must_use]
+    pub fn sample(&self) -> Option<(f64, f64)> {
+        let report = self.report?;
+        let limit = f64::from(report.load.limit.max(1));
+        let part = (report.total() / limit).min(1.0);
+        let weight = (limit / f64::from(self.stated.warm.max(1))).min(1.0);
+        Some((part, weight))
+    }
+
+    /// Notes an attempt that was sent there.
+    pub fn started(&mut self, now: Duration) {
+        self.own += 1;
+        self.started = now;
+    }
+
+    /// Whether the upstream is in cold start, has a slot by its newest report, and is due for a
+    /// request: so many entries send as much together as it bears, each once a round at a moment
+    /// of its own.
+    #[must_use]
+    pub fn is_warming_due(&self, now: Duration, entries: u32, cfg: &RouterConfig) -> bool {
+        let Some(report) = self.report.filter(|r| r.load.cold) else {
+            return false;
         };
-        self.report = Some(report);
-        Some(report.total() / f64::from(load.limit.max(1)))
+        let limit = f64::from(self.limit());
+        let has_slot = report.total() + f64::from(self.own.saturating_sub(report.own)) < limit;
+        let turn = f64::from(entries.max(1)) / (limit * cfg.warming_load);
+        let round = self
+            .service(cfg)
+            .mul_f64(turn)
+            .max(Duration::from_millis(1));
+        let number = (now.as_nanos() / round.as_nanos()) as u32;
+        let begins = round * number;
+        let moment = begins + round.mul_f64(unit_of(cfg.phase ^ u64::from(number)));
+        has_slot && now >= moment && self.started < begins
     }
 
     /// Notes how long a whole answer took.
@@ -204,3 +243,8 @@
         (most * self.ramp(now, cfg)).max(1.0)
     }
 }
+
+/// A number between 0 and 1 that follows from another.
+fn unit_of(n: u64) -> f64 {
+    crate::rendezvous::unit(xxhash_rust::xxh3::xxh3_64(&n.to_be_bytes()))
+}
--- a/crates/oriole_routing/src/rendezvous.rs
+++ b/crates/oriole_routing/src/rendezvous.rs
@@ -31,7 +31,7 @@
 }
 
 /// Maps a hash to a number strictly between 0 and 1.
-fn unit(hash: u64) -> f64 {
+pub(crate) fn unit(hash: u64) -> f64 {
     const MANTISSA_BITS: u32 = 52;
     let mantissa = hash >> (u64::BITS - MANTISSA_BITS);
     (mantissa as f64 + 0.5) / (1_u64 << MANTISSA_BITS) as f64
--- a/crates/oriole_routing/src/retry.rs
+++ b/crates/oriole_routing/src/retry.rs
@@ -206,6 +206,7 @@
         reason,
         RefusalReason::NoCapacity
             | RefusalReason::QueueFull
+            | RefusalReason::Deadline
             | RefusalReason::UpstreamCold
             | RefusalReason::UpstreamFull
             | RefusalReason::Draining
