--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -11,6 +11,7 @@
 mod config_plain;
 mod config_spread;
 mod control;
+mod departure;
 mod hot_account;
 mod overload;
 mod path;
@@ -20,9 +21,7 @@
 mod skew;
 mod skew_large;
 mod store_outage;
-pub mod skew;
-pub mod skew_large;
-pub mod switch;
+mod switch;
 
 /// Every experiment, in the order `oriole-bench list` shows them.
 #[must_use]
@@ -32,6 +31,7 @@
         Box::new(cold_start::ColdStart),
         Box::new(config_spread::ConfigSpread),
         Box::new(control::Control),
+        Box::new(departure::Departure),
         Box::new(hot_account::HotAccount),
         Box::new(overload::Overload),
         Box::new(path::Path),
@@ -41,8 +41,6 @@
         Box::new(skew::Skew),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
-        Box::new(skew::Skew),
-        Box::new(skew_large::SkewLarge),
         Box::new(switch::Switch),
     ]
 }
--- a/crates/oriole_entry/src/fleet.rs
+++ b/crates/oriole_entry/src/fleet.rs
@@ -53,6 +53,21 @@
         .collect()
 }
 
+/// The part of the fleet that an entry's routing works with: the upstreams it serves, and as many
+/// entries as on average serve one upstream.
+#[must_use]
+pub fn near_list(list: &VmList, own: &VmName) -> VmList {
+    let near = served(list, own);
+    let (entries, upstreams): (Vec<&VmRecord>, Vec<&VmRecord>) =
+        list.vms.iter().partition(|vm| vm.role == VmRole::Entry);
+    let sharing = (entries.len() * near.len()).div_ceil(upstreams.len().max(1));
+    let entries = entries.into_iter().take(sharing).cloned();
+    VmList {
+        version: list.version,
+        vms: near.into_iter().chain(entries).collect(),
+    }
+}
+
 impl Fleet {
     /// Takes in a newer VM list.
     pub fn set_list(&self, list: Arc<VmList>) {
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -64,8 +64,7 @@
         state.fleet.set_list(Arc::clone(&list));
         state.liveness.set_list(&list);
         if let Some(catalog) = catalog {
-            let mut near = VmList::clone(&list);
-            near.vms = crate::fleet::served(&list, &state.name);
+            let near = crate::fleet::near_list(&list, &state.name);
             state.traffic.fleet_changed(&near, &catalog);
             state.poison.configure(&catalog.released_digests);
             share_limits(&state, &list, &catalog);
