Keep claims' queueing within the caller's timeout; honour both fleet secrets

Cause: a request that waited for admission up to its whole timeout read as 'unknown: deadline' although nothing ran; minted keys of a secret being rotated out were refused.

--- a/crates/oriole_agent/src/daemon.rs
+++ b/crates/oriole_agent/src/daemon.rs
@@ -19,7 +19,7 @@
     CONFIG, PLATFORM, PlatformConfig, PlatformPlugin, STORE, StoreHandle, VM_LIST,
 };
 use oriole_peers::vm_list::VmListFollower;
-use oriole_types::catalog::{Catalog, Pool};
+use oriole_types::catalog::{Catalog, Pool, PoolKind};
 use oriole_types::ids::{Incarnation, PoolName};
 use oriole_wire::channel::ChannelConfig;
 use oriole_wire::handshake::Identity;
@@ -202,15 +202,16 @@
             first_crash_number: rand::random(),
             ..GateConfig::default()
         };
-        let secret = settings.fleet_secrets.first().map_or("", String::as_str);
+        let secrets = settings.fleet_secrets.iter().map(String::as_bytes);
         let claims = ClaimsConfig {
             partitions: pool.claim_partitions,
+            eager: pool.kind == PoolKind::Service,
             wall_at_start_ms: unix_ms(),
             ..ClaimsConfig::new(
                 settings.pool.clone(),
                 settings.name.clone(),
                 incarnation,
-                TicketSecret::new(secret.as_bytes()),
+                TicketSecret::rotating(secrets),
             )
         };
         AgentCore {
--- a/crates/oriole_agent/src/run.rs
+++ b/crates/oriole_agent/src/run.rs
@@ -17,6 +17,10 @@
 /// Largest answer of a request that is not idempotent, in bytes.
 const MAX_KEPT_ANSWER_BYTES: usize = 256 * 1024;
 
+/// Part of its timeout that a request which is not idempotent waits for admission at most, so that
+/// its caller hears in time that it did not run.
+const QUEUE_SHARE_OF_TIMEOUT: f64 = 0.8;
+
 /// How a run ended, as far as the upstream is concerned.
 enum Ended {
     /// With the whole answer.
@@ -76,9 +80,12 @@
 
 /// Runs a request that is not idempotent to its end, whoever waits for it.
 pub(crate) async fn run_whole(core: Arc<AgentCore>, job: Job) -> RunEnd {
-    let work = match admit(&core, &job, false).await {
-        Ok(work) => work,
-        Err(refusal) => return RunEnd::NotRun(refusal.reason),
+    let timeout = Duration::from_millis(u64::from(job.head.timeout_ms));
+    let patience = timeout.mul_f64(QUEUE_SHARE_OF_TIMEOUT);
+    let work = match tokio::time::timeout(patience, admit(&core, &job, false)).await {
+        Ok(Ok(work)) => work,
+        Ok(Err(refusal)) => return RunEnd::NotRun(refusal.reason),
+        Err(_) => return RunEnd::NotRun(RefusalReason::Deadline),
     };
     let collected = match core.upstream.run(&job).await {
         Ok(mut answer) => collect(&mut answer, &work).await,
--- a/crates/oriole_bench/src/experiments/control.rs
+++ b/crates/oriole_bench/src/experiments/control.rs
@@ -15,7 +15,7 @@
 use crate::scrape::counter_sum;
 
 /// Entry daemons of the fleets that are measured.
-const FLEETS: [usize; 3] = [8, 16, 32];
+const FLEETS: [usize; 4] = [8, 16, 32, 64];
 
 /// Upstreams for each entry daemon, in tenths, as at the size of the design.
 const UPSTREAMS_PER_ENTRY_TENTHS: usize = 24;
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -173,11 +173,7 @@
         let vm_list: Arc<VmListFollower> = registry.get(VM_LIST)?;
         let incarnation = Incarnation(rand::random::<u64>() | 1);
         let clock = Clock::start();
-        let secret = self
-            .settings
-            .fleet_secrets
-            .first()
-            .map_or("", String::as_str);
+        let secrets = self.settings.fleet_secrets.iter().map(String::as_bytes);
         let answers = AnswerConfig {
             ttl_ms: self.settings.endpoint_ttl_ms,
             ..AnswerConfig::default()
@@ -194,7 +190,7 @@
             liveness: Liveness::open(clock, self.settings.name.clone(), incarnation),
             sharers: Sharers::default(),
             poison: Poison::open(clock),
-            ticket_secret: TicketSecret::new(secret.as_bytes()),
+            ticket_secret: TicketSecret::rotating(secrets),
             traffic: Traffic::open(clock, self.settings.domain.clone()),
             channels,
             endpoints: EndpointAnswers::new(answers),
