--- a/crates/oriole_bench/src/experiments/control.rs
+++ b/crates/oriole_bench/src/experiments/control.rs
@@ -33,7 +33,7 @@
 const SETTLING: Duration = Duration::from_secs(2);
 
 /// Services whose bytes are told apart.
-const SERVICES: [&str; 4] = ["load", "limits", "config", "vm_list"];
+const SERVICES: [&str; 5] = ["load", "limits", "membership", "config", "vm_list"];
 
 /// Store calls a second at the size of the design: a tenth of what the store takes.
 const STORE_READS_PER_S: f64 = 200.0;
--- a/crates/oriole_bench/src/lib.rs
+++ b/crates/oriole_bench/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`process`]: processor time and memory of this process.
 //! - [`fit`]: straight lines through measured points.
 //! - [`scrape`]: counters of the process's own metrics.
+//! - [`capacity`]: the capacity table out of measured slopes.
 //! - [`experiments`]: all experiments by name.
 //! - [`service`]: an event loop that drives the entry's machines against fakes of upstreams.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod experiment;
 pub mod experiments;
 pub mod fit;
--- a/crates/oriole_bench/src/main.rs
+++ b/crates/oriole_bench/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use oriole_bench::experiment::RunOptions;
 use oriole_bench::report::Report;
-use oriole_bench::{experiments, plot};
+use oriole_bench::{capacity, experiments, plot};
 
 /// Exit code of a run whose figures miss a bound.
 const EXIT_BOUND_MISSED: u8 = 3;
@@ -25,6 +25,16 @@
 enum Command {
     List(ListArgs),
     Run(RunArgs),
+    Capacity(CapacityArgs),
+}
+
+/// Print the capacity table out of a file with the closing line of a `control` run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {
+    /// file with the output of `run control --json`
+    #[argh(option)]
+    from: PathBuf,
 }
 
 /// List the experiments.
@@ -62,6 +72,10 @@
             Ok(ExitCode::SUCCESS)
         }
         Command::Run(args) => run(&args).await,
+        Command::Capacity(args) => {
+            println!("{}", capacity::table(&args.from)?);
+            Ok(ExitCode::SUCCESS)
+        }
     }
 }
 
