--- a/crates/oriole_bench/src/experiments/switch/commits.rs
+++ b/crates/oriole_bench/src/experiments/switch/commits.rs
@@ -222,8 +222,9 @@
     }
 
     fn add_to(&self, total: &mut Costs) {
-        let last = self.ranks.iter().filter_map(|r| r.settled_at).max();
-        let last = last.unwrap_or(0);
+        // A rank that never promised holds nobody back.
+        let promised = self.ranks.iter().filter(|r| r.promised_at.is_some());
+        let last = promised.filter_map(|r| r.settled_at).max().unwrap_or(0);
         total.switches += 1;
         total.committed += u64::from(self.written == Some(Outcome::Commit));
         total.messages += self.costs.messages;
