Run group coordinator and ranks as tasks

A golden session shows a load that fails half way: the old map stays whole and the next try succeeds.

--- a/crates/oriole_rollout/src/lib.rs
+++ b/crates/oriole_rollout/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`election`]: lease and fencing number of the coordinator ([`election::Election`]).
 //! - [`coordinator`]: the machine that plans and orders switches
 //!   ([`coordinator::GroupCoordinator`]).
+//! - [`driver`]: tasks that run the machines over a transport, an engine and the store.
 //! - [`status`]: what operators see of a group ([`status::GroupStatus`]).
 //! - [`standin`]: an engine in memory for tests and experiments.
 //!
@@ -23,6 +24,7 @@
 #![forbid(unsafe_code)]
 
 pub mod coordinator;
+pub mod driver;
 pub mod election;
 pub mod engine;
 pub mod messages;
--- a/crates/oriole_rollout/tests/switch_sessions.rs
+++ b/crates/oriole_rollout/tests/switch_sessions.rs
@@ -100,3 +100,23 @@
     assert_eq!(lost, 2, "both ranks' copies of the outcome were lost");
     insta::assert_snapshot!(log(&world));
 }
+
+/// A load ends half way: what was read is freed, the old map goes on, and another try succeeds.
+#[test]
+fn session_load_fails() {
+    let mut world = group();
+    while world.engines[1].state().loading.is_none() {
+        world.small_round_without_loads();
+    }
+    let next = version(&world) + 1;
+    world.end_load(1, false);
+    let step = world.group_step();
+    run_until(&mut world, |w| {
+        let last = w.coordinators[0].status(w.now).last_switch;
+        last.is_some_and(|l| l.failure.as_deref() == Some("load_failed"))
+    });
+    assert!(!all_use_version(&world, next));
+    run_until(&mut world, |w| all_use_version(w, next));
+    assert!(world.group_step() > step);
+    insta::assert_snapshot!(log(&world));
+}
--- a/crates/oriole_rollout/tests/world/mod.rs
+++ b/crates/oriole_rollout/tests/world/mod.rs
@@ -364,6 +364,14 @@
 
     /// A tenth of a fair round: messages advance by one hop.
     pub fn small_round(&mut self) {
+        for rank in 0..self.ranks() {
+            self.end_load(rank, true);
+        }
+        self.small_round_without_loads();
+    }
+
+    /// The same, but no load ends.
+    pub fn small_round_without_loads(&mut self) {
         self.now += Duration::from_millis(10);
         for i in (0..self.coordinators.len()).rev() {
             self.tick_coordinator(i);
@@ -371,7 +379,6 @@
         for rank in 0..self.ranks() {
             self.tick_agent(rank);
             self.settle_engine(rank);
-            self.end_load(rank, true);
             self.begin_step(rank);
         }
         for _ in 0..self.net.len() {
