--- a/crates/oriole_catalog/src/spread/mod.rs
+++ b/crates/oriole_catalog/src/spread/mod.rs
@@ -1,7 +1,7 @@
 //! Spread of the catalog to every process.
 //!
 //! - [`machine`]: decides whom to ask and when; no I/O, no clock.
-//! - [`follower`]: the running task, [`follower::ConfigFollower`], that a daemon holds.
+//! - [`follower`]: [`follower::ConfigFollower`], the handle of the running task that a daemon holds.
 //! - [`members`]: who is a relay, by rendezvous hash.
 //! - [`peer`]: how one process asks another, and what it answers.
 //! - [`status`]: what a process says about the configuration it holds.
@@ -16,6 +16,8 @@
 pub mod machine;
 pub mod members;
 pub mod peer;
+mod shared;
 mod start;
 pub mod status;
 mod suspects;
+mod task;
--- /dev/null
+++ b/crates/oriole_catalog/src/spread/shared.rs
@@ -0,0 +1,119 @@
+//! What the task of a follower and its handles share.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriole_types::prelude::*;
+use tokio::sync::{broadcast, watch};
+use tokio::time::Instant;
+
+use super::peer::{Contents, PeerAnswer};
+use super::status::{ConfigEvent, ConfigSource, ConfigStatus};
+use crate::stored::{Delta, Snapshot};
+
+/// Earlier revisions kept, so that peers can be brought up by what changed alone.
+const KEPT_REVISIONS: usize = 8;
+/// Events kept for slow readers.
+const KEPT_EVENTS: usize = 64;
+
+/// What the task and the handles share.
+pub(super) struct Shared {
+    pub(super) opened_at: Instant,
+    pub(super) stale_after: Duration,
+    pub(super) state: Mutex<State>,
+    pub(super) catalog: watch::Sender<Option<Arc<Catalog>>>,
+    pub(super) events: broadcast::Sender<ConfigEvent>,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) earlier: VecDeque<Arc<Snapshot>>,
+    /// Encoded contents by the revision they start from.
+    pub(super) bundles: BTreeMap<Revision, Bytes>,
+    pub(super) confirmed_at: Option<Duration>,
+    pub(super) relay: bool,
+    pub(super) source: Option<ConfigSource>,
+    pub(super) refusal: Option<String>,
+    pub(super) said_stale: bool,
+}
+
+impl Shared {
+    pub(super) fn new(stale_after: Duration) -> Self {
+        Self {
+            opened_at: Instant::now(),
+            stale_after,
+            state: Mutex::default(),
+            catalog: watch::Sender::new(None),
+            events: broadcast::Sender::new(KEPT_EVENTS),
+        }
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
+    pub(super) fn status(&self) -> ConfigStatus {
+        let now = self.now();
+        let state = self.state();
+        let confirmed_age = state.age(now);
+        ConfigStatus {
+            revision: state.snapshot.revision(),
+            confirmed_age,
+            stale: confirmed_age.unwrap_or(now) > self.stale_after,
+            relay: state.relay,
+            source: state.source,
+            refusal: state.refusal.clone(),
+        }
+    }
+
+    pub(super) fn answer(&self, have: Revision) -> PeerAnswer {
+        let now = self.now();
+        let mut state = self.state();
+        let revision = state.snapshot.revision();
+        PeerAnswer {
+            revision,
+            confirmed_age: state.age(now),
+            bundle: (revision > have).then(|| state.bundle(have)).flatten(),
+        }
+    }
+}
+
+impl State {
+    pub(super) fn age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at.map(|t| now.saturating_sub(t))
+    }
+
+    pub(super) fn bundle(&mut self, have: Revision) -> Option<Bytes> {
+        if let Some(bytes) = self.bundles.get(&have) {
+            return Some(bytes.clone());
+        }
+        let known = self.earlier.iter().find(|s| s.revision() == have);
+        let delta = known.and_then(|old| Delta::between(old, &self.snapshot));
+        let contents = match delta {
+            Some(delta) => Contents::Changes(delta),
+            None => Contents::Whole(self.snapshot.bundle()),
+        };
+        let bytes = contents.encode().ok()?;
+        self.bundles.insert(have, bytes.clone());
+        Some(bytes)
+    }
+
+    pub(super) fn install(&mut self, snapshot: Snapshot, source: ConfigSource) {
+        let before = std::mem::replace(&mut self.snapshot, Arc::new(snapshot));
+        // From nothing, the whole catalog is smaller than all of its items.
+        if before.revision() > Revision::default() {
+            self.earlier.push_front(before);
+        }
+        self.earlier.truncate(KEPT_REVISIONS);
+        self.bundles.clear();
+        self.source = Some(source);
+        self.refusal = None;
+    }
+}
