Warm returned upstreams in turns, and refuse by class only where work waits

Change: usual picks leave out upstreams in cold start while others have room; each entry warms one in a short moment of its own per round, and agents tell when a cold upstream gets full.

--- a/crates/oriole_membership/src/load_feed.rs
+++ b/crates/oriole_membership/src/load_feed.rs
@@ -9,6 +9,9 @@
 /// Longest time that an entry is without news of an upstream it serves.
 pub const LOAD_PERIOD: Duration = Duration::from_secs(2);
 
+/// Shortest time between two words on whether a cold upstream is full.
+pub const FULL_PERIOD: Duration = Duration::from_millis(500);
+
 /// A load report on its own, for an entry that got no answer lately.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, prost::Message)]
 pub struct LoadMessage {
@@ -89,7 +92,28 @@
 pub struct LoadFeed {
     period: Duration,
     told: BTreeMap<VmName, Duration>,
-    last_word: Option<(bool, bool)>,
+    last_word: Option<Word>,
+    last_full: Duration,
+}
+
+/// What entries must hear at once when it changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Word {
+    leaving: bool,
+    cold: bool,
+    /// Whether a cold upstream has no slot left; its slots are few, and many entries watch them.
+    cold_and_full: bool,
+}
+
+impl From<&LoadReport> for Word {
+    fn from(load: &LoadReport) -> Self {
+        let full = load.in_flight + load.queued >= load.limit;
+        Self {
+            leaving: load.leaving,
+            cold: load.cold,
+            cold_and_full: load.cold && full,
+        }
+    }
 }
 
 impl LoadFeed {
@@ -100,6 +124,7 @@
             period,
             told: BTreeMap::new(),
             last_word: None,
+            last_full: Duration::ZERO,
         }
     }
 
@@ -120,9 +145,7 @@
 
     /// The entries to tell now; they count as told.
     pub fn due(&mut self, now: Duration, load: &LoadReport) -> Vec<VmName> {
-        let word = (load.leaving, load.cold);
-        let changed = self.last_word.is_some_and(|last| last != word);
-        self.last_word = Some(word);
+        let changed = self.word_changed(now, load);
         let period = self.period;
         let due = |told: &Duration| changed || now.saturating_sub(*told) >= period;
         let mut names = Vec::new();
@@ -132,4 +155,25 @@
         }
         names
     }
+
+    /// Whether entries must hear of a change at once. Whether a cold upstream is full changes
+    /// often, so that is told only now and then.
+    fn word_changed(&mut self, now: Duration, load: &LoadReport) -> bool {
+        let word = Word::from(load);
+        let Some(last) = self.last_word else {
+            self.last_word = Some(word);
+            return false;
+        };
+        let only_full = Word {
+            cold_and_full: word.cold_and_full,
+            ..last
+        } == word;
+        let too_soon = only_full && now.saturating_sub(self.last_full) < FULL_PERIOD;
+        if last == word || too_soon {
+            return false;
+        }
+        self.last_word = Some(word);
+        self.last_full = now;
+        true
+    }
 }
--- a/crates/oriole_routing/src/capacity.rs
+++ b/crates/oriole_routing/src/capacity.rs
@@ -4,11 +4,12 @@
 
 use oriole_types::prelude::*;
 
-/// Part of the capacity left up to which low requests are admitted while capacity is short.
-const LOW_SHARE: f64 = 0.95;
+/// Load up to which low requests are admitted while capacity is short, as a part of what is left;
+/// above one, requests wait at the upstreams already.
+const LOW_SHARE: f64 = 1.1;
 
-/// The same for normal requests, those that wait at upstreams included.
-const NORMAL_SHARE: f64 = 1.1;
+/// The same for normal requests.
+const NORMAL_SHARE: f64 = 1.25;
 
 /// Part of the stated capacity below which capacity counts as short.
 const SHORT_BELOW: f64 = 0.75;
--- a/crates/oriole_routing/src/picking/config.rs
+++ b/crates/oriole_routing/src/picking/config.rs
@@ -61,7 +61,7 @@
             high_waiting: 0.25,
             usual_waiting: 0.1,
             slow_start: Duration::from_secs(10),
-            warming_load: 0.7,
+            warming_load: 1.0,
             phase: 0,
             hold_after_refusal: Duration::from_millis(50),
             leaving_ttl: Duration::from_secs(10),
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -342,6 +342,7 @@
         if let Some(cold) = self.to_warm(now, &candidates, req.priority, rng) {
             return Ok(cold.vm.clone());
         }
+        let candidates = warm_if_any(candidates);
         let first = draw(&candidates, None, rng);
         let second = draw(&candidates, Some(first), rng);
         let holder = req
@@ -577,6 +578,15 @@
     )
 }
 
+/// The candidates that are not in cold start, or all if there are no others: what a cold upstream
+/// bears is small, and many entries see its free slots at the same time.
+fn warm_if_any(mut candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    if candidates.iter().any(|c| !c.upstream.is_cold()) {
+        candidates.retain(|c| !c.upstream.is_cold());
+    }
+    candidates
+}
+
 /// Draws a candidate by weight, leaving one out if there is another.
 fn draw(candidates: &[Candidate<'_>], leave_out: Option<usize>, rng: &mut impl Rng) -> usize {
     let leave_out = leave_out.filter(|_| candidates.len() > 1);
--- a/crates/oriole_routing/src/picking/upstream.rs
+++ b/crates/oriole_routing/src/picking/upstream.rs
@@ -19,6 +19,13 @@
     pub warm: u32,
 }
 
+/// Part of a round in which an entry may warm an upstream; one that finds no slot then lets the
+/// round pass, so that not all fire when a slot is told to be free.
+const MOMENT: f64 = 0.1;
+
+/// Shortest time in which an entry may warm an upstream.
+const SHORTEST_MOMENT: Duration = Duration::from_millis(200);
+
 /// One upstream as one entry knows it.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -124,7 +131,8 @@
         let number = (now.as_nanos() / round.as_nanos()) as u32;
         let begins = round * number;
         let moment = begins + round.mul_f64(unit_of(cfg.phase ^ u64::from(number)));
-        has_slot && now >= moment && self.started < begins
+        let lasts = round.mul_f64(MOMENT).max(SHORTEST_MOMENT);
+        has_slot && now >= moment && now < moment + lasts && self.started < begins
     }
 
     /// Notes how long a whole answer took.
