--- a/crates/oriole_routing/src/picking/mod.rs
+++ b/crates/oriole_routing/src/picking/mod.rs
@@ -11,8 +11,10 @@
 //! - [`health`]: ejection of upstreams that fail.
 //! - [`prefix`]: guesses about prompt prefixes that upstreams hold.
 
+mod choose;
 pub mod config;
 pub mod health;
+mod pool;
 pub mod prefix;
 pub mod router;
 pub mod upstream;
