--- a/crates/oriole_local/tests/whole/common.rs
+++ b/crates/oriole_local/tests/whole/common.rs
@@ -5,17 +5,28 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use oriole_catalog::prelude::{ChangeMeta, Edit, Repository, RepositoryConfig};
 use oriole_local::prelude::*;
 use oriole_standins::vitals::VitalsState;
+use oriole_types::prelude::*;
 
 /// Longest wait for something that must come about.
 const EVENTUALLY: Duration = Duration::from_secs(20);
 
+/// Text that crashes the engine that reads it.
+pub const POISON: &str = "crash-the-engine";
+
 /// A deployment with two entries, three engines and three services, all warm.
 pub async fn start(name: DeploymentName) -> Deployment {
+    start_sized(name, 2, 3).await
+}
+
+/// A deployment with some entries and engines and three services, all warm.
+pub async fn start_sized(name: DeploymentName, entries: usize, engines: usize) -> Deployment {
     let mut spec = DeploymentSpec::named(name).expect("catalog");
-    spec.entries = 2;
-    spec.engines = 3;
+    spec.entries = entries;
+    spec.engines = engines;
+    spec.engine.vitals.poison = Some(POISON.into());
     spec.services = 3;
     spec.endpoint_ttl_ms = 500;
     spec.log_level = slog::Level::Critical;
@@ -24,6 +35,20 @@
     Deployment::start(&spec).await.expect("deployment")
 }
 
+/// Makes a change of the catalog as an operator would.
+pub async fn change(deployment: &Deployment, change: impl FnOnce(&mut Catalog)) {
+    let store = std::sync::Arc::new(deployment.platform().store.store().clone());
+    let repository = Repository::open(store, RepositoryConfig::default());
+    let held = repository.read().await.expect("catalog");
+    let meta = ChangeMeta {
+        author: "test".into(),
+        message: "fault".into(),
+        at_unix_ms: 0,
+    };
+    let edit = Edit::by(held.catalog(), change);
+    repository.change(&edit, &meta).await.expect("accepted");
+}
+
 /// Waits until a condition holds.
 pub async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
     let deadline = tokio::time::Instant::now() + EVENTUALLY;
--- a/crates/oriole_local/tests/whole/faults.rs
+++ b/crates/oriole_local/tests/whole/faults.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use crate::common::{Session, eventually, keyed, request, start, streamed};
-use oriole_catalog::prelude::{ChangeMeta, Edit, Repository, RepositoryConfig};
+use crate::common::{Session, change, eventually, keyed, request, start, streamed};
 use oriole_local::prelude::*;
 use oriole_standins::faults::{AgentFault, EntryFault, Faults};
 use oriole_types::prelude::*;
@@ -15,19 +14,6 @@
 /// Longest time after an accepted drain in which new work may still reach the domain.
 const DRAIN_TARGET: Duration = Duration::from_secs(3);
 
-async fn change(deployment: &Deployment, change: impl FnOnce(&mut Catalog)) {
-    let store = std::sync::Arc::new(deployment.platform().store.store().clone());
-    let repository = Repository::open(store, RepositoryConfig::default());
-    let held = repository.read().await.expect("catalog");
-    let meta = ChangeMeta {
-        author: "test".into(),
-        message: "fault".into(),
-        at_unix_ms: 0,
-    };
-    let edit = Edit::by(held.catalog(), change);
-    repository.change(&edit, &meta).await.expect("accepted");
-}
-
 fn set_domain(catalog: &mut Catalog, name: &str, state: ServiceState) {
     let domain = catalog.domains.get_mut(name).expect("domain");
     domain.state = state;
--- a/crates/oriole_local/tests/whole/main.rs
+++ b/crates/oriole_local/tests/whole/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod faults;
+mod poison;
 mod sessions;
--- a/crates/oriole_local/tests/whole/sessions.rs
+++ b/crates/oriole_local/tests/whole/sessions.rs
@@ -1,9 +1,10 @@
 //! Golden sessions of callers: the three ends, streams, keys and refusals.
 
-use crate::common::{Session, eventually, keyed, request, start, streamed};
+use crate::common::{Session, change, eventually, keyed, request, start, streamed};
 use oriole_local::prelude::*;
 use oriole_standins::faults::Faults;
 use oriole_standins::vitals::VitalsState;
+use oriole_types::prelude::*;
 
 const CREDIT: &str = r#"{"slip":4471,"amount_cents":18460}"#;
 
@@ -163,6 +164,60 @@
     deployment.shutdown().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_blocked_and_over_limit() {
+    let deployment = start(DeploymentName::Grucce).await;
+    let mut s = Session::open(&deployment);
+    let account = deployment.ready().accounts.keys().next().cloned();
+    s.say("an operator blocks the account for one entry");
+    let block = Block {
+        account,
+        entry: Some("mill-complaints".into()),
+        key: None,
+        reason: "sends the same complaint again and again".into(),
+    };
+    change(&deployment, |c| {
+        c.blocks.insert("loop".into(), block);
+    })
+    .await;
+    let blocked = request("mill-complaints", r#"{"prompt":"bale","max_tokens":1}"#);
+    until_refused(&s, &blocked).await;
+    s.send(&blocked).await;
+    s.say("another entry of the same account is served");
+    s.send(&request(
+        "sorting-slips",
+        r#"{"prompt":"slip","max_tokens":1}"#,
+    ))
+    .await;
+    s.say("an operator limits an entry to one request a second");
+    change(&deployment, |c| {
+        let entry = c.entries.get_mut("pickup-notes").expect("entry");
+        entry.requests_per_s = 1;
+    })
+    .await;
+    let limited = request("pickup-notes", r#"{"prompt":"note","max_tokens":1}"#);
+    let reason = until_refused(&s, &limited).await;
+    s.say(&format!("refused: {reason}"));
+    insta::assert_snapshot!(s.transcript());
+    deployment.shutdown().await;
+}
+
+/// Sends a request again and again until it is refused; returns the reason.
+async fn until_refused(s: &Session, req: &CallerRequest<'_>) -> String {
+    let refused = async {
+        loop {
+            let answer = s.caller.send(s.entry, req).await.expect("an answer");
+            if answer.outcome == "not_run" {
+                return answer.reason.unwrap_or_default();
+            }
+        }
+    };
+    let wait = std::time::Duration::from_secs(20);
+    tokio::time::timeout(wait, refused)
+        .await
+        .expect("a refusal")
+}
+
 async fn set_ledgers(deployment: &Deployment, state: VitalsState) {
     for u in &deployment.platform().upstreams {
         if u.pool.as_str() == "ledger" {
