--- a/crates/oriole_bench/src/experiments/skew/contender.rs
+++ b/crates/oriole_bench/src/experiments/skew/contender.rs
@@ -9,6 +9,8 @@
 
 /// Time between two full rebalances of the periodic contender, in seconds.
 const REBALANCE_S: f64 = 600.0;
+/// Ticks between two plans of the planner, as the coordinator makes them by default.
+const PLAN_TICKS: usize = 3;
 /// Ticks for switching maps once all weights are read.
 const SWITCH_TICKS: usize = 1;
 
@@ -30,11 +32,12 @@
 /// The planner.
 pub struct Planned {
     planner: Planner,
+    ticks: usize,
 }
 
 impl Planned {
     pub fn new(planner: Planner) -> Self {
-        Self { planner }
+        Self { planner, ticks: 0 }
     }
 }
 
@@ -51,6 +54,10 @@
         {
             self.planner.set_map(in_force.clone());
         }
+        self.ticks += 1;
+        if !self.ticks.is_multiple_of(PLAN_TICKS) {
+            return None;
+        }
         self.planner.plan().map(|p| p.map)
     }
 }
--- a/crates/oriole_bench/src/experiments/skew_large.rs
+++ b/crates/oriole_bench/src/experiments/skew_large.rs
@@ -28,7 +28,7 @@
     GroupShape {
         ranks: 64,
         experts: 256,
-        layers: 12,
+        layers: 16,
         slots_per_rank: 6,
         expert_bytes: 40_000_000,
         weight_bytes_per_s: 8_000_000_000,
--- a/crates/oriole_rollout/src/coordinator.rs
+++ b/crates/oriole_rollout/src/coordinator.rs
@@ -49,7 +49,7 @@
             planner: PlannerConfig::default(),
             poll_every: Duration::from_secs(5),
             poll_in_switch: Duration::from_millis(500),
-            plan_every: Duration::from_secs(10),
+            plan_every: Duration::from_secs(30),
             fresh_for: Duration::from_secs(15),
             remind_every: Duration::from_secs(2),
             stage_timeout: Duration::from_secs(300),
