Bound an entry's looks at upstreams; keep the rough trace of demand

Separately, the trace of 'skew' had been smoothed while the planner was tuned; the first trace, a walk of 2 % in 10 s, no longer stood anywhere. Change: at most 40 looks a second an entry, and a figure for an entry alone; skew-rough runs the first trace with the same bounds.

--- a/crates/oriole_bench/src/capacity.rs
+++ b/crates/oriole_bench/src/capacity.rs
@@ -44,7 +44,7 @@
 }
 
 /// What a row shows: its title, the figure's name, and the budget.
-const ROWS: [(&str, &str, f64); 10] = [
+const ROWS: [(&str, &str, f64); 11] = [
     ("daemon: processor, cores", "cpu_share", CPU_SHARE),
     ("daemon: memory, MB", "resident_mb", RESIDENT_MB),
     (
--- a/crates/oriole_bench/src/experiments/control.rs
+++ b/crates/oriole_bench/src/experiments/control.rs
@@ -68,6 +68,7 @@
     cpu_share: f64,
     resident_mb: f64,
     bytes_per_s: BTreeMap<&'static str, f64>,
+    entry_bytes_per_s: f64,
     store_reads_per_s: f64,
     store_writes_per_s: f64,
 }
@@ -101,11 +102,35 @@
     tokio::time::sleep(length).await;
     let after = Reading::take(&deployment)?;
     let daemons = entries + deployment.platform().upstreams.len();
-    let cost = after.since(&before, daemons as f64, length, base_mb);
+    let fleet = Fleet {
+        entries: entries as f64,
+        daemons: daemons as f64,
+    };
+    let cost = after.since(&before, &fleet, length, base_mb);
     deployment.shutdown().await;
     Ok(cost)
 }
 
+/// Numbers of daemons.
+struct Fleet {
+    entries: f64,
+    daemons: f64,
+}
+
+impl Fleet {
+    /// What an entry sends and receives of a service whose mean over all daemons is known.
+    fn entry_part(&self, service: &str, mean: f64) -> f64 {
+        let total = mean * self.daemons;
+        match service {
+            // Between an entry and an agent: each byte passes one entry.
+            "load" => total / 2.0 / self.entries,
+            // Between two entries.
+            "limits" | "membership" => total / self.entries,
+            _ => mean,
+        }
+    }
+}
+
 /// Counters at one moment.
 struct Reading {
     cpu: Duration,
@@ -139,10 +164,11 @@
         })
     }
 
-    fn since(&self, before: &Self, daemons: f64, length: Duration, base_mb: f64) -> Cost {
+    fn since(&self, before: &Self, fleet: &Fleet, length: Duration, base_mb: f64) -> Cost {
+        let daemons = fleet.daemons;
         let seconds = length.as_secs_f64();
         let cpu = self.cpu.saturating_sub(before.cpu).as_secs_f64();
-        let bytes_per_s = self
+        let bytes_per_s: BTreeMap<&'static str, f64> = self
             .bytes
             .iter()
             .map(|(service, bytes)| {
@@ -150,11 +176,16 @@
                 (*service, (bytes - earlier) / daemons / seconds)
             })
             .collect();
+        let entry_bytes_per_s = bytes_per_s
+            .iter()
+            .map(|(service, bytes)| fleet.entry_part(service, *bytes))
+            .sum();
         Cost {
             daemons,
             cpu_share: cpu / seconds / daemons,
             resident_mb: (self.resident_mb - base_mb) / daemons,
             bytes_per_s,
+            entry_bytes_per_s,
             store_reads_per_s: (self.reads - before.reads) as f64 / seconds,
             store_writes_per_s: (self.writes - before.writes) as f64 / seconds,
         }
@@ -175,6 +206,7 @@
     line("cpu_share", &|c| c.cpu_share);
     line("resident_mb", &|c| c.resident_mb);
     line("bytes_per_s", &|c| c.bytes_per_s.values().sum());
+    line("entry_bytes_per_s", &|c| c.entry_bytes_per_s);
     for service in SERVICES {
         let name = format!("bytes_per_s_{service}");
         line(&name, &|c| {
@@ -187,6 +219,7 @@
         .bound("cpu_share_at_target", Limit::AtMost(0.037))
         .bound("resident_mb_at_target", Limit::AtMost(256.0))
         .bound("bytes_per_s_at_target", Limit::AtMost(15_000.0))
+        .bound("entry_bytes_per_s_at_target", Limit::AtMost(15_000.0))
         .bound(
             "store_reads_per_s_at_target",
             Limit::AtMost(STORE_READS_PER_S),
--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -39,6 +39,7 @@
         Box::new(restart::Restart),
         Box::new(retry_storm::RetryStorm),
         Box::new(skew::Skew),
+        Box::new(skew::SkewRough),
         Box::new(skew_large::SkewLarge),
         Box::new(store_outage::StoreOutage),
         Box::new(switch::Switch),
--- a/crates/oriole_bench/src/experiments/skew.rs
+++ b/crates/oriole_bench/src/experiments/skew.rs
@@ -14,6 +14,7 @@
 use super::switch::{Conditions, Costs, VotingGroup};
 use crate::prelude::{Experiment, Limit, Report, RunOptions};
 use contender::{Contender, Periodic, Planned, Static, first_map};
+pub(super) use trace::Drift;
 use trace::{DAY_S, Demand, LAG_TICKS, Reports, TICK_S};
 
 /// Most that the step time may exceed the bound, on average.
@@ -47,7 +48,25 @@
     }
 
     async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
-        run_day(&today(), options)
+        run_day(&today(), Drift::SMOOTH, options)
+    }
+}
+
+/// The same under demand that nobody can foresee.
+pub struct SkewRough;
+
+#[async_trait]
+impl Experiment for SkewRough {
+    fn name(&self) -> &'static str {
+        "skew-rough"
+    }
+
+    fn about(&self) -> &'static str {
+        "the same over a day whose demand is a random walk of 2 % in 10 s"
+    }
+
+    async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
+        run_day(&today(), Drift::ROUGH, options)
     }
 }
 
@@ -64,10 +83,14 @@
 }
 
 /// Runs all contenders over one day.
-pub(super) fn run_day(shape: &GroupShape, options: &RunOptions) -> eyre::Result<Report> {
+pub(super) fn run_day(
+    shape: &GroupShape,
+    drift: Drift,
+    options: &RunOptions,
+) -> eyre::Result<Report> {
     let length = options.duration.map_or(DAY_S, |d| d.as_secs_f64());
     let ticks = (length / TICK_S) as usize;
-    let mut demand = Demand::new(shape, ticks, options.seed);
+    let mut demand = Demand::new(shape, drift, ticks, options.seed);
     let (truth, reports) = demand.advance().ok_or_else(|| eyre::eyre!("no ticks"))?;
     let first = first_map(shape, &truth);
     let planner = Planner::new(PlannerConfig::default(), shape.clone())?;
--- a/crates/oriole_bench/src/experiments/skew/trace.rs
+++ b/crates/oriole_bench/src/experiments/skew/trace.rs
@@ -14,14 +14,35 @@
 
 /// Spread of the popularity of experts, in logarithms.
 const POPULARITY_SPREAD: f32 = 0.8;
-/// Spread of the slow drift of one expert's popularity, in logarithms.
-const DRIFT_SPREAD: f32 = 0.5;
-/// Shortest and longest period of the slow drift, in seconds.
+/// How the popularity of one expert drifts.
+#[derive(Clone, Copy, Debug)]
+pub struct Drift {
+    /// Spread of the slow oscillation, in logarithms.
+    pub wave_spread: f32,
+    /// Spread of the random walk, in logarithms.
+    pub walk_spread: f32,
+    /// Time after which the random walk has forgotten its past, in seconds.
+    pub walk_time_s: f64,
+}
+
+impl Drift {
+    /// Mostly a slow oscillation, with a small walk.
+    pub const SMOOTH: Self = Self {
+        wave_spread: 0.5,
+        walk_spread: 0.15,
+        walk_time_s: 3600.0,
+    };
+
+    /// A walk alone, whose next step nobody can foresee.
+    pub const ROUGH: Self = Self {
+        wave_spread: 0.0,
+        walk_spread: 0.5,
+        walk_time_s: 3.0 * 3600.0,
+    };
+}
+
+/// Shortest and longest period of the slow oscillation, in seconds.
 const DRIFT_PERIODS_S: std::ops::Range<f64> = 2.0 * 3600.0..8.0 * 3600.0;
-/// Spread of the random walk on top of the slow drift, in logarithms.
-const WALK_SPREAD: f32 = 0.15;
-/// Time after which the random walk has forgotten its past, in seconds.
-const WALK_TIME_S: f64 = 3600.0;
 /// Part of the experts whose popularity the sudden jump draws anew.
 const JUMP_PART: f64 = 0.3;
 /// Factor on the load of the hot expert.
@@ -138,11 +159,11 @@
 }
 
 impl Taste {
-    fn draw(rng: &mut ChaCha8Rng) -> Self {
+    fn draw(drift: &Drift, rng: &mut ChaCha8Rng) -> Self {
         Self {
             base: POPULARITY_SPREAD * normal(rng),
-            drift: Wave::draw(rng),
-            walk: WALK_SPREAD * normal(rng),
+            drift: Wave::draw(drift, rng),
+            walk: drift.walk_spread * normal(rng),
         }
     }
 
@@ -159,10 +180,10 @@
 }
 
 impl Wave {
-    fn draw(rng: &mut ChaCha8Rng) -> Self {
+    fn draw(drift: &Drift, rng: &mut ChaCha8Rng) -> Self {
         let phase = rng.random_range(0.0..std::f32::consts::TAU);
         let turn = std::f64::consts::TAU * TICK_S / rng.random_range(DRIFT_PERIODS_S);
-        let height = DRIFT_SPREAD * std::f32::consts::SQRT_2;
+        let height = drift.wave_spread * std::f32::consts::SQRT_2;
         Self {
             sine: height * phase.sin(),
             cosine: height * phase.cos(),
@@ -181,6 +202,7 @@
 /// The demand, tick after tick.
 pub struct Demand {
     shape: GroupShape,
+    drift: Drift,
     rng: ChaCha8Rng,
     ticks: usize,
     tick: usize,
@@ -195,9 +217,12 @@
 
 impl Demand {
     /// Two users' demand on a group over so many ticks, which stand for one day.
-    pub fn new(shape: &GroupShape, ticks: usize, seed: u64) -> Self {
+    pub fn new(shape: &GroupShape, drift: Drift, ticks: usize, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut layer = || (0..shape.experts).map(|_| Taste::draw(&mut rng)).collect();
+        let mut layer = || {
+            let experts = 0..shape.experts;
+            experts.map(|_| Taste::draw(&drift, &mut rng)).collect()
+        };
         let mut user = || (0..shape.layers).map(|_| layer()).collect();
         let users = vec![user(), user()];
         let hot = (0..shape.layers)
@@ -205,6 +230,7 @@
             .collect();
         Self {
             shape: shape.clone(),
+            drift,
             rng,
             ticks,
             tick: 0,
@@ -221,7 +247,7 @@
         }
         let part = self.tick as f64 / self.ticks as f64;
         self.tick += 1;
-        self.drift();
+        self.wander();
         if part >= JUMP_AT && !self.jumped {
             self.jump();
         }
@@ -230,9 +256,9 @@
         Some((truth, reports))
     }
 
-    fn drift(&mut self) {
-        let keep = (-TICK_S / WALK_TIME_S).exp() as f32;
-        let step = WALK_SPREAD * (1.0 - keep * keep).sqrt();
+    fn wander(&mut self) {
+        let keep = (-TICK_S / self.drift.walk_time_s).exp() as f32;
+        let step = self.drift.walk_spread * (1.0 - keep * keep).sqrt();
         for taste in self.users.iter_mut().flatten().flatten() {
             taste.drift.advance();
             taste.walk = keep * taste.walk + step * normal(&mut self.rng);
--- a/crates/oriole_bench/src/experiments/skew_large.rs
+++ b/crates/oriole_bench/src/experiments/skew_large.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use oriole_placement::prelude::GroupShape;
 
-use crate::experiments::skew::run_day;
+use crate::experiments::skew::{Drift, run_day};
 use crate::prelude::{Experiment, Report, RunOptions};
 
 /// Skew of a group of 64 ranks and 256 experts.
@@ -20,7 +20,7 @@
     }
 
     async fn run(&self, options: &RunOptions) -> eyre::Result<Report> {
-        run_day(&large(), options)
+        run_day(&large(), Drift::SMOOTH, options)
     }
 }
 
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -17,9 +17,13 @@
 use crate::liveness;
 use crate::state::EntryState;
 
-/// Time between two looks at an upstream that sends no answers.
+/// Shortest time between two looks at an upstream.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
 
+/// Most looks at upstreams a second; an entry that serves more looks at each less often, and knows
+/// the loads that come with answers anyway.
+const MAX_LOOKS_PER_S: f64 = 40.0;
+
 /// Longest time to wait for a load report.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -118,13 +122,16 @@
 async fn follow_loads(state: Arc<EntryState>) {
     loop {
         let mut asks = JoinSet::new();
-        for record in state.fleet.served(&state.name) {
+        let served = state.fleet.served(&state.name);
+        let spread = Duration::from_secs_f64(served.len() as f64 / MAX_LOOKS_PER_S);
+        let period = LOAD_PERIOD.max(spread);
+        for record in served {
             let state = Arc::clone(&state);
             asks.spawn(async move { ask_load(&state, &record).await });
         }
         while asks.join_next().await.is_some() {}
         let jitter = rand::rng().random_range(0.8..1.2);
-        tokio::time::sleep(LOAD_PERIOD.mul_f64(jitter)).await;
+        tokio::time::sleep(period.mul_f64(jitter)).await;
     }
 }
 
