--- a/crates/oriole_bench/src/capacity.rs
+++ b/crates/oriole_bench/src/capacity.rs
@@ -52,6 +52,11 @@
         "bytes_per_s",
         BYTES_PER_S,
     ),
+    (
+        "entry: all control traffic, B/s",
+        "entry_bytes_per_s",
+        BYTES_PER_S,
+    ),
     (
         "daemon: loads and notes, B/s",
         "bytes_per_s_load",
--- a/crates/oriole_routing/src/picking/pool.rs
+++ b/crates/oriole_routing/src/picking/pool.rs
@@ -10,7 +10,7 @@
 use super::upstream::Upstream;
 
 /// Weight of the newest service time in the average over a pool.
-const SERVICE_SMOOTHING: f64 = 0.05;
+const POOL_SERVICE_SMOOTHING: f64 = 0.05;
 
 /// Upstreams of one pool and what they have in common.
 #[derive(Debug)]
@@ -27,7 +27,7 @@
     /// Notes how long a whole answer of one of the upstreams took.
     pub fn note_service(&mut self, elapsed: Duration) {
         let smoothed = self.service.map_or(elapsed, |held| {
-            held.mul_f64(1.0 - SERVICE_SMOOTHING) + elapsed.mul_f64(SERVICE_SMOOTHING)
+            held.mul_f64(1.0 - POOL_SERVICE_SMOOTHING) + elapsed.mul_f64(POOL_SERVICE_SMOOTHING)
         });
         self.service = Some(smoothed);
     }
