Bound what a peer may cost a process before and after it has proved a secret

Read of the frame layer for security. Cause and change: - A length of up to 2 MiB was reserved for before the handshake. Its frames are now at most 1 KiB. - Domain and incarnation were not covered by the proofs. Both sides now prove all they say. - A peer that began a frame and stopped kept its connection. It is cut after 10 to 20 s (slow_sender), one that does not read after 20 s (slow_reader). - Connections of one incarnation of a peer are limited (peer_connections). - A refusal after chunks without bytes was taken for a refusal; now any chunk rules it out. - An exchange that had failed could go on to an end when asked again; it now stays failed. - Credit that found the queue full was kept back, which stalls an answer whose last chunks were taken just then. It now waits for room. - Opening an attempt a second time took the first one's place in the table; it is an error. - The checksum starts from request and attempt, so an answer under another number is noticed. - Frames' Debug showed bodies, keys and proofs. It shows names and lengths. - hex was not used.

Late frames are counted by kind. serve_stream serves one stream without a socket.

--- a/crates/oriole_wire/src/channel.rs
+++ b/crates/oriole_wire/src/channel.rs
@@ -1,6 +1,7 @@
 //! The connecting side of a connection.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,6 +23,7 @@
 use crate::exchange::{Exchange, WINDOW_CHUNKS};
 use crate::frame::{Body, Call, CallReply, Frame, Open};
 use crate::handshake::{self, HANDSHAKE_TIMEOUT, Identity};
+use crate::reader::FrameReader;
 use crate::secret::FleetSecrets;
 
 /// Frames that may wait for the connection's writer.
@@ -30,6 +32,9 @@
 /// Frames that are written before the connection is flushed.
 const FLUSH_BATCH_FRAMES: usize = 128;
 
+/// Longest time that a batch of frames may wait for the peer to read.
+pub const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Bytes of a frame besides its message.
 const FRAME_OVERHEAD_BYTES: usize = 12;
 
@@ -107,11 +112,12 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let mut io = Framed::new(stream, FrameCodec::new());
+        let mut io = Framed::new(stream, FrameCodec::for_handshake());
         let greeting = handshake::connect(&mut io, &cfg.identity, &cfg.secrets);
         let peer = timeout(HANDSHAKE_TIMEOUT, greeting)
             .await
             .map_err(|_| WireError::Timeout)??;
+        io.codec_mut().lift_limit();
         Ok(Self::spawn(io, peer))
     }
 
@@ -129,9 +135,13 @@
             next_call: AtomicU64::new(1),
             closed: closed.clone(),
         });
-        let (sink, stream) = io.split();
+        let partial = io.codec().partial();
+        let (sink, frames) = io.split();
         tokio::spawn(write_frames(sink, out_rx, closed.clone()));
-        tokio::spawn(read_frames(stream, Arc::clone(&shared)));
+        tokio::spawn(read_frames(
+            FrameReader::new(frames, partial),
+            Arc::clone(&shared),
+        ));
         let guard = Arc::new(closed.drop_guard());
         Self {
             shared,
@@ -170,7 +180,7 @@
             return Err(WireError::Closed);
         }
         let (tx, rx) = mpsc::channel(WINDOW_CHUNKS as usize + EXTRA_EXCHANGE_SLOTS);
-        lock(&self.shared.exchanges).insert((request, attempt), tx);
+        self.shared.enter(request, attempt, tx)?;
         permit.send(Body::Open(open).into());
         let shared = Arc::clone(&self.shared);
         let exchange = Exchange::new(shared, request, attempt, rx, resume_from);
@@ -246,10 +256,6 @@
 }
 
 impl Shared {
-    pub(crate) fn try_send(&self, body: Body) -> bool {
-        self.out.try_send(body.into()).is_ok()
-    }
-
     /// Sends a frame from a place that cannot wait.
     pub(crate) fn send_later(&self, body: Body) {
         if let Err(mpsc::error::TrySendError::Full(frame)) = self.out.try_send(body.into()) {
@@ -260,6 +266,22 @@
         }
     }
 
+    /// Notes an exchange; one that runs already is left alone.
+    fn enter(
+        &self,
+        request: u64,
+        attempt: Attempt,
+        tx: mpsc::Sender<Body>,
+    ) -> Result<(), WireError> {
+        match lock(&self.exchanges).entry((request, attempt)) {
+            Entry::Occupied(_) => Err(WireError::Malformed("an attempt is opened twice")),
+            Entry::Vacant(entry) => {
+                entry.insert(tx);
+                Ok(())
+            }
+        }
+    }
+
     pub(crate) fn forget(&self, request: u64, attempt: Attempt) {
         lock(&self.exchanges).remove(&(request, attempt));
     }
@@ -286,7 +308,7 @@
     fn dispatch_exchange(&self, id: (u64, Attempt), body: Body) -> Result<(), WireError> {
         let exchanges = lock(&self.exchanges);
         let Some(tx) = exchanges.get(&id) else {
-            metrics::counter!("oriole_wire_late_frames_total").increment(1);
+            count_late(body.kind());
             return Ok(());
         };
         match tx.try_send(body) {
@@ -305,7 +327,7 @@
             return Err(WireError::Malformed("expected a reply"));
         };
         let Some(tx) = lock(&self.calls).remove(&call) else {
-            metrics::counter!("oriole_wire_late_frames_total").increment(1);
+            count_late("call_reply");
             return Ok(());
         };
         let answer = if error.is_empty() {
@@ -319,19 +341,15 @@
     }
 }
 
-async fn read_frames<S>(mut stream: S, shared: Arc<Shared>)
+async fn read_frames<S>(mut frames: FrameReader<S>, shared: Arc<Shared>)
 where
-    S: StreamExt<Item = Result<Frame, FrameError>> + Unpin,
+    S: AsyncRead + AsyncWrite + Unpin,
 {
     let end = loop {
-        let next = tokio::select! {
-            () = shared.closed.cancelled() => break WireError::Closed,
-            next = stream.next() => next,
-        };
-        let handled = match next {
-            None => Err(WireError::Closed),
-            Some(Err(e)) => Err(e.into()),
-            Some(Ok(frame)) => shared.dispatch(frame),
+        let handled = match frames.next(&shared.closed).await {
+            Ok(None) => Err(WireError::Closed),
+            Err(e) => Err(e),
+            Ok(Some(frame)) => shared.dispatch(frame),
         };
         if let Err(e) = handled {
             break e;
@@ -354,8 +372,10 @@
 {
     let writing = async {
         while let Some(first) = next_frame(&mut rx, &closed).await {
-            if write_batch(&mut sink, first, &mut rx).await.is_err() {
-                break;
+            match timeout(WRITE_TIMEOUT, write_batch(&mut sink, first, &mut rx)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break,
+                Err(_) => return count_closed(&WireError::SlowReader),
             }
         }
         // The peer sees the end of the connection either way.
@@ -401,6 +421,11 @@
     metrics::counter!("oriole_wire_closed_total", "reason" => e.reason()).increment(1);
 }
 
+/// Counts a frame of an attempt or call that is over.
+pub(crate) fn count_late(frame: &'static str) {
+    metrics::counter!("oriole_wire_late_frames_total", "frame" => frame).increment(1);
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/oriole_wire/src/error.rs
+++ b/crates/oriole_wire/src/error.rs
@@ -26,6 +26,15 @@
     /// The peer sent more than it had credit for.
     #[error("the peer exceeded its credit")]
     CreditExceeded,
+    /// The peer began a frame and did not complete it in time.
+    #[error("the peer did not complete a frame in time")]
+    SlowSender,
+    /// The peer did not take what was sent to it in time.
+    #[error("the peer does not read in time")]
+    SlowReader,
+    /// The peer has as many connections as it may have.
+    #[error("the peer has too many connections")]
+    PeerConnections,
     /// The call was answered with an error.
     #[error("the peer refused the call: {0}")]
     CallRefused(String),
@@ -45,6 +54,9 @@
             Self::Oversized { .. } => "oversized",
             Self::Malformed(_) => "malformed",
             Self::CreditExceeded => "credit_exceeded",
+            Self::SlowSender => "slow_sender",
+            Self::SlowReader => "slow_reader",
+            Self::PeerConnections => "peer_connections",
             Self::CallRefused(_) => "call_refused",
             Self::Timeout => "timeout",
         }
--- a/crates/oriole_wire/src/exchange.rs
+++ b/crates/oriole_wire/src/exchange.rs
@@ -77,6 +77,10 @@
     next_position: u64,
     checksum: Checksum,
     uncredited: u32,
+    any_chunk: bool,
+    /// An event that ends the exchange was given.
+    over: bool,
+    /// The accepting side knows that the exchange is over.
     ended: bool,
 }
 
@@ -94,8 +98,10 @@
             attempt,
             rx,
             next_position: resume_from,
-            checksum: Checksum::new(),
+            checksum: Checksum::new(request, attempt),
             uncredited: 0,
+            any_chunk: false,
+            over: false,
             ended: false,
         }
     }
@@ -108,8 +114,13 @@
 
     /// The next event.
     ///
-    /// A lost connection, a missing part or a wrong checksum is an [`ExchangeEvent::Failed`].
+    /// A lost connection, a missing part or a wrong checksum is an [`ExchangeEvent::Failed`], and
+    /// so is whatever is asked for after the event that ended the exchange.
     pub async fn recv(&mut self) -> ExchangeEvent {
+        if self.over {
+            let reason = UnknownReason::Incomplete;
+            return ExchangeEvent::Failed { reason, load: None };
+        }
         let Some(body) = self.rx.recv().await else {
             return self.fail(UnknownReason::AgentLost);
         };
@@ -126,7 +137,11 @@
         if chunk.position != self.next_position {
             return self.fail(UnknownReason::Incomplete);
         }
-        self.next_position += u64::from(chunk.items);
+        let Some(next) = chunk.position.checked_add(chunk.items.into()) else {
+            return self.fail(UnknownReason::Incomplete);
+        };
+        self.next_position = next;
+        self.any_chunk = true;
         self.checksum.update(&chunk.data);
         self.renew_credit();
         ExchangeEvent::Chunk {
@@ -140,7 +155,7 @@
         if end.position != self.next_position || end.checksum != self.checksum.value() {
             return self.fail(UnknownReason::Incomplete);
         }
-        self.ended = true;
+        self.finish();
         ExchangeEvent::End {
             position: end.position,
             replayed: end.replayed,
@@ -153,10 +168,10 @@
         let Some(reason) = RefusalReason::from_code(refused.reason) else {
             return self.fail(UnknownReason::Incomplete);
         };
-        if self.checksum.value() != Checksum::new().value() {
+        if self.any_chunk {
             return self.fail(UnknownReason::Incomplete);
         }
-        self.ended = true;
+        self.finish();
         ExchangeEvent::Refused {
             reason,
             retry_after_ms: refused.retry_after_ms,
@@ -171,15 +186,21 @@
     fn take_failed(&mut self, failed: &Failed) -> ExchangeEvent {
         let reason =
             UnknownReason::from_code(failed.reason).unwrap_or(UnknownReason::UpstreamFailed);
-        self.ended = true;
+        self.finish();
         ExchangeEvent::Failed {
             reason,
             load: failed.load.map(|l: Load| l.into()),
         }
     }
 
+    fn finish(&mut self) {
+        self.over = true;
+        self.ended = true;
+    }
+
     /// Ends the exchange locally; the accepting side learns of it when this value is dropped.
     fn fail(&mut self, reason: UnknownReason) -> ExchangeEvent {
+        self.over = true;
         metrics::counter!("oriole_wire_exchange_failed_total", "reason" => reason.as_str())
             .increment(1);
         ExchangeEvent::Failed { reason, load: None }
@@ -195,9 +216,9 @@
             attempt: self.attempt,
             chunks: self.uncredited,
         };
-        if self.shared.try_send(Body::Credit(credit)) {
-            self.uncredited = 0;
-        }
+        self.uncredited = 0;
+        // Waits if the connection's queue is full: credit that is never sent stalls the answer.
+        self.shared.send_later(Body::Credit(credit));
     }
 }
 
--- a/crates/oriole_wire/src/frame.rs
+++ b/crates/oriole_wire/src/frame.rs
@@ -2,17 +2,21 @@
 //!
 //! Numbers of fields are part of the protocol: a field is never reused for something else.
 
+use std::fmt;
+
 use bytes::Bytes;
 use oriole_types::catalog::Priority;
 use oriole_types::digest::{Digest, ParseDigestError};
 use oriole_types::fleet::LoadReport;
 use oriole_types::request::RequestHead;
+use prost::Message as _;
 
 /// Version of the protocol; peers of another version are refused.
 pub const PROTOCOL_VERSION: u32 = 1;
 
 /// One frame.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Frame {
     /// What the frame says.
     #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
@@ -85,6 +89,7 @@
 
 /// Answer to a hello.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Challenge {
     /// Random bytes that the connecting side proves itself with.
     #[prost(bytes = "bytes", tag = "1")]
@@ -102,6 +107,7 @@
 
 /// Proof of the connecting side.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Proof {
     /// The proof.
     #[prost(bytes = "bytes", tag = "1")]
@@ -110,6 +116,7 @@
 
 /// Opens an exchange: head and body of a request.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Open {
     /// Number of the request.
     #[prost(uint64, tag = "1")]
@@ -164,6 +171,7 @@
 
 /// Part of an answer.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Chunk {
     /// Number of the request.
     #[prost(uint64, tag = "1")]
@@ -284,6 +292,7 @@
 
 /// A call: one message each way.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct Call {
     /// Number of the call on its connection.
     #[prost(uint64, tag = "1")]
@@ -298,6 +307,7 @@
 
 /// The answer to a call.
 #[derive(Clone, PartialEq, prost::Message)]
+#[prost(skip_debug)]
 pub struct CallReply {
     /// Number of the call.
     #[prost(uint64, tag = "1")]
@@ -416,6 +426,49 @@
     }
 }
 
+impl Body {
+    /// The name of the frame in metrics.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Challenge(_) => "challenge",
+            Self::Proof(_) => "proof",
+            Self::Open(_) => "open",
+            Self::Chunk(_) => "chunk",
+            Self::End(_) => "end",
+            Self::Refused(_) => "refused",
+            Self::Failed(_) => "failed",
+            Self::Cancel(_) => "cancel",
+            Self::Credit(_) => "credit",
+            Self::Call(_) => "call",
+            Self::CallReply(_) => "call_reply",
+        }
+    }
+}
+
+/// Writes which frame it is and how long, but nothing of what it carries: frames hold callers'
+/// bodies, idempotency keys and proofs, none of which belongs in a log.
+impl fmt::Debug for Frame {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = self.body.as_ref().map_or("empty", Body::kind);
+        write!(f, "Frame({kind}, {} bytes)", self.encoded_len())
+    }
+}
+
+/// Messages that hold what belongs in no log: their `Debug` gives name and length alone.
+macro_rules! discreet_debug {
+    ($($name:ident),*) => {
+        $(impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!(stringify!($name), "({} bytes)"), self.encoded_len())
+            }
+        })*
+    };
+}
+
+discreet_debug!(Challenge, Proof, Open, Chunk, Call, CallReply);
+
 impl From<Body> for Frame {
     fn from(body: Body) -> Self {
         Self { body: Some(body) }
--- a/crates/oriole_wire/src/handshake.rs
+++ b/crates/oriole_wire/src/handshake.rs
@@ -18,7 +18,13 @@
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
 const NONCE_BYTES: usize = 16;
-const MAX_NAME_BYTES: usize = 128;
+
+/// What the proofs of the two sides begin with, so that neither can be sent back as the other.
+const ACCEPTING: &[u8] = b"accepting";
+const CONNECTING: &[u8] = b"connecting";
+
+/// Longest name of a VM or failure domain in the handshake, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
 
 /// What a process says of itself in the handshake.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,21 +64,25 @@
     let Body::Challenge(challenge) = receive(io).await? else {
         return Err(WireError::Malformed("expected a challenge"));
     };
-    let expected = accepting_fields(&nonce, &challenge.nonce, &challenge.name);
-    if !secrets.verify(id, &expected, &challenge.proof) {
-        return Err(WireError::Unauthenticated);
-    }
-    let fields = connecting_fields(&nonce, &challenge.nonce, &me.name);
-    let proof = secrets
-        .sign(id, &fields)
-        .ok_or(WireError::Unauthenticated)?;
-    let proof = Bytes::copy_from_slice(&proof);
-    send(io, Body::Proof(Proof { proof })).await?;
-    Ok(Identity {
+    check_challenge(&challenge)?;
+    let peer = Identity {
         name: challenge.name,
         domain: String::new(),
         incarnation: challenge.incarnation,
-    })
+    };
+    if !verify(
+        secrets,
+        id,
+        ACCEPTING,
+        (&nonce, &challenge.nonce),
+        &peer,
+        &challenge.proof,
+    ) {
+        return Err(WireError::Unauthenticated);
+    }
+    let proof = sign(secrets, id, CONNECTING, (&nonce, &challenge.nonce), me)?;
+    send(io, Body::Proof(Proof { proof })).await?;
+    Ok(peer)
 }
 
 /// Runs the accepting side; returns what the peer says of itself.
@@ -93,13 +103,14 @@
     };
     check_hello(&hello)?;
     let nonce = nonce();
-    let fields = accepting_fields(&hello.nonce, &nonce, &me.name);
-    let proof = secrets
-        .sign(hello.secret_id, &fields)
-        .ok_or(WireError::Unauthenticated)?;
+    let shown = Identity {
+        domain: String::new(),
+        ..me.clone()
+    };
+    let id = hello.secret_id;
     let challenge = Challenge {
         nonce: nonce.clone(),
-        proof: Bytes::copy_from_slice(&proof),
+        proof: sign(secrets, id, ACCEPTING, (&hello.nonce, &nonce), &shown)?,
         name: me.name.clone(),
         incarnation: me.incarnation,
     };
@@ -107,15 +118,22 @@
     let Body::Proof(proof) = receive(io).await? else {
         return Err(WireError::Malformed("expected a proof"));
     };
-    let expected = connecting_fields(&hello.nonce, &nonce, &hello.name);
-    if !secrets.verify(hello.secret_id, &expected, &proof.proof) {
-        return Err(WireError::Unauthenticated);
-    }
-    Ok(Identity {
+    let peer = Identity {
         name: hello.name,
         domain: hello.domain,
         incarnation: hello.incarnation,
-    })
+    };
+    if !verify(
+        secrets,
+        id,
+        CONNECTING,
+        (&hello.nonce, &nonce),
+        &peer,
+        &proof.proof,
+    ) {
+        return Err(WireError::Unauthenticated);
+    }
+    Ok(peer)
 }
 
 fn check_hello(hello: &Hello) -> Result<(), WireError> {
@@ -131,18 +149,51 @@
     Ok(())
 }
 
+fn check_challenge(challenge: &Challenge) -> Result<(), WireError> {
+    if challenge.nonce.len() != NONCE_BYTES {
+        return Err(WireError::Malformed("nonce of another length"));
+    }
+    if challenge.name.len() > MAX_NAME_BYTES {
+        return Err(WireError::Malformed("name too long"));
+    }
+    Ok(())
+}
+
 fn nonce() -> Bytes {
     let mut buf = [0; NONCE_BYTES];
     rand::rng().fill(&mut buf);
     Bytes::copy_from_slice(&buf)
 }
 
-fn accepting_fields<'a>(hello: &'a [u8], challenge: &'a [u8], name: &'a str) -> [&'a [u8]; 4] {
-    [b"accepting", hello, challenge, name.as_bytes()]
+/// Proves everything that a process says of itself, over the nonces of both sides.
+fn sign(
+    secrets: &FleetSecrets,
+    id: u64,
+    role: &[u8],
+    (hello, challenge): (&[u8], &[u8]),
+    who: &Identity,
+) -> Result<Bytes, WireError> {
+    let incarnation = who.incarnation.to_be_bytes();
+    let (name, domain) = (who.name.as_bytes(), who.domain.as_bytes());
+    let fields = [role, hello, challenge, name, domain, &incarnation];
+    let proof = secrets
+        .sign(id, &fields)
+        .ok_or(WireError::Unauthenticated)?;
+    Ok(Bytes::copy_from_slice(&proof))
 }
 
-fn connecting_fields<'a>(hello: &'a [u8], challenge: &'a [u8], name: &'a str) -> [&'a [u8]; 4] {
-    [b"connecting", hello, challenge, name.as_bytes()]
+fn verify(
+    secrets: &FleetSecrets,
+    id: u64,
+    role: &[u8],
+    (hello, challenge): (&[u8], &[u8]),
+    who: &Identity,
+    proof: &[u8],
+) -> bool {
+    let incarnation = who.incarnation.to_be_bytes();
+    let (name, domain) = (who.name.as_bytes(), who.domain.as_bytes());
+    let fields = [role, hello, challenge, name, domain, &incarnation];
+    secrets.verify(id, &fields, proof)
 }
 
 async fn send<S>(io: &mut S, body: Body) -> Result<(), WireError>
--- a/crates/oriole_wire/src/lib.rs
+++ b/crates/oriole_wire/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`secret`] and [`handshake`]: both sides prove that they hold the fleet secret.
 //! - [`channel`] and [`exchange`]: the connecting side.
 //! - [`server`] and [`reply`]: the accepting side.
+//! - [`reader`]: frames as they arrive, each within a time.
 //! - [`checksum`]: the running checksum by which a whole answer is recognised.
 //! - [`error`]: why a connection or an exchange ended.
 //!
@@ -25,6 +26,7 @@
 pub mod exchange;
 pub mod frame;
 pub mod handshake;
+pub mod reader;
 pub mod reply;
 pub mod secret;
 pub mod server;
--- a/crates/oriole_wire/src/reply.rs
+++ b/crates/oriole_wire/src/reply.rs
@@ -85,7 +85,7 @@
             out,
             credit,
             cancel,
-            checksum: Checksum::new(),
+            checksum: Checksum::new(request, attempt),
             position: resume_from,
             ended: false,
         }
@@ -127,7 +127,7 @@
             () = self.cancel.cancelled() => return Err(ReplyError::ReaderGone),
         };
         credit.forget();
-        self.position += u64::from(items);
+        self.position = self.position.saturating_add(items.into());
         self.checksum.update(&data);
         self.send(Body::Chunk(chunk)).await
     }
--- a/crates/oriole_wire/src/server.rs
+++ b/crates/oriole_wire/src/server.rs
@@ -17,12 +17,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::channel::{OUT_QUEUE_FRAMES, count_closed, lock, write_frames};
+use crate::channel::{OUT_QUEUE_FRAMES, count_closed, count_late, lock, write_frames};
 use crate::codec::FrameCodec;
 use crate::error::WireError;
 use crate::exchange::WINDOW_CHUNKS;
 use crate::frame::{Body, Call, CallReply, Credit, Frame, Open, Refused};
 use crate::handshake::{self, HANDSHAKE_TIMEOUT, Identity};
+use crate::reader::FrameReader;
 use crate::reply::Reply;
 use crate::secret::FleetSecrets;
 
@@ -53,6 +54,8 @@
     pub max_exchanges: usize,
     /// Most connections at once.
     pub max_connections: usize,
+    /// Most connections at once of one incarnation of a peer.
+    pub max_peer_connections: usize,
 }
 
 impl WireServerConfig {
@@ -64,6 +67,7 @@
             secrets,
             max_exchanges: 8192,
             max_connections: 2048,
+            max_peer_connections: 64,
         }
     }
 }
@@ -83,6 +87,74 @@
     connections: CancellationToken,
     exchanges: TaskTracker,
     slots: Arc<Semaphore>,
+    peers: Mutex<HashMap<PeerKey, usize>>,
+}
+
+/// Name and incarnation of a peer: connections of a process that is gone don't count against the
+/// one that took its place.
+type PeerKey = (String, u64);
+
+impl Acceptor {
+    fn new(cfg: WireServerConfig, handler: Arc<dyn Handler>) -> Arc<Self> {
+        Arc::new(Self {
+            slots: Arc::new(Semaphore::new(cfg.max_connections)),
+            cfg,
+            handler,
+            accepting: CancellationToken::new(),
+            connections: CancellationToken::new(),
+            exchanges: TaskTracker::new(),
+            peers: Mutex::default(),
+        })
+    }
+
+    /// Counts a connection of a peer until the returned value is dropped.
+    fn admit(self: &Arc<Self>, peer: &PeerInfo) -> Result<PeerSlot, WireError> {
+        let key = (peer.name.clone(), peer.incarnation);
+        let mut peers = lock(&self.peers);
+        let count = peers.entry(key.clone()).or_default();
+        if *count >= self.cfg.max_peer_connections {
+            return Err(WireError::PeerConnections);
+        }
+        *count += 1;
+        let acceptor = Arc::clone(self);
+        Ok(PeerSlot { acceptor, key })
+    }
+}
+
+/// One connection of a peer.
+struct PeerSlot {
+    acceptor: Arc<Acceptor>,
+    key: PeerKey,
+}
+
+impl Drop for PeerSlot {
+    fn drop(&mut self) {
+        let mut peers = lock(&self.acceptor.peers);
+        let Some(count) = peers.get_mut(&self.key) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            peers.remove(&self.key);
+        }
+    }
+}
+
+/// Serves one stream that is connected already until it ends, without a listening socket.
+///
+/// # Errors
+///
+/// Fails, and counts the reason, if the peer does not prove a secret in time or breaks the
+/// protocol.
+pub async fn serve_stream<S>(
+    stream: S,
+    cfg: WireServerConfig,
+    handler: Arc<dyn Handler>,
+) -> Result<(), WireError>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    serve_counted(stream, &Acceptor::new(cfg, handler)).await
 }
 
 impl WireServer {
@@ -98,14 +170,7 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let acceptor = Arc::new(Acceptor {
-            slots: Arc::new(Semaphore::new(cfg.max_connections)),
-            cfg,
-            handler,
-            accepting: CancellationToken::new(),
-            connections: CancellationToken::new(),
-            exchanges: TaskTracker::new(),
-        });
+        let acceptor = Acceptor::new(cfg, handler);
         let server = Self {
             addr,
             accepting: acceptor.accepting.clone(),
@@ -162,25 +227,35 @@
     let _ = stream.set_nodelay(true);
     let acceptor = Arc::clone(acceptor);
     tokio::spawn(async move {
-        if let Err(e) = serve(stream, &acceptor).await {
-            count_closed(&e);
-        }
+        // The reason is counted.
+        let _ = serve_counted(stream, &acceptor).await;
         drop(slot);
     });
 }
 
+async fn serve_counted<S>(stream: S, acceptor: &Arc<Acceptor>) -> Result<(), WireError>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
+    serve(stream, acceptor).await.inspect_err(count_closed)
+}
+
 /// Serves one connection until it ends.
 async fn serve<S>(stream: S, acceptor: &Arc<Acceptor>) -> Result<(), WireError>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
     let cfg = &acceptor.cfg;
-    let mut io = Framed::new(stream, FrameCodec::new());
+    let mut io = Framed::new(stream, FrameCodec::for_handshake());
     let greeting = handshake::accept(&mut io, &cfg.identity, &cfg.secrets);
     let peer = timeout(HANDSHAKE_TIMEOUT, greeting)
         .await
         .map_err(|_| WireError::Timeout)??;
-    let (sink, mut frames) = io.split();
+    let _slot = acceptor.admit(&peer)?;
+    io.codec_mut().lift_limit();
+    let partial = io.codec().partial();
+    let (sink, frames) = io.split();
+    let mut frames = FrameReader::new(frames, partial);
     let (out, out_rx) = mpsc::channel(OUT_QUEUE_FRAMES);
     let closed = acceptor.connections.child_token();
     let _close_on_end = closed.clone().drop_guard();
@@ -193,16 +268,10 @@
         closed: closed.clone(),
         acceptor: Arc::clone(acceptor),
     });
-    loop {
-        let next = tokio::select! {
-            () = closed.cancelled() => return Ok(()),
-            next = frames.next() => next,
-        };
-        match next {
-            None => return Ok(()),
-            Some(frame) => connection.take(frame?).await?,
-        }
+    while let Some(frame) = frames.next(&closed).await? {
+        connection.take(frame).await?;
     }
+    Ok(())
 }
 
 struct Running {
@@ -271,7 +340,7 @@
     fn credit(&self, credit: Credit) -> Result<(), WireError> {
         let running = lock(&self.running);
         let Some(exchange) = running.get(&(credit.request, credit.attempt)) else {
-            metrics::counter!("oriole_wire_late_frames_total").increment(1);
+            count_late("credit");
             return Ok(());
         };
         let room = (WINDOW_CHUNKS as usize).saturating_sub(exchange.credit.available_permits());
@@ -285,7 +354,9 @@
     fn cancel(&self, request: u64, attempt: u32) {
         if let Some(exchange) = lock(&self.running).get(&(request, attempt)) {
             exchange.cancel.cancel();
+            return;
         }
+        count_late("cancel");
     }
 
     async fn call(self: &Arc<Self>, call: Call) -> Result<(), WireError> {
