--- a/crates/oriole_wire/tests/common/mod.rs
+++ b/crates/oriole_wire/tests/common/mod.rs
@@ -117,6 +117,10 @@
     }
 }
 
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("no test panics inside")
+}
+
 /// Lets all tasks run until they wait.
 pub async fn settle() {
     tokio::time::sleep(Duration::from_millis(1)).await;
--- /dev/null
+++ b/crates/oriole_wire/tests/fuzz/script.rs
@@ -0,0 +1,99 @@
+//! What the handler answers, told by the request's body.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use oriole_types::outcome::{RefusalReason, UnknownReason};
+use oriole_wire::prelude::*;
+use oriole_wire::reply::{Refusal, Trailer};
+use proptest::prelude::*;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Whole,
+    Refused,
+    Failed,
+    Dropped,
+}
+
+/// Number of chunks and what follows them.
+#[derive(Clone, Copy, Debug)]
+pub struct Script {
+    pub chunks: u8,
+    pub ending: Ending,
+}
+
+pub fn any() -> impl Strategy<Value = Script> {
+    let ending = prop_oneof![
+        5 => Just(Ending::Whole),
+        1 => Just(Ending::Refused),
+        1 => Just(Ending::Failed),
+        1 => Just(Ending::Dropped),
+    ];
+    let chunks = prop_oneof![6 => 0..6_u8, 1 => 60..150_u8];
+    (chunks, ending).prop_map(|(chunks, ending)| Script {
+        chunks: if ending == Ending::Refused { 0 } else { chunks },
+        ending,
+    })
+}
+
+impl Script {
+    pub fn body(self) -> Vec<u8> {
+        vec![self.chunks, self.ending as u8]
+    }
+
+    fn of(body: &[u8]) -> Self {
+        let ending = match body[1] {
+            0 => Ending::Whole,
+            1 => Ending::Refused,
+            2 => Ending::Failed,
+            _ => Ending::Dropped,
+        };
+        Self {
+            chunks: body[0],
+            ending,
+        }
+    }
+}
+
+/// Items of a chunk, different from one chunk to the next.
+pub fn items(i: u8) -> u32 {
+    1 + u32::from(i % 3)
+}
+
+/// What only this chunk of this attempt holds; some chunks are empty.
+pub fn data(request: u64, attempt: u32, i: u8) -> Bytes {
+    if i % 5 == 4 {
+        return Bytes::new();
+    }
+    Bytes::from(format!("{request}/{attempt}/{i};"))
+}
+
+pub struct Scripted;
+
+#[async_trait]
+impl Handler for Scripted {
+    async fn exchange(&self, _: &PeerInfo, open: Open, mut reply: Reply) {
+        let script = Script::of(&open.body);
+        for i in 0..script.chunks {
+            let data = data(open.request, open.attempt, i);
+            if reply.chunk(items(i), data).await.is_err() {
+                return;
+            }
+        }
+        let trailer = Trailer::default();
+        // The reader may be gone.
+        let _ = match script.ending {
+            Ending::Whole => reply.end(false, trailer).await,
+            Ending::Refused => {
+                let refusal = Refusal::new(RefusalReason::UpstreamFull);
+                reply.refuse(&refusal, trailer).await
+            }
+            Ending::Failed => reply.fail(UnknownReason::UpstreamFailed, trailer).await,
+            Ending::Dropped => Ok(()),
+        };
+    }
+
+    async fn call(&self, _: &PeerInfo, _: &str, payload: Bytes) -> Result<Bytes, String> {
+        Ok(payload)
+    }
+}
