Run expert groups in the agents

Cause: the machines that place experts and switch maps had drivers but no daemon ran them.

Change: an agent whose pool has a group in the catalog runs the task of its own rank and a candidate coordinator under the store's lease. Its rank is the place of its VM among the pool's VMs by name, and there must be as many VMs as ranks. Messages go over frames to the service "group"; an agent is believed for its own rank only, and coordinators are found by the agents that their messages came from. Orders and loads go to the agent's own engine over HTTP. The stand-in engines of a group step together, each under the map that its own orders led to, and note the set of maps of each step.

Conclusion: maps come into force on all ranks of a running deployment, and the death of the coordinating agent holds no step back for good.

--- a/crates/oriole_agent/src/core.rs
+++ b/crates/oriole_agent/src/core.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::gatekeeper::{Gatekeeper, Work};
+use crate::group::GroupPlace;
 use crate::upstream::Upstream;
 
 /// What the handlers and tasks of one agent share.
@@ -44,6 +45,8 @@
     pub upstream: Box<dyn Upstream>,
     /// Claims of requests that are not idempotent.
     pub claims: ClaimHandle,
+    /// The agent's place in a model group.
+    pub group: GroupPlace,
     /// Whether the upstream was lost and not found again.
     pub lost: AtomicBool,
     /// Wakes the task that looks for the upstream.
--- a/crates/oriole_agent/src/daemon.rs
+++ b/crates/oriole_agent/src/daemon.rs
@@ -16,8 +16,9 @@
 use oriole_kernel::error::KernelError;
 use oriole_kernel::registry::Registry;
 use oriole_peers::platform::{
-    CONFIG, PLATFORM, PlatformConfig, PlatformPlugin, STORE, StoreHandle, VM_LIST,
+    CHANNELS, CONFIG, PLATFORM, PlatformConfig, PlatformPlugin, STORE, StoreHandle, VM_LIST,
 };
+use oriole_peers::pool::ChannelPool;
 use oriole_peers::vm_list::VmListFollower;
 use oriole_types::catalog::{Catalog, Pool, PoolKind};
 use oriole_types::ids::{Incarnation, PoolName};
@@ -27,9 +28,11 @@
 use slog::{Logger, info};
 use tokio::sync::Notify;
 use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::core::AgentCore;
 use crate::gatekeeper::Gatekeeper;
+use crate::group::{GroupPlace, GroupWays, follow_groups};
 use crate::handler::AgentHandler;
 use crate::settings::AgentSettings;
 use crate::upstream;
@@ -146,6 +149,7 @@
     core: Arc<AgentCore>,
     frames: WireServer,
     _watchers: Watchers,
+    _group: AbortOnDropHandle<()>,
 }
 
 impl AgentService {
@@ -153,6 +157,7 @@
         let config: Arc<ConfigFollower> = registry.get(CONFIG)?;
         let vm_list: Arc<VmListFollower> = registry.get(VM_LIST)?;
         let store: Arc<StoreHandle> = registry.get(STORE)?;
+        let channels: Arc<ChannelPool> = registry.get(CHANNELS)?;
         let catalog = config.ready().await;
         let pool = self.pool(&catalog)?;
         let core = Arc::new(self.core(config, Arc::clone(&vm_list), &store, pool));
@@ -165,10 +170,17 @@
         .await
         .map_err(|e| start_error(format!("cannot bind {}: {e}", self.settings.address)))?;
         let watchers = Watchers::spawn(&core, vm_list.subscribe());
+        let ways = GroupWays {
+            store: Arc::clone(&store.0),
+            channels,
+            upstream: self.settings.upstream,
+        };
+        let group = follow_groups(Arc::clone(&core), ways, vm_list.subscribe());
         Ok(Running {
             core,
             frames,
             _watchers: watchers,
+            _group: AbortOnDropHandle::new(tokio::spawn(group)),
         })
     }
 
@@ -227,6 +239,7 @@
             gate: Gatekeeper::open(clock, gate),
             upstream: upstream::open(pool.kind, settings.upstream),
             claims: ClaimService::spawn(claims, Arc::clone(&store.0)),
+            group: GroupPlace::default(),
             lost: AtomicBool::new(true),
             look: Notify::new(),
         }
--- /dev/null
+++ b/crates/oriole_agent/src/group/engine.rs
@@ -0,0 +1,89 @@
+//! The orders to the agent's own engine over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_placement::map::{ExpertMap, MapId};
+use oriole_rollout::driver::{Engine, EngineError};
+use oriole_rollout::engine::{EngineOrder, EngineState};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::upstream::UpstreamError;
+use crate::upstream::client::{HttpClient, read_json_of};
+
+/// Longest time for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Client of the engine of one rank.
+pub struct HttpEngine {
+    client: HttpClient,
+}
+
+/// What the slots of a rank took since the last report.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RankLoad {
+    /// Tokens by layer and slot; empty if not known.
+    pub tokens: Vec<Vec<f32>>,
+    /// Load over busy time, relative to a usual rank.
+    pub speed: Option<f32>,
+}
+
+impl HttpEngine {
+    /// A client of the engine at some address.
+    #[must_use]
+    pub fn open(addr: SocketAddr) -> Self {
+        let client = HttpClient::open(addr);
+        Self { client }
+    }
+
+    /// Asks for the load since the last time.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine does not answer in time.
+    pub async fn load(&self) -> Result<RankLoad, EngineError> {
+        self.get("/v1/group/load").await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, EngineError> {
+        let read = async { read_json_of(self.client.get(path).await?, MAX_ANSWER_BYTES).await };
+        within(read).await
+    }
+}
+
+async fn within<T>(read: impl Future<Output = Result<T, UpstreamError>>) -> Result<T, EngineError> {
+    match timeout(ANSWER_TIMEOUT, read).await {
+        Ok(read) => read.map_err(|e| EngineError(e.to_string())),
+        Err(_) => Err(EngineError("no answer in time".into())),
+    }
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn order(&self, order: EngineOrder) -> Result<EngineState, EngineError> {
+        let body = serde_json::to_vec(&order).map_err(|e| EngineError(e.to_string()))?;
+        let give = async {
+            let answer = self.client.post("/v1/group/order", &[], body.into()).await;
+            read_json_of(answer?, MAX_ANSWER_BYTES).await
+        };
+        within(give).await
+    }
+
+    async fn state(&self) -> Result<EngineState, EngineError> {
+        self.get("/v1/group/state").await
+    }
+
+    async fn body(&self, id: MapId) -> Result<Option<Arc<ExpertMap>>, EngineError> {
+        let path = format!("/v1/group/map/{}-{}", id.version, id.digest);
+        let map: Result<ExpertMap, _> = self.get(&path).await;
+        // An engine that does not hold the map answers with an error; it is asked again later.
+        map.map(|map| Some(Arc::new(map)))
+    }
+}
--- /dev/null
+++ b/crates/oriole_agent/src/group/place.rs
@@ -0,0 +1,81 @@
+//! Where messages of other agents are delivered.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use oriole_rollout::driver::{CoordinatorHandle, RankHandle};
+use oriole_rollout::messages::{Envelope, Party, RankId};
+use oriole_rollout::status::GroupStatus;
+use oriole_types::ids::VmName;
+
+use super::post::{Coordinators, GroupNote};
+use super::seat::GroupSeat;
+
+/// The running tasks of an agent that belongs to a group.
+pub(crate) struct Member {
+    pub(crate) seat: GroupSeat,
+    pub(crate) rank: RankHandle,
+    pub(crate) candidate: CoordinatorHandle,
+    pub(crate) coordinators: Coordinators,
+}
+
+impl Member {
+    /// Hands a message that the agent of some rank sent to the task it is for.
+    pub(crate) fn deliver(&self, from: RankId, to: Party, envelope: Envelope) {
+        match envelope.from {
+            Party::Coordinator(fence) => self.coordinators.learn(fence, from),
+            // An agent speaks for its own rank only.
+            Party::Rank(rank) if rank != from => return,
+            Party::Rank(_) => {}
+        }
+        match to {
+            Party::Rank(rank) if rank == self.seat.me => self.rank.deliver(envelope),
+            Party::Rank(_) => {}
+            Party::Coordinator(_) => self.candidate.deliver(envelope),
+        }
+    }
+}
+
+/// The agent's place in a group; empty while it belongs to none.
+#[derive(Default)]
+pub struct GroupPlace {
+    member: Mutex<Option<Arc<Member>>>,
+}
+
+impl GroupPlace {
+    pub(crate) fn set(&self, member: Option<Arc<Member>>) {
+        *self.member.lock().unwrap_or_else(PoisonError::into_inner) = member;
+    }
+
+    fn member(&self) -> Option<Arc<Member>> {
+        let member = self.member.lock().unwrap_or_else(PoisonError::into_inner);
+        member.clone()
+    }
+
+    /// The group's state, if this agent coordinates it.
+    #[must_use]
+    pub fn status(&self) -> Option<GroupStatus> {
+        self.member()?.candidate.status()
+    }
+
+    /// Takes in a message that a peer sent.
+    pub(crate) fn deliver(&self, peer: &VmName, payload: &[u8]) -> Result<Bytes, String> {
+        let note: GroupNote = serde_json::from_slice(payload).map_err(|e| e.to_string())?;
+        let member = self.member().ok_or("no rank of a group")?;
+        if member.seat.name != note.group {
+            return Err(format!("no rank of group {:?}", note.group.as_str()));
+        }
+        let from = member.seat.rank_of(peer).ok_or("the sender is no rank")?;
+        member.deliver(from, note.to, note.envelope);
+        Ok(Bytes::new())
+    }
+
+    /// The group's state as JSON; empty if this agent does not coordinate one.
+    pub(crate) fn encoded_status(&self) -> Result<Bytes, String> {
+        let Some(status) = self.status() else {
+            return Ok(Bytes::new());
+        };
+        let text = serde_json::to_vec(&status).map_err(|e| e.to_string())?;
+        Ok(text.into())
+    }
+}
--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -16,6 +16,7 @@
 use prost::Message;
 
 use crate::core::AgentCore;
+use crate::group::{GROUP_SERVICE, GROUP_STATUS_SERVICE};
 use crate::run;
 use crate::upstream::Job;
 
@@ -141,6 +142,8 @@
             LOAD_SERVICE => self.trade_notes(peer, payload),
             CONFIG_SERVICE => serve_config(&self.core.config, payload).await,
             VM_LIST_SERVICE => serve_vm_list(&self.core.vm_list, payload).await,
+            GROUP_SERVICE => self.core.group.deliver(&VmName::new(&peer.name), &payload),
+            GROUP_STATUS_SERVICE => self.core.group.encoded_status(),
             _ => Err(format!("no service {service:?}")),
         }
     }
--- a/crates/oriole_agent/src/lib.rs
+++ b/crates/oriole_agent/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! - [`settings`]: the daemon's TOML settings.
 //! - [`core`]: what handlers and tasks share.
+//! - [`group`]: the agent's part in a model group.
 //! - [`watchers`]: tasks that keep the gate informed.
 //! - [`daemon`]: start and graceful shutdown.
 #![forbid(unsafe_code)]
@@ -18,6 +19,7 @@
 pub mod core;
 pub mod daemon;
 pub mod gatekeeper;
+pub mod group;
 pub mod handler;
 pub mod run;
 pub mod settings;
--- a/crates/oriole_agent/src/upstream/client.rs
+++ b/crates/oriole_agent/src/upstream/client.rs
@@ -73,17 +73,24 @@
     ///
     /// Fails if the upstream does not answer in time with a load report.
     pub async fn load(&self) -> Result<UpstreamLoad, UpstreamError> {
-        let read = async {
-            let req = Request::get(format!("{}/v1/load", self.base))
-                .body(Full::default())
-                .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
-            read_json(self.send(req).await?).await
-        };
+        let read = async { read_json(self.get("/v1/load").await?).await };
         timeout(LOAD_TIMEOUT, read)
             .await
             .unwrap_or_else(|_| Err(UpstreamError::Failed("no load report in time".into())))
     }
 
+    /// Asks for a document.
+    ///
+    /// # Errors
+    ///
+    /// Tells what is known, as [`Self::post`] does.
+    pub async fn get(&self, path: &str) -> Result<Response<Incoming>, UpstreamError> {
+        let req = Request::get(format!("{}{path}", self.base))
+            .body(Full::default())
+            .map_err(|e| UpstreamError::NotSent(e.to_string()))?;
+        self.send(req).await
+    }
+
     async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, UpstreamError> {
         let response = self.client.request(req).await.map_err(|e| {
             if e.is_connect() {
@@ -104,7 +111,19 @@
 pub async fn read_json<T: DeserializeOwned>(
     response: Response<Incoming>,
 ) -> Result<T, UpstreamError> {
-    let body = Limited::new(response.into_body(), MAX_SMALL_BYTES)
+    read_json_of(response, MAX_SMALL_BYTES).await
+}
+
+/// Reads a JSON document of at most so many bytes.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or the document is not what is expected.
+pub async fn read_json_of<T: DeserializeOwned>(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<T, UpstreamError> {
+    let body = Limited::new(response.into_body(), max_bytes)
         .collect()
         .await
         .map_err(|e| UpstreamError::Failed(e.to_string()))?;
--- a/crates/oriole_local/src/platform.rs
+++ b/crates/oriole_local/src/platform.rs
@@ -6,6 +6,7 @@
 
 use oriole_catalog::prelude::{ChangeMeta, Edit, Repository, RepositoryConfig};
 use oriole_standins::engine::{Engine, EngineConfig};
+use oriole_standins::group::{GroupConfig, LockStep};
 use oriole_standins::ledger::Ledger;
 use oriole_standins::service::{Service, ServiceConfig};
 use oriole_standins::store::{StoreServer, StoreServerConfig};
@@ -44,6 +45,8 @@
     pub vm_list: VmListServer,
     /// Executions per idempotency key, as the plain services count them.
     pub ledger: Ledger,
+    /// The engines that step together.
+    pub group: Option<Arc<LockStep>>,
     /// All upstreams.
     pub upstreams: Vec<PlacedUpstream>,
 }
@@ -84,14 +87,16 @@
     /// Fails if an address cannot be bound or the catalog is refused.
     pub async fn bind(spec: &DeploymentSpec) -> eyre::Result<Self> {
         let store = StoreServer::bind(loopback(), StoreServerConfig::default()).await?;
-        apply(Arc::new(store.store().clone()), &spec.catalog).await?;
+        apply(Arc::new(store.store().clone()), &spec.whole_catalog()).await?;
         let list = VmListConfig {
             lag: spec.vm_list_lag,
         };
         let vm_list = VmListServer::bind(list, Vec::new()).await?;
         let ledger = Ledger::default();
-        let upstreams = bind_upstreams(spec, &ledger).await?;
+        let group = spec.group().map(|(_, g)| spawn_group(&g));
+        let upstreams = bind_upstreams(spec, &ledger, group.as_ref()).await?;
         Ok(Self {
+            group,
             store,
             vm_list,
             ledger,
@@ -132,6 +137,7 @@
 async fn bind_upstreams(
     spec: &DeploymentSpec,
     ledger: &Ledger,
+    group: Option<&Arc<LockStep>>,
 ) -> eyre::Result<Vec<PlacedUpstream>> {
     let domains: Vec<&DomainName> = spec.catalog.domains.keys().collect();
     let mut upstreams = Vec::new();
@@ -141,10 +147,13 @@
             PoolKind::Service => spec.services,
         };
         for (i, domain) in (1..=count).zip(domains.iter().copied().cycle()) {
-            let name = VmName::new(&format!("{pool_name}-{i}"));
+            let name = vm_name(pool_name, i);
             let upstream = match pool.kind {
                 PoolKind::Engine => {
-                    let cfg = engine_config(spec, pool, &name, domain);
+                    let mut cfg = engine_config(spec, pool, &name, domain);
+                    let in_group = spec.group_pool.as_ref() == Some(pool_name);
+                    let group = group.filter(|_| in_group);
+                    cfg.group = group.map(|g| g.seat(rank_of(pool_name, count, i)));
                     Upstream::Engine(Engine::bind(cfg).await?)
                 }
                 PoolKind::Service => {
@@ -163,6 +172,26 @@
     Ok(upstreams)
 }
 
+fn spawn_group(group: &Group) -> Arc<LockStep> {
+    LockStep::spawn(GroupConfig {
+        ranks: group.ranks as usize,
+        experts: group.experts as usize,
+        layers: group.layers as usize,
+        ..GroupConfig::default()
+    })
+}
+
+/// Name of a pool's VM by its number, from 1 on.
+fn vm_name(pool: &PoolName, number: usize) -> VmName {
+    VmName::new(&format!("{pool}-{number}"))
+}
+
+/// Place of a pool's VM among all of them in the order of their names.
+fn rank_of(pool: &PoolName, count: usize, number: usize) -> usize {
+    let name = vm_name(pool, number);
+    (1..=count).filter(|n| vm_name(pool, *n) < name).count()
+}
+
 fn engine_config(
     spec: &DeploymentSpec,
     pool: &Pool,
--- a/crates/oriole_local/src/spec.rs
+++ b/crates/oriole_local/src/spec.rs
@@ -15,6 +15,15 @@
 /// Requests a second of a small account.
 const SMALL_REQUESTS_PER_S: u32 = 200;
 
+/// Experts in a layer of the model group.
+const GROUP_EXPERTS: u32 = 64;
+
+/// Layers of the model group.
+const GROUP_LAYERS: u32 = 2;
+
+/// Slots of a rank in a layer beyond those that hold each expert once.
+const SPARE_SLOTS: u32 = 2;
+
 /// A deployment that comes with the project.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DeploymentName {
@@ -58,6 +67,14 @@
         }
     }
 
+    /// Pool whose engines step together.
+    fn group_pool(self) -> Option<&'static str> {
+        match self {
+            Self::Grucce => Some("dispatch"),
+            Self::Islandwash => None,
+        }
+    }
+
     /// Names of the client accounts; the first ones are large.
     fn accounts(self) -> &'static [&'static str] {
         match self {
@@ -112,6 +129,8 @@
     pub vm_list_period_ms: u64,
     /// Worker threads of each daemon.
     pub daemon_threads: usize,
+    /// Engine pool whose upstreams are the ranks of one model group; none if no group is run.
+    pub group_pool: Option<PoolName>,
     /// Time for which callers keep endpoint answers, in milliseconds.
     pub endpoint_ttl_ms: u32,
     /// Lowest log level of the daemons.
@@ -127,6 +146,7 @@
     pub fn named(name: DeploymentName) -> eyre::Result<Self> {
         let document = Document::parse("deployment.toml", name.document())?;
         let mut spec = Self::of_catalog(document.catalog);
+        spec.group_pool = name.group_pool().map(PoolName::from);
         for (i, account) in name.accounts().iter().enumerate() {
             spec.add_account(account, i < 3);
         }
@@ -147,6 +167,7 @@
             vm_list_lag: Duration::from_millis(500),
             vm_list_period_ms: 300,
             daemon_threads: 1,
+            group_pool: None,
             endpoint_ttl_ms: 2_000,
             log_level: slog::Level::Warning,
         }
@@ -161,6 +182,31 @@
         self
     }
 
+    /// The model group that is run, with one rank for each engine; named like its pool.
+    #[must_use]
+    pub fn group(&self) -> Option<(GroupName, Group)> {
+        let pool = self.group_pool.clone().filter(|_| self.engines > 0)?;
+        let ranks = u32::try_from(self.engines).ok()?;
+        let group = Group {
+            pool: pool.clone(),
+            ranks,
+            experts: GROUP_EXPERTS,
+            layers: GROUP_LAYERS,
+            slots_per_rank: (GROUP_EXPERTS.div_ceil(ranks) + SPARE_SLOTS).min(GROUP_EXPERTS),
+            expert_bytes: 1 << 20,
+            weight_bytes_per_s: 1 << 30,
+        };
+        Some((GroupName::new(pool.as_str()), group))
+    }
+
+    /// The catalog with the model group that is run.
+    #[must_use]
+    pub fn whole_catalog(&self) -> Catalog {
+        let mut catalog = self.catalog.clone();
+        catalog.groups.extend(self.group());
+        catalog
+    }
+
     /// Adds an account with a fresh key.
     pub fn add_account(&mut self, name: &str, large: bool) {
         let key = AccountKey::fresh(&mut rand::rng());
--- /dev/null
+++ b/crates/oriole_local/tests/whole/groups.rs
@@ -0,0 +1,92 @@
+//! A model group in a whole deployment: maps come into force on all ranks at one step.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::common::start;
+use oriole_local::prelude::*;
+use oriole_placement::map::{MapId, MapVersion};
+use oriole_standins::faults::{AgentFault, Faults};
+use oriole_standins::group::StepSpan;
+use oriole_types::prelude::*;
+
+/// Longest wait for something that must come about: a lapsed lease, an election and two plans.
+const EVENTUALLY: Duration = Duration::from_secs(90);
+
+async fn eventually(what: &str, deployment: &Deployment, holds: impl Fn(&[StepSpan]) -> bool) {
+    let holds = async {
+        while !holds(&steps(deployment)) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let reached = tokio::time::timeout(EVENTUALLY, holds).await;
+    assert!(reached.is_ok(), "{what}");
+}
+
+fn steps(deployment: &Deployment) -> Vec<StepSpan> {
+    let group = deployment.platform().group.as_ref().expect("group");
+    group.steps()
+}
+
+/// Number of steps that all ranks have begun.
+fn count(steps: &[StepSpan]) -> u64 {
+    steps.iter().map(|s| s.steps).sum()
+}
+
+/// The map of each span of steps; fails if a step mixed maps or was made twice or left out.
+fn maps(steps: &[StepSpan]) -> Vec<MapId> {
+    let mut next = 0;
+    for span in steps {
+        assert_eq!(span.first, next, "{span:?}");
+        assert_eq!(span.maps.len(), 1, "{span:?}");
+        next += span.steps;
+    }
+    steps.iter().flat_map(|s| s.maps.clone()).collect()
+}
+
+/// VMs whose agents coordinate the group.
+fn coordinators(deployment: &Deployment) -> Vec<VmName> {
+    let status = |agent: &oriole_agent::daemon::AgentDaemon| {
+        let core = agent.core();
+        core.group.status().map(|_| core.name.clone())
+    };
+    deployment
+        .each_agent(status)
+        .into_iter()
+        .flatten()
+        .collect()
+}
+
+fn newest(steps: &[StepSpan]) -> MapVersion {
+    let newest = maps(steps).iter().map(|m| m.version).max();
+    newest.unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn group_switches_and_survives_its_coordinator() {
+    let deployment = start(DeploymentName::Grucce).await;
+    eventually("steps under a first map", &deployment, |s| count(s) > 0).await;
+    eventually("a switch", &deployment, |s| maps(s).len() > 1).await;
+    let coordinator = Mutex::new(None);
+    eventually("a coordinator", &deployment, |_| {
+        let found = coordinators(&deployment).pop();
+        let is_found = found.is_some();
+        *coordinator.lock().expect("lock") = found;
+        is_found
+    })
+    .await;
+    let coordinator = coordinator.into_inner().expect("lock").expect("VM");
+    let faults = deployment.faults();
+    let killed = faults.agent(&coordinator, AgentFault::Kill).await;
+    killed.expect("kill");
+    let before = count(&steps(&deployment));
+    eventually("steps go on", &deployment, |s| count(s) > before + 50).await;
+    let restarted = faults.agent(&coordinator, AgentFault::Restart).await;
+    restarted.expect("restart");
+    let version = newest(&steps(&deployment));
+    eventually("another switch", &deployment, |s| newest(s) > version).await;
+    let before = count(&steps(&deployment));
+    eventually("steps go on", &deployment, |s| count(s) > before + 50).await;
+    maps(&steps(&deployment));
+    deployment.shutdown().await;
+}
--- a/crates/oriole_local/tests/whole/main.rs
+++ b/crates/oriole_local/tests/whole/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod faults;
+mod groups;
 mod sessions;
--- a/crates/oriole_standins/src/engine/mod.rs
+++ b/crates/oriole_standins/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! - `POST /v1/cancel` ends a request; its slot is free when the answer arrives.
 //! - `POST /v1/order` carries an order with a fencing number.
 //! - `GET /v1/load` gives a load report that lags.
+//! - [`crate::group`] has the paths of an engine that is a rank of a group.
 
 mod generate;
 pub(crate) mod load;
@@ -30,6 +31,7 @@
 use self::orders::Orders;
 use self::prefix::PrefixCache;
 use self::slots::Slots;
+use crate::group::{GROUP_PATHS, GroupSeat};
 use crate::server::{self, Body, Cut, Handler, HttpServer};
 use crate::vitals::{UpstreamView, Vitals, VitalsConfig, VitalsState};
 
@@ -52,6 +54,8 @@
     pub report_lag: Duration,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
+    /// Its place in a group; `None` if it is no rank of one.
+    pub group: Option<GroupSeat>,
 }
 
 impl Default for EngineConfig {
@@ -65,6 +69,7 @@
             prefix_cache: 256,
             report_lag: Duration::from_millis(200),
             checks_fencing: true,
+            group: None,
         }
     }
 }
@@ -149,6 +154,14 @@
         let Some(body) = server::read_body(body).await else {
             return server::error(StatusCode::BAD_REQUEST, "the body cannot be read");
         };
+        if let Some(group) = self
+            .cfg
+            .group
+            .as_ref()
+            .filter(|_| head.uri.path().starts_with(GROUP_PATHS))
+        {
+            return group.answer(&head, &body);
+        }
         match (&head.method, head.uri.path()) {
             (&Method::POST, "/v1/generate") => self.generate(&body).await,
             (&Method::POST, "/v1/cancel") => self.cancel(&body),
--- /dev/null
+++ b/crates/oriole_standins/src/group/floor.rs
@@ -0,0 +1,208 @@
+//! The engines of a group and the steps they make.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use oriole_placement::map::{ExpertMap, MapId, SHARE_ONE};
+use oriole_rollout::engine::{EngineOrder, EngineState};
+use oriole_rollout::standin::{StandinConfig, StandinEngine};
+use oriole_types::ids::Incarnation;
+use tokio::time::Instant;
+
+use super::demand::Demand;
+use super::{GroupConfig, GroupLoad, StepSpan};
+
+/// All engines of one group.
+///
+/// Each rank begins the next step by itself, as soon as its engine may; the step lasts until a
+/// while after the last rank has begun it.
+#[derive(Debug)]
+pub(crate) struct Floor {
+    cfg: GroupConfig,
+    start: Instant,
+    demand: Demand,
+    ranks: Vec<Rank>,
+    step: Step,
+    steps: Vec<StepSpan>,
+}
+
+#[derive(Debug)]
+struct Rank {
+    engine: StandinEngine,
+    /// Step that it has begun and not ended.
+    begun: Option<(u64, MapId)>,
+    load_ends: Option<Instant>,
+    tokens: Vec<Vec<f32>>,
+}
+
+#[derive(Debug)]
+enum Step {
+    /// Ranks wait for those that have not begun it.
+    Gathering,
+    /// All ranks work until some time.
+    Running(Instant),
+}
+
+impl Floor {
+    pub(crate) fn new(cfg: GroupConfig) -> Self {
+        let standin = StandinConfig {
+            checks_fencing: cfg.checks_fencing,
+        };
+        let rank = |_| Rank {
+            engine: StandinEngine::new(standin, Incarnation(rand::random::<u64>() | 1), 0),
+            begun: None,
+            load_ends: None,
+            tokens: Vec::new(),
+        };
+        Self {
+            start: Instant::now(),
+            demand: Demand::new(&cfg),
+            ranks: (0..cfg.ranks).map(rank).collect(),
+            step: Step::Gathering,
+            steps: Vec::new(),
+            cfg,
+        }
+    }
+
+    pub(crate) fn steps(&self) -> &[StepSpan] {
+        &self.steps
+    }
+
+    pub(crate) fn states(&self) -> Vec<EngineState> {
+        let ranks = self.ranks.iter();
+        ranks.map(|r| r.engine.state().clone()).collect()
+    }
+
+    pub(crate) fn state(&self, rank: usize) -> &EngineState {
+        self.ranks[rank].engine.state()
+    }
+
+    pub(crate) fn order(&mut self, rank: usize, order: &EngineOrder, now: Instant) {
+        let rank = &mut self.ranks[rank];
+        rank.engine.order(order);
+        if rank.engine.state().loading.is_none() {
+            rank.load_ends = None;
+        } else if rank.load_ends.is_none() {
+            rank.load_ends = Some(now + self.cfg.load_time);
+        }
+    }
+
+    /// The body of a map that a rank holds, by version and digest.
+    pub(crate) fn map(&self, rank: usize, name: &str) -> Option<Arc<ExpertMap>> {
+        let engine = &self.ranks[rank].engine;
+        let mut held = engine.state().staged.iter();
+        let id = held.find(|id| format!("{}-{}", id.version, id.digest) == name)?;
+        engine.body(*id).cloned()
+    }
+
+    pub(crate) fn take_load(&mut self, rank: usize) -> GroupLoad {
+        GroupLoad {
+            tokens: std::mem::take(&mut self.ranks[rank].tokens),
+            speed: None,
+        }
+    }
+
+    /// Ends loads and steps whose time is over, and begins what can begin.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        for rank in &mut self.ranks {
+            if rank.load_ends.take_if(|end| *end <= now).is_some() {
+                rank.engine.end_load(true);
+            }
+        }
+        if let Step::Running(end) = self.step {
+            if now < end {
+                return;
+            }
+            self.step = Step::Gathering;
+            for rank in &mut self.ranks {
+                rank.begun = None;
+            }
+        }
+        for rank in &mut self.ranks {
+            rank.begin();
+        }
+        let begun: Option<Vec<_>> = self.ranks.iter().map(|r| r.begun).collect();
+        if let Some(begun) = begun {
+            self.record(&begun);
+            self.work(&begun, now);
+        }
+    }
+
+    fn record(&mut self, begun: &[(u64, MapId)]) {
+        let Some((first, _)) = begun.first().copied() else {
+            return;
+        };
+        let maps: BTreeSet<MapId> = begun.iter().map(|(_, map)| *map).collect();
+        match self.steps.last_mut() {
+            Some(last) if last.maps == maps => last.steps += 1,
+            _ => self.steps.push(StepSpan {
+                first,
+                steps: 1,
+                maps,
+            }),
+        }
+    }
+
+    /// Gives each rank the load of its slots; the step lasts as long as the slowest rank's load.
+    fn work(&mut self, begun: &[(u64, MapId)], now: Instant) {
+        let demand = self.demand.at(now - self.start);
+        let mut loads = Vec::new();
+        for (i, (rank, (_, map))) in self.ranks.iter_mut().zip(begun).enumerate() {
+            let Some(map) = rank.engine.body(*map).cloned() else {
+                continue;
+            };
+            let tokens = slot_tokens(&map, i, &demand);
+            loads.push(tokens.iter().flatten().sum::<f32>());
+            rank.take_in(tokens);
+        }
+        let mean = loads.iter().sum::<f32>() / loads.len().max(1) as f32;
+        let slowest = loads.iter().copied().fold(0.0, f32::max);
+        let stretch = if mean > 0.0 { slowest / mean } else { 1.0 };
+        self.step = Step::Running(now + self.cfg.step_time.mul_f32(stretch));
+    }
+}
+
+impl Rank {
+    fn begin(&mut self) {
+        if self.begun.is_some() {
+            return;
+        }
+        if let Some(map) = self.engine.ready_for() {
+            // Slots of another map hold other experts.
+            if self.engine.state().active != Some(map) {
+                self.tokens.clear();
+            }
+            self.begun = Some((self.engine.state().next_step, map));
+            self.engine.begin_step();
+        }
+    }
+
+    /// Adds to the tokens that the slots took.
+    fn take_in(&mut self, tokens: Vec<Vec<f32>>) {
+        if self.tokens.is_empty() {
+            self.tokens = tokens;
+            return;
+        }
+        let sums = self.tokens.iter_mut().flatten();
+        for (sum, n) in sums.zip(tokens.into_iter().flatten()) {
+            *sum += n;
+        }
+    }
+}
+
+/// Tokens that each slot of a rank takes in a step, layer by layer.
+fn slot_tokens(map: &ExpertMap, rank: usize, demand: &[Vec<f32>]) -> Vec<Vec<f32>> {
+    let slots = rank * map.slots_per_rank..(rank + 1) * map.slots_per_rank;
+    let layers = map.layers.iter().zip(demand);
+    layers
+        .map(|(layer, demand)| {
+            let slots = slots.clone();
+            slots
+                .map(|s| {
+                    let share = f32::from(layer.shares[s]) / f32::from(SHARE_ONE);
+                    demand[usize::from(layer.experts[s])] * share
+                })
+                .collect()
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/oriole_standins/src/group/mod.rs
@@ -0,0 +1,187 @@
+//! A model group: engines that step together, under expert maps that their agents order.
+//!
+//! - `POST /v1/group/order` carries an order; the answer is the engine's state after it.
+//! - `GET /v1/group/state` gives the engine's state.
+//! - `GET /v1/group/map/{version}-{digest}` gives the body of a map that the engine holds.
+//! - `GET /v1/group/load` gives what the rank's slots took since the last such request.
+
+mod demand;
+mod floor;
+
+use std::fmt;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::request::Parts;
+use http::{Method, Response, StatusCode};
+use oriole_placement::map::{ExpertMap, MapId};
+use oriole_rollout::engine::{EngineOrder, EngineState};
+use oriole_types::domain_type;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
+
+use self::floor::Floor;
+use crate::engine::lock;
+use crate::server::{self, Body};
+
+/// Beginning of the paths that a group's engine answers.
+pub const GROUP_PATHS: &str = "/v1/group/";
+
+/// Time between two looks at whether a step can begin or has ended.
+const TICK: Duration = Duration::from_millis(2);
+
+/// How a group works.
+#[derive(Clone, Debug)]
+pub struct GroupConfig {
+    /// Number of ranks.
+    pub ranks: usize,
+    /// Number of experts in a layer.
+    pub experts: usize,
+    /// Number of layers.
+    pub layers: usize,
+    /// Time of a step when all ranks have the same load.
+    pub step_time: Duration,
+    /// Time of reading the weights of a map.
+    pub load_time: Duration,
+    /// Time in which the demand of an expert rises and falls once.
+    pub drift_period: Duration,
+    /// Seed of the demand.
+    pub seed: u64,
+    /// Whether engines refuse orders with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+impl Default for GroupConfig {
+    fn default() -> Self {
+        Self {
+            ranks: 1,
+            experts: 64,
+            layers: 2,
+            step_time: Duration::from_millis(20),
+            load_time: Duration::from_millis(200),
+            drift_period: Duration::from_mins(1),
+            seed: 1,
+            checks_fencing: true,
+        }
+    }
+}
+
+domain_type! {
+    /// Answer of `GET /v1/group/load`.
+    #[derive(Default)]
+    pub struct GroupLoad {
+        /// Tokens that each slot took since the last such request, layer by layer.
+        pub tokens: Vec<Vec<f32>>,
+        /// Load over busy time, relative to a usual rank.
+        pub speed: Option<f32>,
+    }
+}
+
+/// Steps in a row that used the same maps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StepSpan {
+    /// First step.
+    pub first: u64,
+    /// Number of steps.
+    pub steps: u64,
+    /// Maps that ranks used in each of these steps; one if no step mixed maps.
+    pub maps: std::collections::BTreeSet<MapId>,
+}
+
+/// The engines of one group; they step together until this is dropped.
+pub struct LockStep {
+    floor: Arc<Mutex<Floor>>,
+    _task: AbortOnDropHandle<()>,
+}
+
+impl fmt::Debug for LockStep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LockStep").finish_non_exhaustive()
+    }
+}
+
+impl LockStep {
+    /// Starts a group whose engines hold no map.
+    #[must_use]
+    pub fn spawn(cfg: GroupConfig) -> Arc<Self> {
+        let floor = Arc::new(Mutex::new(Floor::new(cfg)));
+        let task = tokio::spawn(step(Arc::clone(&floor)));
+        Arc::new(Self {
+            floor,
+            _task: AbortOnDropHandle::new(task),
+        })
+    }
+
+    /// The engine of one rank.
+    #[must_use]
+    pub fn seat(self: &Arc<Self>, rank: usize) -> GroupSeat {
+        GroupSeat {
+            group: Arc::clone(self),
+            rank,
+        }
+    }
+
+    /// The steps that all ranks have begun, oldest first.
+    #[must_use]
+    pub fn steps(&self) -> Vec<StepSpan> {
+        lock(&self.floor).steps().to_vec()
+    }
+
+    /// The state of each rank's engine.
+    #[must_use]
+    pub fn states(&self) -> Vec<EngineState> {
+        lock(&self.floor).states()
+    }
+}
+
+async fn step(floor: Arc<Mutex<Floor>>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        lock(&floor).tick(Instant::now());
+    }
+}
+
+/// One rank's engine of a group.
+#[derive(Clone, Debug)]
+pub struct GroupSeat {
+    group: Arc<LockStep>,
+    rank: usize,
+}
+
+impl GroupSeat {
+    /// Answers a request whose path begins with [`GROUP_PATHS`].
+    pub(crate) fn answer(&self, head: &Parts, body: &[u8]) -> Response<Body> {
+        let path = head.uri.path().strip_prefix(GROUP_PATHS);
+        match (&head.method, path.unwrap_or_default()) {
+            (&Method::POST, "order") => self.order(body),
+            (&Method::GET, "state") => {
+                server::json(StatusCode::OK, lock(&self.group.floor).state(self.rank))
+            }
+            (&Method::GET, "load") => {
+                let load = lock(&self.group.floor).take_load(self.rank);
+                server::json(StatusCode::OK, &load)
+            }
+            (&Method::GET, path) => self.map(path.strip_prefix("map/").unwrap_or_default()),
+            _ => server::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let Ok(order) = serde_json::from_slice::<EngineOrder>(body) else {
+            return server::error(StatusCode::BAD_REQUEST, "the body is no order");
+        };
+        let mut floor = lock(&self.group.floor);
+        floor.order(self.rank, &order, Instant::now());
+        server::json(StatusCode::OK, floor.state(self.rank))
+    }
+
+    fn map(&self, name: &str) -> Response<Body> {
+        let map = lock(&self.group.floor).map(self.rank, name);
+        match map {
+            Some(map) => server::json::<ExpertMap>(StatusCode::OK, &map),
+            None => server::error(StatusCode::NOT_FOUND, "no such map"),
+        }
+    }
+}
--- a/crates/oriole_standins/src/lib.rs
+++ b/crates/oriole_standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! The tour:
 //!
 //! - [`engine`]: a model engine that streams tokens, warms up, stalls, turns cold and crashes.
+//! - [`group`]: a model group: engines that step together under expert maps.
 //! - [`service`]: a plain service whose [`ledger`] counts executions per idempotency key.
 //! - [`vitals`]: the health that engines and services share: states, work in flight, overload.
 //! - [`vm_list`]: the platform's VM list, with a lag.
@@ -13,6 +14,7 @@
 
 pub mod engine;
 pub mod faults;
+pub mod group;
 pub mod ledger;
 pub mod server;
 pub mod service;
@@ -24,6 +26,7 @@
 pub mod prelude {
     pub use crate::engine::{Engine, EngineConfig};
     pub use crate::faults::{ControlServer, Fault, FaultError, Faults};
+    pub use crate::group::{GroupConfig, LockStep};
     pub use crate::ledger::Ledger;
     pub use crate::service::{Service, ServiceConfig};
     pub use crate::vitals::{UpstreamView, VitalsConfig, VitalsState};
