Show model groups in the entries' status and in oriolectl

Cause: operators could see the sizes of a group but not which map is in force, what its coordinator does, or why the map changed last.

Change: a coordinating agent adds the group's state to the note that it gives entries once a second. An entry keeps the newest by fencing number for a minute and lists it under groups in GET /v1/status. "oriolectl status group" shows the state with the highest fencing number that any entry knows: map, skew, phase, coordinator, stragglers, silent ranks, and the last change with its moves and reason.

Conclusion: the command answers what is in force and why.

--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -103,6 +103,7 @@
             note: Some(own),
             incarnation: self.core.incarnation.0,
             clock_ms: self.core.claims.clock_ms(),
+            group: self.core.group.encoded_status()?,
         };
         Ok(answer.encode_to_vec().into())
     }
--- a/crates/oriole_ctl/src/commands/status.rs
+++ b/crates/oriole_ctl/src/commands/status.rs
@@ -8,7 +8,7 @@
 use crate::args::StatusArgs;
 use crate::ctl::Ctl;
 use crate::error::CtlError;
-use crate::fleet::{AskedEntry, UpstreamStatus};
+use crate::fleet::{AskedEntry, GroupState, SwitchState, UpstreamStatus};
 use crate::reply::{Reply, table};
 
 /// One entry in the reply.
@@ -58,6 +58,7 @@
 struct GroupReply<'a> {
     group: &'a str,
     settings: &'a Group,
+    state: Option<&'a GroupState>,
     upstreams: Vec<UpstreamRow>,
 }
 
@@ -106,13 +107,15 @@
     let asked = ctl.fleet.entries().await?;
     let mut upstreams = upstream_rows(&catalog, &asked);
     upstreams.retain(|u| u.pool == group.pool.as_str());
+    let state = group_state(&asked, name);
     let text = format!(
-        "group {name}: {} ranks in pool {}, {} experts x {} layers, {} slots a rank\n\n{}",
+        "group {name}: {} ranks in pool {}, {} experts x {} layers, {} slots a rank\n{}\n\n{}",
         group.ranks,
         group.pool,
         group.experts,
         group.layers,
         group.slots_per_rank,
+        state_text(state),
         upstream_table(&upstreams)
     );
     Reply::new(
@@ -120,11 +123,77 @@
         &GroupReply {
             group: name,
             settings: group,
+            state,
             upstreams,
         },
     )
 }
 
+/// The newest state of a group that an entry knows.
+fn group_state<'a>(asked: &'a [AskedEntry], name: &str) -> Option<&'a GroupState> {
+    let statuses = asked.iter().filter_map(|e| e.status.as_ref().ok());
+    let groups = statuses.flat_map(|s| &s.groups).filter(|g| g.name == name);
+    groups.max_by_key(|g| (g.fence, std::cmp::Reverse(g.age_ms)))
+}
+
+fn state_text(state: Option<&GroupState>) -> String {
+    let Some(state) = state else {
+        return "no coordinator is known".to_owned();
+    };
+    let map = match (state.map_version, &state.map_digest) {
+        (Some(version), Some(digest)) => format!("{version} ({})", short(digest)),
+        _ => "none".to_owned(),
+    };
+    let mut lines = vec![
+        format!("map:         {map}, step {}", state.step),
+        format!("skew:        {:.3}", state.skew),
+        format!("phase:       {}", state.phase),
+        format!(
+            "coordinator: {}, fence {}, heard {} ms ago",
+            state.coordinator, state.fence, state.age_ms
+        ),
+        format!("stragglers:  {}", list(&state.stragglers)),
+        format!("silent:      {}", list(&state.silent)),
+    ];
+    match &state.last_switch {
+        Some(last) => lines.extend(switch_lines(last)),
+        None => lines.push("last switch: none".to_owned()),
+    }
+    lines.join("\n")
+}
+
+fn switch_lines(last: &SwitchState) -> Vec<String> {
+    let end = match (&last.failure, last.committed) {
+        (_, true) => "in force".to_owned(),
+        (Some(failure), false) => format!("failed: {failure}"),
+        (None, false) => "failed".to_owned(),
+    };
+    let mut lines = vec![format!(
+        "last switch: map {}, {}, {end}, skew {:.3} to {:.3}, {} experts moved",
+        last.map_version, last.reason, last.skew_before, last.skew_after, last.move_count
+    )];
+    lines.extend(last.moves.iter().map(|m| {
+        format!(
+            "  layer {}: rank {} read expert {} in place of {}",
+            m.layer, m.rank, m.expert, m.evicted
+        )
+    }));
+    lines
+}
+
+/// The first digits of a digest.
+fn short(digest: &str) -> &str {
+    digest.get(..12).unwrap_or(digest)
+}
+
+fn list<T: ToString>(ranks: &[T]) -> String {
+    if ranks.is_empty() {
+        return "none".to_owned();
+    }
+    let ranks: Vec<String> = ranks.iter().map(T::to_string).collect();
+    ranks.join(", ")
+}
+
 fn entry_row(catalog: &Catalog, asked: &AskedEntry) -> EntryRow {
     let status = asked.status.as_ref();
     let state = match status {
--- a/crates/oriole_ctl/src/fleet.rs
+++ b/crates/oriole_ctl/src/fleet.rs
@@ -36,6 +36,8 @@
     pub config_age_ms: Option<u64>,
     /// Upstreams it uses.
     pub upstreams: Vec<UpstreamStatus>,
+    /// Groups whose coordinators it hears.
+    pub groups: Vec<GroupState>,
 }
 
 /// One upstream as an entry sees it.
@@ -58,6 +60,72 @@
     pub leaving: bool,
 }
 
+/// A group as its coordinator sees it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct GroupState {
+    /// Name.
+    pub name: String,
+    /// VM whose agent coordinates it.
+    pub coordinator: String,
+    /// Fencing number of the coordinator.
+    pub fence: u64,
+    /// Time since the coordinator was last heard, in milliseconds.
+    pub age_ms: u64,
+    /// What the coordinator is doing.
+    pub phase: String,
+    /// Version of the map in force; none before the first.
+    pub map_version: Option<u64>,
+    /// Digest of the map in force.
+    pub map_digest: Option<String>,
+    /// Highest step that a rank reported.
+    pub step: u64,
+    /// Expected step time, relative to a perfect balance.
+    pub skew: f32,
+    /// Ranks that are slow for longer than a stall.
+    pub stragglers: Vec<usize>,
+    /// Ranks without a fresh report.
+    pub silent: Vec<u16>,
+    /// The last change of the map.
+    pub last_switch: Option<SwitchState>,
+}
+
+/// A change of a group's map.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SwitchState {
+    /// Version of the map.
+    pub map_version: u64,
+    /// Why.
+    pub reason: String,
+    /// Whether the map came into force.
+    pub committed: bool,
+    /// Why it did not.
+    pub failure: Option<String>,
+    /// Expected step time before, relative to a perfect balance.
+    pub skew_before: f32,
+    /// Expected step time after, relative to a perfect balance.
+    pub skew_after: f32,
+    /// Experts read from the weight store.
+    pub move_count: usize,
+    /// The first of them.
+    pub moves: Vec<MoveState>,
+}
+
+/// An expert that a rank read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct MoveState {
+    /// Layer.
+    pub layer: u16,
+    /// Rank that read it.
+    pub rank: u16,
+    /// Expert.
+    pub expert: u16,
+    /// Expert that it replaced.
+    pub evicted: u16,
+}
+
 /// An entry of the VM list and its answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AskedEntry {
--- a/crates/oriole_ctl/tests/common/mod.rs
+++ b/crates/oriole_ctl/tests/common/mod.rs
@@ -137,13 +137,14 @@
     let cfg = FollowerConfig::default();
     let follower = ConfigFollower::spawn(cfg, member, Arc::new(store), Arc::new(NoPeers));
     let (name_text, domain_text) = (name.to_owned(), domain.to_owned());
+    let group = group(name);
     let address = serve(move |path| {
         let revision = follower.revision();
         let status = format!(
             r#"{{"name":"{name_text}","domain":"{domain_text}","state":"serving",
             "revision":{revision},"config_age_ms":100,"a_later_field":true,
             "upstreams":[{{"name":"ledger-1","pool":"ledger","domain":"gela","cold":false,
-            "limit":32,"in_flight":3,"leaving":false}}]}}"#
+            "limit":32,"in_flight":3,"leaving":false}}],"groups":[{group}]}}"#
         );
         (path == "/v1/status").then_some(status)
     });
@@ -158,6 +159,22 @@
     }
 }
 
+/// A group as the entries describe it; the second has heard of a later coordinator.
+fn group(entry: &str) -> String {
+    let (coordinator, fence, version) = match entry {
+        "entry-1" => ("sorter-2", 3, 16),
+        _ => ("sorter-1", 4, 17),
+    };
+    let digest = "ab".repeat(32);
+    format!(
+        r#"{{"name":"sorters","coordinator":"{coordinator}","fence":{fence},"age_ms":400,
+        "phase":"steady","map_version":{version},"map_digest":"{digest}","step":90210,"skew":1.024,
+        "stragglers":[1],"silent":[],"last_switch":{{"map_version":{version},"reason":"drift",
+        "committed":true,"failure":null,"skew_before":1.19,"skew_after":1.02,"move_count":1,
+        "moves":[{{"layer":1,"rank":0,"expert":7,"evicted":3}}]}}}}"#
+    )
+}
+
 /// Replaces the only figures that differ between runs.
 fn mask_time(text: &str) -> String {
     let mut masked = text.to_owned();
--- a/crates/oriole_ctl/tests/sessions.rs
+++ b/crates/oriole_ctl/tests/sessions.rs
@@ -132,6 +132,42 @@
     insta::assert_snapshot!(s.text());
 }
 
+const GROUPS: &str = r#"
+[pools.sorter]
+kind = "engine"
+cold_concurrency = 2
+warm_concurrency = 24
+
+[groups.sorters]
+pool = "sorter"
+ranks = 2
+experts = 64
+layers = 2
+slots_per_rank = 34
+expert_bytes = 1048576
+weight_bytes_per_s = 1073741824
+
+[groups.idle]
+pool = "sorter"
+ranks = 2
+experts = 64
+layers = 2
+slots_per_rank = 34
+expert_bytes = 1048576
+weight_bytes_per_s = 1073741824
+"#;
+
+#[tokio::test]
+async fn session_group_status() {
+    let mut s = open().await;
+    s.file("groups.toml", &format!("{CATALOG}{GROUPS}"));
+    s.run("ada", "apply groups.toml --wait").await;
+    s.run("ada", "status group sorters").await;
+    s.run("ada", "status group sorters --json").await;
+    s.run("ada", "status group idle").await;
+    insta::assert_snapshot!(s.text());
+}
+
 #[tokio::test]
 async fn session_history_and_rollback() {
     let mut s = open().await;
--- a/crates/oriole_entry/src/api/status.rs
+++ b/crates/oriole_entry/src/api/status.rs
@@ -10,6 +10,7 @@
 
 use super::Context;
 use super::endpoints::json;
+use crate::groups::GroupBody;
 use crate::state::EntryState;
 
 /// What an entry says of itself.
@@ -37,6 +38,8 @@
     pub pools: Vec<PoolStatus>,
     /// Upstreams as this entry sees them.
     pub upstreams: Vec<UpstreamStatus>,
+    /// Model groups whose coordinators this entry hears.
+    pub groups: Vec<GroupBody>,
 }
 
 /// What a pool has left.
@@ -115,6 +118,7 @@
         waiting: state.traffic.waiting(),
         pools: pools(state),
         upstreams: upstreams(state, catalog.as_deref()),
+        groups: state.groups.bodies(),
     }
 }
 
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -25,6 +25,7 @@
 
 use crate::api::{self, Server};
 use crate::fleet::Fleet;
+use crate::groups::Groups;
 use crate::liveness::Liveness;
 use crate::peers::PeerHandler;
 use crate::poison::Poison;
@@ -186,6 +187,7 @@
             catalog: config.subscribe(),
             config,
             fleet: Fleet::default(),
+            groups: Groups::default(),
             vm_list,
             liveness: Liveness::open(clock, self.settings.name.clone(), incarnation),
             sharers: Sharers::default(),
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`settings`]: the daemon's TOML settings.
 //! - [`state`]: what handlers and tasks share.
 //! - [`fleet`]: upstreams and entries as this process sees them.
+//! - [`groups`]: model groups as their coordinators describe them.
 //! - [`poison`]: suspect and quarantined content.
 //! - [`liveness`]: which other entries live.
 //! - [`sharers`]: which entries share which limits.
@@ -28,6 +29,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod fleet;
+pub mod groups;
 pub mod intake;
 pub mod liveness;
 pub mod peers;
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -21,6 +21,7 @@
 use crate::api::errors;
 use crate::dispatch;
 use crate::fleet::Fleet;
+use crate::groups::Groups;
 use crate::intake::Accepted;
 use crate::liveness::Liveness;
 use crate::poison::Poison;
@@ -52,6 +53,8 @@
     pub catalog: ConfigReceiver,
     /// Upstreams and entries as this process sees them.
     pub fleet: Fleet,
+    /// Model groups as their coordinators describe them.
+    pub groups: Groups,
     /// Follower of the VM list.
     pub vm_list: Arc<VmListFollower>,
     /// Which other entries live.
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -153,6 +153,7 @@
         clock_ms: answer.clock_ms,
     };
     state.fleet.set_home(&record.name, home);
+    state.groups.heard(&record.name, &answer.group);
     if let Some(load) = answer.load {
         let load = LoadReport::from(load);
         state.fleet.set_load(&record.name, load);
--- a/crates/oriole_local/tests/whole/groups.rs
+++ b/crates/oriole_local/tests/whole/groups.rs
@@ -57,6 +57,19 @@
         .collect()
 }
 
+/// Whether each entry knows the group's coordinator, its map and the last change of it.
+fn described(deployment: &Deployment) -> bool {
+    let known = deployment.each_entry(|entry| {
+        let groups = entry.state().groups.bodies();
+        groups.iter().any(|g| {
+            let is_named = g.name == "dispatch" && !g.coordinator.is_empty();
+            let last = g.last_switch.as_ref();
+            is_named && g.map_version.is_some() && last.is_some_and(|s| s.committed)
+        })
+    });
+    known.iter().all(|k| *k)
+}
+
 fn newest(steps: &[StepSpan]) -> MapVersion {
     let newest = maps(steps).iter().map(|m| m.version).max();
     newest.unwrap_or_default()
@@ -76,6 +89,10 @@
     })
     .await;
     let coordinator = coordinator.into_inner().expect("lock").expect("VM");
+    eventually("entries describe the group", &deployment, |_| {
+        described(&deployment)
+    })
+    .await;
     let faults = deployment.faults();
     let killed = faults.agent(&coordinator, AgentFault::Kill).await;
     killed.expect("kill");
--- a/crates/oriole_peers/src/note.rs
+++ b/crates/oriole_peers/src/note.rs
@@ -39,6 +39,9 @@
     /// The agent's clock, in milliseconds since its start.
     #[prost(uint64, tag = "4")]
     pub clock_ms: u64,
+    /// State of the model group that the agent coordinates, as JSON; empty if it coordinates none.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub group: Bytes,
 }
 
 impl Note {
