--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -16,6 +16,7 @@
 use prost::Message;
 
 use crate::core::AgentCore;
+use crate::group::{GROUP_SERVICE, GROUP_STATUS_SERVICE};
 use crate::run;
 use crate::upstream::Job;
 
@@ -102,6 +103,7 @@
             note: Some(own),
             incarnation: self.core.incarnation.0,
             clock_ms: self.core.claims.clock_ms(),
+            group: self.core.group.encoded_status()?,
         };
         Ok(answer.encode_to_vec().into())
     }
@@ -141,6 +143,8 @@
             LOAD_SERVICE => self.trade_notes(peer, payload),
             CONFIG_SERVICE => serve_config(&self.core.config, payload).await,
             VM_LIST_SERVICE => serve_vm_list(&self.core.vm_list, payload).await,
+            GROUP_SERVICE => self.core.group.deliver(&VmName::new(&peer.name), &payload),
+            GROUP_STATUS_SERVICE => self.core.group.encoded_status(),
             _ => Err(format!("no service {service:?}")),
         }
     }
--- a/crates/oriole_local/tests/whole/main.rs
+++ b/crates/oriole_local/tests/whole/main.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod faults;
+mod groups;
 mod poison;
 mod sessions;
