Let a group's stand-in engines crash and stall with their process

Cause: an engine of a group went on stepping while its process was down or stalled, so the wait for a restarted engine was not seen in a deployment.

Change: a group's engine takes part in no step while its process is down or stalls, and comes back empty, as another run, at the step its group is at. An agent that changes its place in a group ends its old tasks before it starts new ones.

Conclusion: a group waits for a lost engine and goes on under its map.

--- a/crates/oriole_agent/src/group/follow.rs
+++ b/crates/oriole_agent/src/group/follow.rs
@@ -50,7 +50,7 @@
 ) {
     let mut config = core.catalog.clone();
     let mut seat = None;
-    let mut _tasks: Option<Tasks> = None;
+    let mut tasks: Option<Tasks> = None;
     loop {
         let list = vm_list.borrow_and_update().clone();
         let catalog = config.borrow_and_update().clone();
@@ -59,7 +59,8 @@
             .and_then(|c| GroupSeat::find(c, &list, &core.pool, &core.name));
         if found != seat {
             core.group.set(None);
-            _tasks = found.clone().and_then(|s| join(&core, &ways, s));
+            drop(tasks.take());
+            tasks = found.clone().and_then(|s| join(&core, &ways, s));
             seat = found;
         }
         let changed = tokio::select! {
--- a/crates/oriole_local/tests/whole/groups.rs
+++ b/crates/oriole_local/tests/whole/groups.rs
@@ -8,6 +8,7 @@
 use oriole_placement::map::{MapId, MapVersion};
 use oriole_standins::faults::{AgentFault, Faults};
 use oriole_standins::group::StepSpan;
+use oriole_standins::vitals::VitalsState;
 use oriole_types::prelude::*;
 
 /// Longest wait for something that must come about: a lapsed lease, an election and two plans.
@@ -107,3 +108,24 @@
     maps(&steps(&deployment));
     deployment.shutdown().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn group_waits_for_a_crashed_engine() {
+    let deployment = start(DeploymentName::Grucce).await;
+    eventually("steps under a first map", &deployment, |s| count(s) > 0).await;
+    let group = deployment.platform().group.as_ref().expect("group");
+    let run = group.states()[1].run;
+    let faults = deployment.faults();
+    let engine = VmName::new("dispatch-2");
+    let crashed = faults.upstream(&engine, VitalsState::Crash).await;
+    crashed.expect("crash");
+    eventually("the engine is back", &deployment, |_| {
+        let state = group.states().swap_remove(1);
+        state.run != run && state.active.is_some()
+    })
+    .await;
+    let before = count(&steps(&deployment));
+    eventually("steps go on", &deployment, |s| count(s) > before + 50).await;
+    maps(&steps(&deployment));
+    deployment.shutdown().await;
+}
--- a/crates/oriole_standins/src/engine/mod.rs
+++ b/crates/oriole_standins/src/engine/mod.rs
@@ -90,6 +90,9 @@
     pub async fn bind(cfg: EngineConfig) -> io::Result<Self> {
         let cut = Cut::default();
         let vitals = Vitals::new(cfg.vitals.clone(), cut.clone());
+        if let Some(group) = &cfg.group {
+            group.attach(vitals.clone());
+        }
         let core = Arc::new(Core {
             slots: Slots::new(cfg.slots),
             prefix: Mutex::new(PrefixCache::new(cfg.prefix_cache)),
--- a/crates/oriole_standins/src/group/floor.rs
+++ b/crates/oriole_standins/src/group/floor.rs
@@ -11,6 +11,7 @@
 
 use super::demand::Demand;
 use super::{GroupConfig, GroupLoad, StepSpan};
+use crate::vitals::{Vitals, VitalsState};
 
 /// All engines of one group.
 ///
@@ -32,6 +33,8 @@
     /// Step that it has begun and not ended.
     begun: Option<(u64, MapId)>,
     load_ends: Option<Instant>,
+    /// Health of the process that runs it, and the crashes seen so far.
+    vitals: Option<(Vitals, u64)>,
     tokens: Vec<Vec<f32>>,
 }
 
@@ -45,13 +48,11 @@
 
 impl Floor {
     pub(crate) fn new(cfg: GroupConfig) -> Self {
-        let standin = StandinConfig {
-            checks_fencing: cfg.checks_fencing,
-        };
         let rank = |_| Rank {
-            engine: StandinEngine::new(standin, Incarnation(rand::random::<u64>() | 1), 0),
+            engine: empty_engine(&cfg, 0),
             begun: None,
             load_ends: None,
+            vitals: None,
             tokens: Vec::new(),
         };
         Self {
@@ -64,6 +65,12 @@
         }
     }
 
+    /// Has a rank's engine share the health of the process that runs it.
+    pub(crate) fn attach(&mut self, rank: usize, vitals: Vitals) {
+        let crashes = vitals.view().crashes;
+        self.ranks[rank].vitals = Some((vitals, crashes));
+    }
+
     pub(crate) fn steps(&self) -> &[StepSpan] {
         &self.steps
     }
@@ -104,7 +111,9 @@
 
     /// Ends loads and steps whose time is over, and begins what can begin.
     pub(crate) fn tick(&mut self, now: Instant) {
+        let is_gathering = matches!(self.step, Step::Gathering);
         for rank in &mut self.ranks {
+            rank.restart_after_crash(&self.cfg, is_gathering);
             if rank.load_ends.take_if(|end| *end <= now).is_some() {
                 rank.engine.end_load(true);
             }
@@ -163,8 +172,31 @@
 }
 
 impl Rank {
+    /// After a crash the engine comes back empty, at the step that the group is at.
+    fn restart_after_crash(&mut self, cfg: &GroupConfig, is_gathering: bool) {
+        let Some((vitals, seen)) = &mut self.vitals else {
+            return;
+        };
+        let crashes = vitals.view().crashes;
+        if crashes == *seen {
+            return;
+        }
+        *seen = crashes;
+        let next = self.engine.state().next_step;
+        let lost = self.begun.take_if(|_| is_gathering);
+        self.engine = empty_engine(cfg, lost.map_or(next, |(step, _)| step));
+        self.load_ends = None;
+        self.tokens.clear();
+    }
+
+    /// Whether the process that runs it is up and makes progress.
+    fn works(&self) -> bool {
+        let state = self.vitals.as_ref().map(|(v, _)| v.state());
+        !matches!(state, Some(VitalsState::Crash | VitalsState::Stall))
+    }
+
     fn begin(&mut self) {
-        if self.begun.is_some() {
+        if self.begun.is_some() || !self.works() {
             return;
         }
         if let Some(map) = self.engine.ready_for() {
@@ -190,6 +222,13 @@
     }
 }
 
+fn empty_engine(cfg: &GroupConfig, step: u64) -> StandinEngine {
+    let standin = StandinConfig {
+        checks_fencing: cfg.checks_fencing,
+    };
+    StandinEngine::new(standin, Incarnation(rand::random::<u64>() | 1), step)
+}
+
 /// Tokens that each slot of a rank takes in a step, layer by layer.
 fn slot_tokens(map: &ExpertMap, rank: usize, demand: &[Vec<f32>]) -> Vec<Vec<f32>> {
     let slots = rank * map.slots_per_rank..(rank + 1) * map.slots_per_rank;
--- a/crates/oriole_standins/src/group/mod.rs
+++ b/crates/oriole_standins/src/group/mod.rs
@@ -23,6 +23,7 @@
 use self::floor::Floor;
 use crate::engine::lock;
 use crate::server::{self, Body};
+use crate::vitals::Vitals;
 
 /// Beginning of the paths that a group's engine answers.
 pub const GROUP_PATHS: &str = "/v1/group/";
@@ -151,6 +152,11 @@
 }
 
 impl GroupSeat {
+    /// Has the engine crash, come back empty and stall with the process that runs it.
+    pub(crate) fn attach(&self, vitals: Vitals) {
+        lock(&self.group.floor).attach(self.rank, vitals);
+    }
+
     /// Answers a request whose path begins with [`GROUP_PATHS`].
     pub(crate) fn answer(&self, head: &Parts, body: &[u8]) -> Response<Body> {
         let path = head.uri.path().strip_prefix(GROUP_PATHS);
