Let the gate reckon with engines that send several tokens at once

Agents kept every engine at the 2 requests of cold start although it was warm (limit 2, cold false in the load reports): the gate took itself for deaf, and an engine for silent, after 1.5 and 3 times the time of one token, while the engine sent 8 at once and the agent ticks every 10 ms.

--- a/crates/oriole_admission/src/gate/evidence.rs
+++ b/crates/oriole_admission/src/gate/evidence.rs
@@ -27,6 +27,9 @@
         work.last_output = Some(now);
         let tokens_after_first = if first { 0 } else { tokens };
         work.tokens += tokens_after_first;
+        if !first {
+            self.warmth.output_held(tokens);
+        }
         let stretch = work.lengthen(now, tokens_after_first);
         let gap = work.reference().map(|from| Sample {
             from,
@@ -58,7 +61,7 @@
         if deaf > PAUSE {
             self.paused_until = now;
         }
-        let Some(pace) = self.warmth.pace() else {
+        let Some(pace) = self.warmth.output_time() else {
             return true;
         };
         if deaf > pace.mul_f64(PAUSE_FACTOR) {
--- a/crates/oriole_admission/src/warmth.rs
+++ b/crates/oriole_admission/src/warmth.rs
@@ -37,6 +37,8 @@
 const PLATEAU_COMPLETIONS: u32 = 16;
 /// A pace below this share of the best one is an improvement.
 const IMPROVEMENT: f64 = 0.8;
+/// Weight of the newest output in the smoothed number of tokens an output holds.
+const OUTPUT_SIZE_WEIGHT: f64 = 0.05;
 /// Weight of a shorter sample in the warm pace.
 const SHORTER_WEIGHT: f64 = 0.3;
 /// Weight of a longer one.
@@ -115,6 +117,8 @@
     sign_at: Option<Duration>,
     /// Warm pace: time of one token or answer, in seconds.
     pace: Option<f64>,
+    /// Tokens that one output holds, smoothed.
+    tokens_per_output: f64,
     best: Option<f64>,
     completions_since_best: u32,
     report_at: Option<Duration>,
@@ -137,6 +141,7 @@
             evidence_at: None,
             sign_at: None,
             pace: None,
+            tokens_per_output: 1.0,
             best: None,
             completions_since_best: 0,
             report_at: None,
@@ -186,6 +191,20 @@
         self.pace.map(Duration::from_secs_f64)
     }
 
+    /// Time between two outputs of one request while warm, once it is known. An engine that sends
+    /// several tokens at once is silent for as many times the pace.
+    #[must_use]
+    pub fn output_time(&self) -> Option<Duration> {
+        self.pace
+            .map(|pace| Duration::from_secs_f64(pace * self.tokens_per_output))
+    }
+
+    /// Notes how many tokens an output held.
+    pub fn output_held(&mut self, tokens: u32) {
+        let tokens = f64::from(tokens.max(1));
+        self.tokens_per_output += (tokens - self.tokens_per_output) * OUTPUT_SIZE_WEIGHT;
+    }
+
     /// What the pace of some outputs tells.
     #[must_use]
     pub fn judge(&self, sample: &Sample) -> Pace {
@@ -301,7 +320,8 @@
     }
 
     fn is_silence(&self, seconds: f64, pace: f64) -> bool {
-        seconds > (pace * COLD_FACTOR).max(SILENCE_FLOOR.as_secs_f64())
+        let output = pace * self.tokens_per_output;
+        seconds > (output * COLD_FACTOR).max(SILENCE_FLOOR.as_secs_f64())
     }
 
     /// Notes that the upstream was warm at some time, unless a later sign says otherwise.
