--- a/crates/oriole_bench/src/experiments/config_fleet.rs
+++ b/crates/oriole_bench/src/experiments/config_fleet.rs
@@ -50,7 +50,7 @@
     pub(super) accounts: usize,
 }
 
-/// The letter's size.
+/// The size of the design.
 pub(super) const LARGE: FleetSize = FleetSize {
     processes: 1_160,
     domains: 8,
--- a/crates/oriole_bench/src/experiments/config_spread.rs
+++ b/crates/oriole_bench/src/experiments/config_spread.rs
@@ -12,7 +12,7 @@
 use super::config_plain::PlainFleet;
 use crate::prelude::*;
 
-/// Longest time until a revision is in force everywhere, at the size of today and at the letter's.
+/// Longest time until a revision is in force everywhere, at today's size and at the size of the design.
 const IN_FORCE_S: [f64; 2] = [3.0, 9.0];
 /// Share of the store's rates that the configuration may take.
 const STORE_SHARE: f64 = 0.1;
