Tell a restarted peer of suspects and quarantine again

Cause: entries and agents each remembered by name what a peer had been told of crashes. A peer that restarted, or whose message was lost, was never told again, so it could run content that the others refuse. Change: one PoisonOutbox in oriole_admission in place of the two copies; it remembers the peer's run, and a failed exchange counts as not told.

--- a/crates/oriole_admission/src/poison/mod.rs
+++ b/crates/oriole_admission/src/poison/mod.rs
@@ -12,8 +12,10 @@
 
 mod home;
 mod ledger;
+mod outbox;
 mod record;
 
 pub use self::home::{HOMES, home_of_suspect, homes};
 pub use self::ledger::{Places, PoisonLedger, Standing};
+pub use self::outbox::PoisonOutbox;
 pub use self::record::{CrashId, CrashNote, PoisonDigest, PoisonRecord};
--- a/crates/oriole_agent/src/gatekeeper.rs
+++ b/crates/oriole_agent/src/gatekeeper.rs
@@ -1,6 +1,6 @@
 //! The admission gate as a service: requests wait on it, and it is told what happens.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use oriole_admission::gate::{
     Action, Decision, FinishKind, Gate, GateConfig, Offer, Refusal, UpstreamReport, WorkId,
 };
-use oriole_admission::poison::PoisonDigest;
+use oriole_admission::poison::{PoisonDigest, PoisonOutbox};
 use oriole_kernel::clock::Clock;
 use oriole_types::prelude::*;
 use tokio::sync::oneshot;
@@ -27,7 +27,7 @@
     gate: Gate,
     waiting: HashMap<WorkId, oneshot::Sender<Result<(), Refusal>>>,
     next: WorkId,
-    poison_sent: BTreeMap<VmName, u64>,
+    poison_outbox: PoisonOutbox,
     losses: u64,
     lost_at: Duration,
 }
@@ -60,7 +60,7 @@
             gate,
             waiting: HashMap::new(),
             next: WorkId(1),
-            poison_sent: BTreeMap::new(),
+            poison_outbox: PoisonOutbox::default(),
             losses: 0,
             lost_at: clock.now(),
         };
@@ -170,13 +170,11 @@
 
     /// What a peer should learn of suspects and quarantine since it was last told.
     #[must_use]
-    pub fn poison_for(&self, peer: &VmName) -> PoisonDigest {
+    pub fn poison_for(&self, peer: &VmName, run: Incarnation) -> PoisonDigest {
         let now = self.clock.now();
-        let mut inner = self.lock();
-        let since = inner.poison_sent.get(peer).copied().unwrap_or(0);
-        let (digest, version) = inner.gate.poison().digest_since(now, since);
-        inner.poison_sent.insert(peer.clone(), version);
-        digest
+        let inner = &mut *self.lock();
+        let ledger = inner.gate.poison();
+        inner.poison_outbox.next(now, ledger, peer, run)
     }
 
     /// Takes in what a peer knows of suspects and quarantine.
--- a/crates/oriole_agent/src/handler.rs
+++ b/crates/oriole_agent/src/handler.rs
@@ -93,7 +93,8 @@
             self.core.gate.merge_poison(&digest);
         }
         let mut own = Note::new(self.core.revision(), self.core.confirmed());
-        let poison = self.core.gate.poison_for(&VmName::new(&peer.name));
+        let run = Incarnation(peer.incarnation);
+        let poison = self.core.gate.poison_for(&VmName::new(&peer.name), run);
         if !poison.records.is_empty() {
             let text = serde_json::to_vec(&poison).map_err(|e| e.to_string())?;
             own.poison = text.into();
--- a/crates/oriole_entry/src/poison.rs
+++ b/crates/oriole_entry/src/poison.rs
@@ -1,13 +1,12 @@
 //! Suspect and quarantined content, as agents tell of it.
 
-use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
-use oriole_admission::poison::{PoisonDigest, PoisonLedger, Standing};
+use oriole_admission::poison::{PoisonDigest, PoisonLedger, PoisonOutbox, Standing};
 use oriole_kernel::clock::Clock;
 use oriole_types::digest::Digest;
-use oriole_types::ids::VmName;
+use oriole_types::ids::{Incarnation, VmName};
 use oriole_types::outcome::RefusalReason;
 
 use crate::answer::Refusal;
@@ -23,7 +22,7 @@
 #[derive(Default)]
 struct Inner {
     ledger: PoisonLedger,
-    sent: BTreeMap<VmName, u64>,
+    outbox: PoisonOutbox,
 }
 
 impl Poison {
@@ -66,21 +65,25 @@
         self.lock().ledger.completed(content, false);
     }
 
-    /// What an agent should learn since it was last told; empty if nothing.
+    /// What a run of an agent has not been told; empty if nothing.
     #[must_use]
-    pub fn for_peer(&self, peer: &VmName) -> Bytes {
+    pub fn for_peer(&self, peer: &VmName, run: Incarnation) -> Bytes {
         let now = self.clock.now();
-        let mut inner = self.lock();
-        let since = inner.sent.get(peer).copied().unwrap_or(0);
-        let (digest, version) = inner.ledger.digest_since(now, since);
-        inner.sent.insert(peer.clone(), version);
-        drop(inner);
+        let digest = {
+            let inner = &mut *self.lock();
+            inner.outbox.next(now, &inner.ledger, peer, run)
+        };
         if digest.records.is_empty() {
             return Bytes::new();
         }
         serde_json::to_vec(&digest).unwrap_or_default().into()
     }
 
+    /// Notes that the last message to an agent may not have arrived.
+    pub fn lost(&self, peer: &VmName) {
+        self.lock().outbox.lost(peer);
+    }
+
     /// Takes in what an agent told.
     pub fn merge(&self, payload: &[u8]) {
         if payload.is_empty() {
--- a/crates/oriole_entry/src/watchers.rs
+++ b/crates/oriole_entry/src/watchers.rs
@@ -139,6 +139,7 @@
     match trade_notes(state, record).await {
         Ok(answer) => take_notes(state, record, answer),
         Err(_) => {
+            state.poison.lost(&record.name);
             metrics::counter!("oriole_load_ask_failed_total").increment(1);
         }
     }
@@ -148,7 +149,9 @@
     let channel = state.channels.get(record.peer_address).await?;
     let status = state.config.status();
     let mut note = Note::new(status.revision, status.confirmed_age);
-    note.poison = state.poison.for_peer(&record.name);
+    note.poison = state
+        .poison
+        .for_peer(&record.name, Incarnation(channel.peer().incarnation));
     let payload = note.encode_to_vec().into();
     let answer = channel.call(LOAD_SERVICE, payload, LOAD_TIMEOUT).await?;
     LoadNote::decode(answer).map_err(|_| WireError::Malformed("load note"))
