--- /dev/null
+++ b/crates/oriole_fleet/src/upstream.rs
@@ -0,0 +1,38 @@
+//! Upstreams as they are declared.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriole_types::prelude::*;
+
+value_type! {
+    /// Whether an upstream takes new work.
+    pub enum UpstreamState {
+        /// It does.
+        Ready,
+        /// It is leaving.
+        Draining,
+    }
+}
+
+domain_type! {
+    /// A declared upstream.
+    pub struct Upstream {
+        /// Identity of this run; another run at the same address has another.
+        pub instance: String,
+        /// Service it belongs to.
+        pub service: String,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Failure domain.
+        pub domain: String,
+        /// Requests that it runs at once.
+        pub capacity: u32,
+        /// Whether it takes new work.
+        pub state: UpstreamState,
+        /// Time for which it stays cold, counted from when this was written.
+        pub cold_for: Duration,
+        /// Millisecond of its start, if it tells; a run under the same identity has another.
+        pub born_ms: Option<u64>,
+    }
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -0,0 +1,111 @@
+//! The daemon: all tasks, from bind to shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use oriole_fleet::prelude::*;
+use oriole_kernel::sockets;
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+
+use crate::decision_log::Event;
+use crate::gateway::Gateway;
+use crate::mesh::{self, MeshSockets};
+use crate::settings::GatewaySettings;
+use crate::{ingress, registration, service_port, watcher};
+
+/// Time before the kill at which the process ends by itself.
+const END_BEFORE_KILL: Duration = Duration::from_millis(400);
+
+/// Time for which a leaving process stays, so that callers that hold an old answer of where to
+/// connect still find it.
+const LINGER: Duration = Duration::from_secs(3);
+
+/// Time between looks at whether a leaving process is idle, and between looks at idle connections.
+const TICK: Duration = Duration::from_millis(100);
+
+/// A running entry daemon.
+pub struct GatewayDaemon {
+    gateway: Arc<Gateway>,
+    stop: CancellationToken,
+}
+
+impl GatewayDaemon {
+    /// Listens, and follows the store and the peers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is not the process's to use.
+    pub async fn bind(
+        cfg: GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        store: Arc<dyn FleetStore>,
+        log: Logger,
+    ) -> eyre::Result<Self> {
+        let callers = sockets::listen(cfg.listen.callers).wrap_err("listen for callers")?;
+        let ready = sockets::listen(cfg.listen.ready).wrap_err("listen for ready")?;
+        let endpoints = sockets::listen(cfg.listen.endpoints).wrap_err("listen for endpoints")?;
+        let metrics = sockets::listen(cfg.listen.metrics).wrap_err("listen for metrics")?;
+        let peers = MeshSockets::bind(cfg.peers.listen)
+            .await
+            .wrap_err("listen for peers")?;
+        let gateway = Arc::new(Gateway::new(cfg, dialect, log));
+        let stop = CancellationToken::new();
+        ingress::spawn(&gateway, callers, &stop);
+        for listener in [ready, endpoints, metrics] {
+            service_port::spawn(&gateway, listener, &stop);
+        }
+        mesh::spawn(&gateway, peers, &stop);
+        watcher::spawn(&gateway, &store, &stop);
+        registration::spawn(&gateway, &store, &stop);
+        spawn_pool_tick(&gateway, &stop);
+        gateway.log.event(&Event::Started {
+            incarnation: gateway.incarnation,
+        });
+        Ok(Self { gateway, stop })
+    }
+
+    /// Notes that the settings file was read again.
+    pub fn reloaded(&self, outcome: &str) {
+        self.gateway.log.event(&Event::Reloaded { outcome });
+    }
+
+    /// Leaves: no new callers, answers to all requests, then the end.
+    pub async fn shutdown(self) {
+        let gateway = &self.gateway;
+        gateway.leave();
+        let in_flight = || gateway.active_requests.load(Ordering::Relaxed);
+        gateway.log.event(&Event::Stopping {
+            in_flight: in_flight(),
+        });
+        let began = gateway.clock.now();
+        let end = began + gateway.cfg.grace().saturating_sub(END_BEFORE_KILL);
+        loop {
+            tokio::time::sleep(TICK).await;
+            let now = gateway.clock.now();
+            let is_idle = gateway.open_connections.load(Ordering::Relaxed) == 0;
+            if now >= end || (is_idle && now >= began + LINGER) {
+                break;
+            }
+        }
+        gateway.log.event(&Event::Stopped {
+            in_flight: in_flight(),
+        });
+        self.stop.cancel();
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn spawn_pool_tick(gateway: &Arc<Gateway>, stop: &CancellationToken) {
+    let (gateway, stop) = (gateway.clone(), stop.clone());
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(TICK * 10) => gateway.pool.tick(gateway.clock.now()),
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/forward/events.rs
@@ -0,0 +1,90 @@
+//! Splits a stream of bytes into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Holds back the part of an event whose end has not come.
+///
+/// ```
+/// use oriole_gateway::forward::events::EventSplitter;
+/// let mut splitter = EventSplitter::default();
+/// assert_eq!(splitter.push(b"id: 1\ndata: a\n\nid: 2\n"), &b"id: 1\ndata: a\n\n"[..]);
+/// assert_eq!(splitter.last_id(), Some(1));
+/// assert!(splitter.has_part());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    part: BytesMut,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// A splitter for a caller that holds events up to some id.
+    #[must_use]
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            part: BytesMut::new(),
+            last_id,
+        }
+    }
+
+    /// Takes bytes and returns the whole events among them that the caller lacks.
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        self.part.extend_from_slice(bytes);
+        let Some(end) = end_of_last_event(&self.part) else {
+            return Bytes::new();
+        };
+        let whole = self.part.split_to(end).freeze();
+        self.without_known(whole)
+    }
+
+    /// Id of the last whole event.
+    #[must_use]
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whether the end of an event is missing.
+    #[must_use]
+    pub fn has_part(&self) -> bool {
+        !self.part.is_empty()
+    }
+
+    /// Forgets a part whose end will never come.
+    pub fn drop_part(&mut self) {
+        self.part.clear();
+    }
+
+    fn without_known(&mut self, whole: Bytes) -> Bytes {
+        let mut kept = BytesMut::new();
+        let mut skipped = false;
+        let mut start = 0;
+        while start < whole.len() {
+            let len = end_of_first_event(&whole[start..]).unwrap_or(whole.len() - start);
+            let event = &whole[start..start + len];
+            start += len;
+            let id = event_id(event);
+            if id.is_some() && id <= self.last_id {
+                skipped = true;
+                continue;
+            }
+            self.last_id = id.or(self.last_id);
+            kept.extend_from_slice(event);
+        }
+        if skipped { kept.freeze() } else { whole }
+    }
+}
+
+fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).position(|w| w == b"\n\n").map(|i| i + 2)
+}
+
+fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(2).rposition(|w| w == b"\n\n").map(|i| i + 2)
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    event.split(|b| *b == b'\n').find_map(|line| {
+        let id = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(id).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -0,0 +1,197 @@
+//! State that the daemon's tasks share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use oriole_fleet::prelude::*;
+use oriole_kernel::clock::Clock;
+use tokio::sync::Notify;
+
+use crate::belief::{Belief, BeliefChange};
+use crate::decision_log::{DecisionLog, Event};
+use crate::mesh::members::Members;
+use crate::mesh::message::Readiness;
+use crate::settings::GatewaySettings;
+use crate::traffic::{Share, Traffic};
+use crate::upstream::UpstreamPool;
+
+/// Daemons that may be on their way in while this one knows of few: shares are cut for at least
+/// as many as have been heard and this many more.
+const UNHEARD_DAEMONS: usize = 2;
+
+/// Everything that the tasks of one daemon share.
+pub struct Gateway {
+    /// Settings.
+    pub cfg: GatewaySettings,
+    /// Names and formats on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// Time since the start.
+    pub clock: Clock,
+    /// The log.
+    pub log: DecisionLog,
+    /// Random number of this run.
+    pub incarnation: u64,
+    /// Connections to upstreams.
+    pub pool: UpstreamPool,
+    /// Wakes the mesh when peers should hear at once.
+    pub mesh_wake: Notify,
+    /// Callers' connections that are open.
+    pub open_connections: AtomicUsize,
+    /// Requests that are not answered in full.
+    pub active_requests: AtomicUsize,
+    belief: Mutex<Belief>,
+    members: Mutex<Members>,
+    traffic: Mutex<Traffic>,
+    leaving_since: Mutex<Option<Duration>>,
+    was_ready: AtomicBool,
+}
+
+/// Hash under which daemons speak of an upstream.
+#[must_use]
+pub fn instance_hash(instance: &str) -> u64 {
+    oriole_types::digest::Digest::of(instance.as_bytes()).short()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gateway {
+    /// State of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(cfg: GatewaySettings, dialect: Arc<dyn Dialect>, log: slog::Logger) -> Self {
+        let clock = Clock::start();
+        let mut members = Members::new(&cfg.name);
+        for seed in &cfg.peers.seeds {
+            let address = (seed.ip(), cfg.peers.listen.port()).into();
+            members.add_contact(clock.now(), address);
+        }
+        Self {
+            belief: Mutex::new(Belief::new(dialect.clone())),
+            members: Mutex::new(members),
+            traffic: Mutex::new(Traffic::new(cfg.traffic_bounds())),
+            pool: UpstreamPool::default(),
+            log: DecisionLog::new(log, clock),
+            incarnation: rand::random(),
+            mesh_wake: Notify::new(),
+            open_connections: AtomicUsize::new(0),
+            active_requests: AtomicUsize::new(0),
+            leaving_since: Mutex::new(None),
+            was_ready: AtomicBool::new(false),
+            dialect,
+            clock,
+            cfg,
+        }
+    }
+
+    /// What is believed of the fleet.
+    pub fn belief(&self) -> MutexGuard<'_, Belief> {
+        lock(&self.belief)
+    }
+
+    /// The other entry daemons.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// Loads and budgets.
+    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        lock(&self.traffic)
+    }
+
+    /// Whether callers may use this daemon.
+    pub fn readiness(&self) -> Readiness {
+        if self.leaving_since().is_some() {
+            Readiness::Leaving
+        } else if self.belief().is_complete() {
+            Readiness::Ready
+        } else {
+            Readiness::Starting
+        }
+    }
+
+    /// Time at which the process was told to stop.
+    pub fn leaving_since(&self) -> Option<Duration> {
+        *lock(&self.leaving_since)
+    }
+
+    /// Notes that the process was told to stop, and tells peers.
+    pub fn leave(&self) {
+        *lock(&self.leaving_since) = Some(self.clock.now());
+        self.mesh_wake.notify_one();
+    }
+
+    /// This daemon's place among all that may send.
+    pub fn share(&self) -> Share {
+        let (heard, ordinal) = self.members().place(self.clock.now());
+        Share {
+            daemons: heard + UNHEARD_DAEMONS,
+            ordinal,
+        }
+    }
+
+    /// Applies a change to the belief and logs what came of it.
+    pub fn apply(&self, change: Change, source: &str) {
+        let now = self.clock.now();
+        let (changes, version) = {
+            let mut belief = self.belief();
+            (belief.apply(now, change), belief.version())
+        };
+        self.tell(&changes, source, version);
+    }
+
+    /// Applies a listing to the belief and logs what came of it.
+    pub fn apply_listing(&self, prefix: &str, items: Vec<Item>, at: u64) {
+        let now = self.clock.now();
+        let (changes, version) = {
+            let mut belief = self.belief();
+            let changes = belief.apply_listing(now, prefix, items, at);
+            (changes, belief.version())
+        };
+        self.tell(&changes, "store", version);
+    }
+
+    fn tell(&self, changes: &[BeliefChange], source: &str, version: u64) {
+        let now = self.clock.now();
+        for change in changes {
+            if let BeliefChange::Peer { address, .. } = change {
+                self.members().add_contact(now, *address);
+            }
+            self.log.event(&Event::Belief {
+                change,
+                source,
+                version,
+            });
+        }
+        let is_ready = self.readiness() == Readiness::Ready;
+        if is_ready && !self.was_ready.swap(true, Ordering::Relaxed) {
+            self.log.event(&Event::Readiness { now: "ready" });
+            self.mesh_wake.notify_one();
+        }
+    }
+}
+
+/// Counts something as long as it lives.
+pub struct CountGuard {
+    gateway: Arc<Gateway>,
+    counter: fn(&Gateway) -> &AtomicUsize,
+}
+
+impl CountGuard {
+    /// Counts one more.
+    #[must_use]
+    pub fn new(gateway: &Arc<Gateway>, counter: fn(&Gateway) -> &AtomicUsize) -> Self {
+        counter(gateway).fetch_add(1, Ordering::Relaxed);
+        Self {
+            gateway: gateway.clone(),
+            counter,
+        }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        (self.counter)(&self.gateway).fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/main.rs
@@ -0,0 +1,93 @@
+//! `oriole-gateway`: the entry daemon for plain HTTP as a process.
+#![forbid(unsafe_code)]
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use oriole_fleet::prelude::{Dialect, FleetStore};
+use oriole_gateway::prelude::{GatewayDaemon, GatewaySettings};
+use oriole_kernel::registry::Registry;
+use oriole_kernel::{logging, settings, signals, telemetry};
+use oriole_platform::prelude::{PlatformDialect, PlatformStore};
+
+/// Names under which adapters are registered.
+const DIALECT: &str = "dialect";
+const STORE: &str = "store";
+
+/// An entry daemon of oriolefield that speaks plain HTTP with callers and upstreams.
+#[derive(FromArgs)]
+struct Args {
+    /// TOML file with the settings
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings, print what would be in force, and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+/// Variable that names the settings file if the command line does not.
+const SETTINGS_VARIABLE: &str = "ORIOLEFIELD_NODE_FILE";
+
+fn settings_path(args: &Args) -> eyre::Result<PathBuf> {
+    match &args.settings {
+        Some(path) => Ok(path.clone()),
+        None => std::env::var_os(SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .ok_or_else(|| eyre::eyre!("neither --settings nor {SETTINGS_VARIABLE} is given")),
+    }
+}
+
+/// Registers the adapter that the settings name.
+fn register_platform(cfg: &GatewaySettings, registry: &Registry) -> eyre::Result<()> {
+    if cfg.platform != "fleet" {
+        eyre::bail!("platform = {:?}: allowed is \"fleet\"", cfg.platform);
+    }
+    let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect::default());
+    let timeout = Duration::from_millis(cfg.store.timeout_ms);
+    let store: Arc<dyn FleetStore> = Arc::new(PlatformStore::open(cfg.store.address, timeout));
+    registry.insert(DIALECT, Arc::new(dialect))?;
+    registry.insert(STORE, Arc::new(store))?;
+    Ok(())
+}
+
+fn reread(path: &Path) -> String {
+    match settings::read::<GatewaySettings>(path) {
+        Ok(_) => "valid; addresses and bounds of the start stay in force".to_owned(),
+        Err(e) => format!("refused: {e}"),
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let path = settings_path(&args)?;
+    let cfg: GatewaySettings = settings::read(&path)?;
+    if args.check {
+        print!("{}", settings::render(&cfg)?);
+        return Ok(());
+    }
+    telemetry::open_bounded();
+    let level = logging::parse_level(&cfg.log_level).map_err(|e| eyre::eyre!(e))?;
+    let log = logging::open_stdout(&cfg.name, level);
+    let registry = Registry::default();
+    register_platform(&cfg, &registry)?;
+    let dialect = registry.get::<Arc<dyn Dialect>>(DIALECT)?;
+    let store = registry.get::<Arc<dyn FleetStore>>(STORE)?;
+    let mut reloads = signals::reload_requests()?;
+    let daemon = GatewayDaemon::bind(cfg, (*dialect).clone(), (*store).clone(), log).await?;
+    let stop = signals::stop_requested();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => {
+                stopped?;
+                break;
+            }
+            Some(()) = reloads.recv() => daemon.reloaded(&reread(&path)),
+        }
+    }
+    daemon.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/mesh/members.rs
@@ -0,0 +1,259 @@
+//! Which entry daemons live, as their heartbeats tell.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::{Rng, RngExt as _};
+
+use super::message::{Heartbeat, MemberRecord, Readiness};
+
+/// Silence after which a member is no longer named to callers. Well under the time after which
+/// naming a dead VM breaks a promise.
+pub const NAMED_FOR: Duration = Duration::from_millis(2200);
+
+/// Silence after which what a member had in flight no longer counts.
+const LOAD_FOR: Duration = Duration::from_millis(2500);
+
+/// Silence after which a member is forgotten; it may come back at any time.
+const KEPT_FOR: Duration = Duration::from_secs(60);
+
+/// Time for which a member counts as one that may send to upstreams: a paused or cut-off one may
+/// wake with its share in hand.
+const SHARES_FOR: Duration = Duration::from_secs(20);
+
+/// Other members passed on in one heartbeat, so that it fits a datagram.
+const RELAYED: usize = 8;
+
+/// Members that each heartbeat goes to at most; others hear of them through relayed records.
+const FANOUT: usize = 40;
+
+/// A known entry daemon.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// As it last told of itself.
+    pub record: MemberRecord,
+    /// Where it hears its peers.
+    pub peer_address: SocketAddr,
+    /// Time at which its heartbeat last grew.
+    pub heard_at: Duration,
+    /// Time at which it was last heard without another in between.
+    direct_at: Option<Duration>,
+    /// Revision up to which its belief reaches.
+    pub belief_version: u64,
+    /// Time since which its belief is ahead.
+    ahead_since: Option<Duration>,
+    in_flight: Vec<(u64, u32)>,
+}
+
+/// A change of what is believed of a member, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberChange {
+    /// VM.
+    pub name: String,
+    /// What it is now.
+    pub now: &'static str,
+}
+
+/// The members, this daemon excluded.
+#[derive(Debug)]
+pub struct Members {
+    own_name: String,
+    members: HashMap<String, Member>,
+    /// Addresses that were named but have not been heard: seeds and the store's records.
+    contacts: HashMap<SocketAddr, Duration>,
+    lost: HashMap<String, ()>,
+}
+
+impl Members {
+    /// Members of a daemon that has heard nobody.
+    #[must_use]
+    pub fn new(own_name: &str) -> Self {
+        Self {
+            own_name: own_name.to_owned(),
+            members: HashMap::new(),
+            contacts: HashMap::new(),
+            lost: HashMap::new(),
+        }
+    }
+
+    /// Adds an address that a member may be at.
+    pub fn add_contact(&mut self, now: Duration, address: SocketAddr) {
+        self.contacts.insert(address, now);
+    }
+
+    /// Takes a heartbeat that came from its sender.
+    pub fn heard(&mut self, now: Duration, heartbeat: Heartbeat, own_version: u64) {
+        let in_flight = heartbeat
+            .in_flight
+            .iter()
+            .map(|l| (l.instance, l.requests))
+            .collect();
+        let version = heartbeat.belief_version;
+        if let Some(from) = heartbeat.from
+            && let Some(member) = self.update(now, from, true)
+        {
+            member.direct_at = Some(now);
+            member.belief_version = version;
+            member.in_flight = in_flight;
+            if version <= own_version {
+                member.ahead_since = None;
+            } else if member.ahead_since.is_none() {
+                member.ahead_since = Some(now);
+            }
+        }
+        for record in heartbeat.others {
+            self.update(now, record, false);
+        }
+    }
+
+    fn update(
+        &mut self,
+        now: Duration,
+        record: MemberRecord,
+        direct: bool,
+    ) -> Option<&mut Member> {
+        if record.name == self.own_name {
+            return None;
+        }
+        let peer_address: SocketAddr = record.peer_address.parse().ok()?;
+        if let Some(member) = self.members.get(&record.name) {
+            let is_same_run = member.record.incarnation == record.incarnation;
+            let is_older = is_same_run && record.heartbeat <= member.record.heartbeat;
+            let was_heard_lately = member.direct_at.is_some_and(|at| now < at + NAMED_FOR);
+            // A relayed record of another run may be one of the past.
+            if is_older || (!direct && !is_same_run && was_heard_lately) {
+                return None;
+            }
+        }
+        let entry = self.members.entry(record.name.clone());
+        let member = entry.or_insert_with(|| Member {
+            record: record.clone(),
+            peer_address,
+            heard_at: now,
+            direct_at: None,
+            belief_version: 0,
+            ahead_since: None,
+            in_flight: Vec::new(),
+        });
+        member.record = record;
+        member.peer_address = peer_address;
+        member.heard_at = now;
+        Some(member)
+    }
+
+    /// Addresses that the next heartbeat goes to.
+    pub fn targets(&self, now: Duration, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut targets: Vec<SocketAddr> = self.members.values().map(|m| m.peer_address).collect();
+        for address in self.contacts.keys() {
+            if !targets.contains(address) {
+                targets.push(*address);
+            }
+        }
+        // The silent ones are tried on every second beat only, by the parity of the second.
+        if now.as_millis() % 2 == 1 {
+            targets.retain(|a| self.is_live(now, *a));
+        }
+        while targets.len() > FANOUT {
+            let i = rng.random_range(0..targets.len());
+            targets.swap_remove(i);
+        }
+        targets
+    }
+
+    fn is_live(&self, now: Duration, address: SocketAddr) -> bool {
+        self.members
+            .values()
+            .find(|m| m.peer_address == address)
+            .is_none_or(|m| now < m.heard_at + NAMED_FOR)
+    }
+
+    /// Some live members to pass on in a heartbeat.
+    pub fn relayed(&self, now: Duration, rng: &mut impl Rng) -> Vec<MemberRecord> {
+        let mut live: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|m| now < m.heard_at + NAMED_FOR)
+            .collect();
+        while live.len() > RELAYED {
+            let i = rng.random_range(0..live.len());
+            live.swap_remove(i);
+        }
+        live.into_iter().map(|m| m.record.clone()).collect()
+    }
+
+    /// Members that callers may be sent to.
+    pub fn ready(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(move |m| {
+            m.record.readiness() == Readiness::Ready && now < m.heard_at + NAMED_FOR
+        })
+    }
+
+    /// The member to ask for newer items: one whose belief has been ahead for some time.
+    pub fn ahead(&self, now: Duration, patience: Duration, own_version: u64) -> Option<&Member> {
+        self.members
+            .values()
+            .filter(|m| m.belief_version > own_version && now < m.heard_at + NAMED_FOR)
+            .filter(|m| m.ahead_since.is_some_and(|since| now >= since + patience))
+            .max_by_key(|m| m.belief_version)
+    }
+
+    /// Requests that other daemons have in flight, by hash of the instance.
+    #[must_use]
+    pub fn in_flight(&self, now: Duration) -> HashMap<u64, u32> {
+        let mut sums = HashMap::new();
+        for member in self.members.values() {
+            if now >= member.heard_at + LOAD_FOR {
+                continue;
+            }
+            for (instance, requests) in &member.in_flight {
+                *sums.entry(*instance).or_insert(0) += requests;
+            }
+        }
+        sums
+    }
+
+    /// Number of daemons that may send, this one included, and the place of this one among them.
+    #[must_use]
+    pub fn place(&self, now: Duration) -> (usize, usize) {
+        let others = self
+            .members
+            .values()
+            .filter(|m| now < m.heard_at + SHARES_FOR);
+        let (mut count, mut before) = (1, 0);
+        for member in others {
+            count += 1;
+            before += usize::from(member.record.name < self.own_name);
+        }
+        (count, before)
+    }
+
+    /// Number of members heard lately.
+    #[must_use]
+    pub fn live_count(&self, now: Duration) -> usize {
+        let live = |m: &&Member| now < m.heard_at + NAMED_FOR;
+        self.members.values().filter(live).count()
+    }
+
+    /// Forgets members that were silent for long; tells which were lost or came back.
+    pub fn tick(&mut self, now: Duration) -> Vec<MemberChange> {
+        self.members.retain(|_, m| now < m.heard_at + KEPT_FOR);
+        self.contacts.retain(|_, at| now < *at + KEPT_FOR);
+        let mut changes = Vec::new();
+        for (name, member) in &self.members {
+            let is_lost = now >= member.heard_at + NAMED_FOR;
+            if is_lost && self.lost.insert(name.clone(), ()).is_none() {
+                changes.push(MemberChange {
+                    name: name.clone(),
+                    now: "lost",
+                });
+            } else if !is_lost && self.lost.remove(name).is_some() {
+                changes.push(MemberChange {
+                    name: name.clone(),
+                    now: "regained",
+                });
+            }
+        }
+        changes
+    }
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/traffic/load.rs
@@ -0,0 +1,74 @@
+//! Load and health of one upstream as this daemon sees it.
+
+use std::time::Duration;
+
+use super::cold_share::ColdShare;
+
+/// Weight of a new observation in the moving averages: about the last ten count.
+const NEWEST_WEIGHT: f64 = 0.1;
+
+/// First pause after an upstream could not be reached or broke off; doubles up to
+/// [`SUSPECT_MAX`]. Shorter than an upstream's restart, so that its return is noticed soon.
+const SUSPECT_FIRST: Duration = Duration::from_millis(400);
+
+/// Longest pause without trying an upstream that keeps failing.
+const SUSPECT_MAX: Duration = Duration::from_secs(4);
+
+/// What is known of one upstream's load and health.
+#[derive(Debug, Default)]
+pub struct UpstreamLoad {
+    /// Requests that this daemon has there.
+    pub own: u32,
+    /// Requests that peers told of.
+    pub peers: u32,
+    /// Requests that wait there, as it last told.
+    pub waiting: u32,
+    /// Moving average of failures, from zero to one.
+    pub failure_rate: f64,
+    /// Moving average of the time that a request takes there, in seconds.
+    pub service_s: Option<f64>,
+    /// Requests sent while it is cold.
+    pub cold: ColdShare,
+    /// Connections to it that are open.
+    pub connections: u32,
+    suspect_until: Duration,
+    failures_in_row: u32,
+}
+
+impl UpstreamLoad {
+    /// Requests there from all daemons.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.own + self.peers
+    }
+
+    /// Whether it failed of late and is left alone for a moment.
+    #[must_use]
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        now < self.suspect_until
+    }
+
+    /// Notes a proper end.
+    pub fn succeeded(&mut self, took: Duration) {
+        self.failures_in_row = 0;
+        self.suspect_until = Duration::ZERO;
+        self.failure_rate *= 1.0 - NEWEST_WEIGHT;
+        let took = took.as_secs_f64();
+        let mean = self.service_s.unwrap_or(took);
+        self.service_s = Some(mean + NEWEST_WEIGHT * (took - mean));
+    }
+
+    /// Notes that it failed a request by itself, though it answered.
+    pub fn failed(&mut self) {
+        self.failure_rate += NEWEST_WEIGHT * (1.0 - self.failure_rate);
+    }
+
+    /// Notes that it could not be reached, broke off or stayed silent.
+    pub fn unreachable(&mut self, now: Duration) {
+        self.failed();
+        let doublings = self.failures_in_row.min(8);
+        let pause = SUSPECT_FIRST.saturating_mul(1 << doublings).min(SUSPECT_MAX);
+        self.failures_in_row += 1;
+        self.suspect_until = now + pause;
+    }
+}
--- /dev/null
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -0,0 +1,95 @@
+//! One connection to an upstream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use oriole_kernel::sockets::SilenceLimits;
+use tokio::task::JoinHandle;
+
+/// Why a request got no answer's head.
+#[derive(Debug)]
+pub enum SendError {
+    /// Nothing of it was written: it has not run.
+    NotSent(String),
+    /// It was written, at least in part: it may have run.
+    NoAnswer(String),
+}
+
+/// A connection that carries one request at a time. Dropping it closes it.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    /// Whether it carried a request before.
+    pub is_reused: bool,
+    /// Time for which the upstream keeps it idle, if it told.
+    pub keep_alive: Option<Duration>,
+}
+
+impl Connection {
+    /// Connects.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::NotSent`].
+    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let stream = SilenceLimits::default()
+            .connect(address)
+            .await
+            .map_err(|e| SendError::NotSent(format!("connect: {e}")))?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| SendError::NotSent(format!("handshake: {e}")))?;
+        let task = tokio::spawn(async move {
+            // The error reaches the request that waits; an idle connection has none to tell.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            task,
+            is_reused: false,
+            keep_alive: None,
+        })
+    }
+
+    /// Whether it can carry another request.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.task.is_finished()
+    }
+
+    /// Waits until the last answer is read in full and the connection is free again.
+    pub async fn settle(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether anything of the request was written.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.sender.try_send_request(req).await.map_err(|mut e| {
+            let reason = e.error().to_string();
+            match e.take_message() {
+                Some(_) => SendError::NotSent(reason),
+                None => SendError::NoAnswer(reason),
+            }
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`logging`]: JSON lines through `slog`.
 //! - [`telemetry`]: the process-wide metrics recorder.
 //! - [`settings`]: reading and checking a daemon's TOML settings.
-//! - [`signals`]: signals that ask a process to end.
+//! - [`signals`]: signals that ask a process to end or to read its settings again.
+//! - [`sockets`]: TCP connections that notice a silent peer.
 //!
 //! ```
 //! use oriole_kernel::prelude::*;
@@ -37,6 +38,7 @@
 pub mod registry;
 pub mod settings;
 pub mod signals;
+pub mod sockets;
 pub mod telemetry;
 
 /// Everything that daemons usually need from this crate.
--- a/crates/oriole_kernel/src/logging.rs
+++ b/crates/oriole_kernel/src/logging.rs
@@ -16,11 +16,17 @@
     open_to(process, level, std::io::stderr())
 }
 
+/// A logger that writes JSON lines to standard output.
+pub fn open_stdout(process: &str, level: Level) -> Logger {
+    open_to(process, level, std::io::stdout())
+}
+
 /// A logger that writes JSON lines to a writer.
 pub fn open_to<W: Write + Send + 'static>(process: &str, level: Level, w: W) -> Logger {
     let json = Mutex::new(slog_json::Json::default(w)).map(slog::Fuse);
     let queue = slog_async::Async::new(json)
         .chan_size(LOG_QUEUE_RECORDS)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
         .fuse();
     let drain = LevelFilter::new(queue, level).fuse();
--- a/crates/oriole_kernel/src/signals.rs
+++ b/crates/oriole_kernel/src/signals.rs
@@ -16,3 +16,12 @@
     }
     Ok(())
 }
+
+/// A signal that asks a process to read its settings again.
+///
+/// # Errors
+///
+/// Fails if the signal cannot be received.
+pub fn reload_requests() -> std::io::Result<tokio::signal::unix::Signal> {
+    signal(SignalKind::hangup())
+}
