--- a/crates/oriole_fleet/src/dialect.rs
+++ b/crates/oriole_fleet/src/dialect.rs
@@ -63,6 +63,12 @@
     /// Key prefixes that the daemons read and watch.
     fn watched_prefixes(&self) -> &[&'static str];
 
+    /// Key of the operator's configuration.
+    fn configuration_key(&self) -> &'static str;
+
+    /// Prefix of the upstreams' entries.
+    fn upstreams_prefix(&self) -> &'static str;
+
     /// Meaning of an item.
     fn decode(&self, key: &str, value: &[u8]) -> Declared;
 
--- a/crates/oriole_fleet/src/engine.rs
+++ b/crates/oriole_fleet/src/engine.rs
@@ -16,6 +16,8 @@
         pub spare: usize,
         /// Share of a token's work that experts do.
         pub expert_share: f64,
+        /// Time to copy one expert, in seconds.
+        pub copy_s: f64,
     }
 }
 
@@ -47,6 +49,8 @@
     pub held: Option<u64>,
     /// Requests that run at this rank.
     pub running: u32,
+    /// How many times as long as usual this rank takes.
+    pub pace: f64,
 }
 
 /// How often each expert was chosen by this rank's requests since its start.
--- a/crates/oriole_fleet/src/fleet_store.rs
+++ b/crates/oriole_fleet/src/fleet_store.rs
@@ -32,6 +32,15 @@
     },
 }
 
+/// How new a listing has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It holds all changes that were accepted before the call.
+    Latest,
+    /// It may lack the changes of some seconds.
+    Stale,
+}
+
 /// A part of a listing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
@@ -76,7 +85,12 @@
     /// # Errors
     ///
     /// Fails if the store cannot be reached, refuses, or answers what cannot be read.
-    async fn list(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError>;
+    async fn list(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page, StoreError>;
 
     /// Waits for changes under a prefix after a revision, at most for `wait`.
     ///
--- a/crates/oriole_fleet/src/lib.rs
+++ b/crates/oriole_fleet/src/lib.rs
@@ -33,8 +33,8 @@
         EngineError, EngineOrder, EngineReport, ExpertCounts, ExpertEngine, GroupShape, OrderEnd,
         RankMap,
     };
-    pub use crate::fleet_store::{Change, FleetStore, Item, Page, PutItem, WatchEnd};
+    pub use crate::fleet_store::{Change, FleetStore, Freshness, Item, Page, PutItem, WatchEnd};
     pub use crate::routes::{Route, RouteKind, RouteTable, ServiceShare};
     pub use crate::service::Service;
-    pub use crate::upstream::{Upstream, UpstreamState};
+    pub use crate::upstream::{Seat, Upstream, UpstreamState};
 }
--- a/crates/oriole_fleet/src/upstream.rs
+++ b/crates/oriole_fleet/src/upstream.rs
@@ -15,6 +15,16 @@
     }
 }
 
+domain_type! {
+    /// Place of an upstream in an expert-parallel group.
+    pub struct Seat {
+        /// Group.
+        pub group: String,
+        /// Rank in it.
+        pub rank: usize,
+    }
+}
+
 domain_type! {
     /// A declared upstream.
     pub struct Upstream {
@@ -34,5 +44,7 @@
         pub cold_for: Duration,
         /// Millisecond of its start, if it tells; a run under the same identity has another.
         pub born_ms: Option<u64>,
+        /// Place in a group, if it belongs to one.
+        pub seat: Option<Seat>,
     }
 }
--- a/crates/oriole_gateway/src/main.rs
+++ b/crates/oriole_gateway/src/main.rs
@@ -27,18 +27,6 @@
     check: bool,
 }
 
-/// Variable that names the settings file if the command line does not.
-const SETTINGS_VARIABLE: &str = "ORIOLEFIELD_NODE_FILE";
-
-fn settings_path(args: &Args) -> eyre::Result<PathBuf> {
-    match &args.settings {
-        Some(path) => Ok(path.clone()),
-        None => std::env::var_os(SETTINGS_VARIABLE)
-            .map(PathBuf::from)
-            .ok_or_else(|| eyre::eyre!("neither --settings nor {SETTINGS_VARIABLE} is given")),
-    }
-}
-
 /// Registers the adapter that the settings name.
 fn register_platform(cfg: &GatewaySettings, registry: &Registry) -> eyre::Result<()> {
     if cfg.platform != "fleet" {
@@ -62,7 +50,7 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    let path = settings_path(&args)?;
+    let path = settings::path_or_variable(args.settings)?;
     let cfg: GatewaySettings = settings::read(&path)?;
     if args.check {
         print!("{}", settings::render(&cfg)?);
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -65,7 +65,10 @@
         let mut at = None;
         loop {
             let after = items.last().map(|i: &Item| i.key.clone());
-            let page = self.store.list(self.prefix, after.as_deref()).await?;
+            let page = self
+                .store
+                .list(self.prefix, after.as_deref(), Freshness::Latest)
+                .await?;
             // Pages are no snapshot: what changed since the first one comes with the watch.
             at.get_or_insert(page.at);
             items.extend(page.items);
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reading and checking a daemon's TOML settings.
 
 use std::ops::RangeInclusive;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -18,6 +18,19 @@
     fn check(&self) -> Result<(), String>;
 }
 
+/// Variable that names the settings file if the command line does not.
+pub const SETTINGS_VARIABLE: &str = "ORIOLEFIELD_NODE_FILE";
+
+/// The settings file of the command line, or else of [`SETTINGS_VARIABLE`].
+///
+/// # Errors
+///
+/// Fails if neither names one.
+pub fn path_or_variable(path: Option<PathBuf>) -> eyre::Result<PathBuf> {
+    path.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| eyre::eyre!("neither --settings nor {SETTINGS_VARIABLE} is given"))
+}
+
 /// Reads settings from a TOML file and checks them.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/oriole_placement/src/even_split.rs
@@ -0,0 +1,319 @@
+//! Placement for engines whose ranks share an expert's tokens evenly.
+//!
+//! A pass waits, layer set by layer set, for the most loaded rank. The planner starts from the map
+//! in use and looks for the few copies that shorten the pass most: copying is slow, and the
+//! demand will have shifted again soon.
+
+/// Exponent of the norm that stands for the most loaded rank, so that relieving one of several
+/// equally loaded ranks counts as a gain.
+const NORM: i32 = 10;
+
+/// Experts of a layer set, by rank.
+pub type RankSets = Vec<Vec<u16>>;
+
+/// What a plan may cost.
+#[derive(Clone, Debug)]
+pub struct EvenSplitConfig {
+    /// Most experts of a layer set on one rank.
+    pub places: usize,
+    /// Most experts of a layer set that may be new to a rank.
+    pub spare: usize,
+    /// Most experts that may be new to a rank, over all layer sets.
+    pub copies_per_rank: usize,
+    /// Least share of a layer set's time that a copy must save.
+    pub min_gain: f64,
+}
+
+impl Default for EvenSplitConfig {
+    fn default() -> Self {
+        Self {
+            places: 8,
+            spare: 4,
+            copies_per_rank: 8,
+            min_gain: 0.004,
+        }
+    }
+}
+
+/// A planned map and what it is worth.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EvenSplitPlan {
+    /// Experts by layer set and rank.
+    pub map: Vec<RankSets>,
+    /// Time of the most loaded ranks with the map in use, relative to an even spread.
+    pub before: f64,
+    /// The same with the planned map.
+    pub after: f64,
+    /// Experts that are copied.
+    pub copies: usize,
+    /// Most experts that one rank copies.
+    pub copies_of_busiest: usize,
+}
+
+/// Time of the most loaded ranks over all layer sets, relative to an even spread; one at best.
+///
+/// `demand` has the share of each expert by layer set, `pace` how much longer each rank takes.
+#[must_use]
+pub fn skew(map: &[RankSets], demand: &[Vec<f64>], pace: &[f64]) -> f64 {
+    let mut sum = 0.0;
+    let mut sets = 0;
+    for (ranks, shares) in map.iter().zip(demand) {
+        let total: f64 = shares.iter().sum();
+        if total <= 0.0 || ranks.is_empty() {
+            continue;
+        }
+        let layer = Layer::new(ranks, shares, pace);
+        sum += layer.peak() / (total / ranks.len() as f64);
+        sets += 1;
+    }
+    if sets == 0 {
+        return 1.0;
+    }
+    sum / f64::from(sets)
+}
+
+/// Plans the next map from the one in use.
+#[must_use]
+pub fn plan(
+    map: &[RankSets],
+    demand: &[Vec<f64>],
+    pace: &[f64],
+    cfg: &EvenSplitConfig,
+) -> EvenSplitPlan {
+    let mut layers: Vec<Layer> = map
+        .iter()
+        .zip(demand)
+        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
+        .collect();
+    let ranks = map.first().map_or(0, Vec::len);
+    let mut copied = vec![0; ranks];
+    let mut best: Vec<Option<Step>> = layers.iter().map(|l| l.best_step(cfg, &copied)).collect();
+    while let Some(i) = best_layer(&best) {
+        let Some(step) = best[i].take() else { break };
+        let full_before = copied[usize::from(step.rank)] >= cfg.copies_per_rank;
+        if step.is_copy && full_before {
+            best[i] = layers[i].best_step(cfg, &copied);
+            continue;
+        }
+        layers[i].apply(&step);
+        copied[usize::from(step.rank)] += usize::from(step.is_copy);
+        best[i] = layers[i].best_step(cfg, &copied);
+    }
+    let planned: Vec<RankSets> = layers.into_iter().map(|l| l.ranks).collect();
+    EvenSplitPlan {
+        before: skew(map, demand, pace),
+        after: skew(&planned, demand, pace),
+        map: planned,
+        copies: copied.iter().sum(),
+        copies_of_busiest: copied.iter().copied().max().unwrap_or(0),
+    }
+}
+
+fn best_layer(steps: &[Option<Step>]) -> Option<usize> {
+    steps
+        .iter()
+        .enumerate()
+        .filter_map(|(i, s)| s.as_ref().map(|s| (i, s.gain)))
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(i, _)| i)
+}
+
+/// One change of a layer set.
+#[derive(Clone, Debug)]
+struct Step {
+    /// Expert that a rank gets.
+    expert: u16,
+    /// The rank.
+    rank: u16,
+    /// Expert that makes room there.
+    evicted: Option<u16>,
+    /// Rank that gives the expert up.
+    given_up_by: Option<u16>,
+    /// Whether the rank has to copy the expert.
+    is_copy: bool,
+    /// Share of the layer set's time that it saves.
+    gain: f64,
+}
+
+struct Layer {
+    ranks: RankSets,
+    base: RankSets,
+    holders: Vec<Vec<u16>>,
+    shares: Vec<f64>,
+    pace: Vec<f64>,
+    load: Vec<f64>,
+    mean: f64,
+}
+
+impl Layer {
+    fn new(ranks: &RankSets, shares: &[f64], pace: &[f64]) -> Self {
+        let mut holders = vec![Vec::new(); shares.len()];
+        for (rank, experts) in ranks.iter().enumerate() {
+            for expert in experts {
+                if let Some(holders) = holders.get_mut(usize::from(*expert)) {
+                    holders.push(rank as u16);
+                }
+            }
+        }
+        let pace: Vec<f64> = (0..ranks.len())
+            .map(|r| pace.get(r).copied().unwrap_or(1.0))
+            .collect();
+        let total: f64 = shares.iter().sum();
+        let mut layer = Self {
+            ranks: ranks.clone(),
+            base: ranks.clone(),
+            holders,
+            shares: shares.to_vec(),
+            load: vec![0.0; ranks.len()],
+            pace,
+            mean: (total / ranks.len().max(1) as f64).max(f64::MIN_POSITIVE),
+        };
+        for rank in 0..layer.ranks.len() {
+            layer.load[rank] = layer.load_of(rank);
+        }
+        layer
+    }
+
+    fn load_of(&self, rank: usize) -> f64 {
+        let sum: f64 = self.ranks[rank].iter().map(|e| self.part(*e)).sum();
+        sum * self.pace[rank]
+    }
+
+    /// What each holder of an expert carries.
+    fn part(&self, expert: u16) -> f64 {
+        let holders = self.holders[usize::from(expert)].len().max(1);
+        self.shares[usize::from(expert)] / holders as f64
+    }
+
+    fn peak(&self) -> f64 {
+        self.load.iter().copied().fold(0.0, f64::max)
+    }
+
+    fn norm(&self, load: &[f64]) -> f64 {
+        let sum: f64 = load.iter().map(|l| (l / self.mean).powi(NORM)).sum();
+        sum.powf(1.0 / f64::from(NORM))
+    }
+
+    fn hottest(&self) -> Option<usize> {
+        (0..self.load.len()).max_by(|a, b| self.load[*a].total_cmp(&self.load[*b]))
+    }
+
+    /// The change that relieves the most loaded rank most.
+    fn best_step(&self, cfg: &EvenSplitConfig, copied: &[usize]) -> Option<Step> {
+        let hot = self.hottest()?;
+        let norm = self.norm(&self.load);
+        let mut best: Option<Step> = None;
+        for expert in &self.ranks[hot] {
+            for rank in 0..self.ranks.len() {
+                if rank == hot || self.ranks[rank].contains(expert) {
+                    continue;
+                }
+                let is_copy = !self.base[rank].contains(expert);
+                if is_copy && !self.may_copy(rank, cfg, copied) {
+                    continue;
+                }
+                self.consider(*expert, hot, rank, is_copy, cfg, norm, &mut best);
+            }
+        }
+        best
+    }
+
+    fn may_copy(&self, rank: usize, cfg: &EvenSplitConfig, copied: &[usize]) -> bool {
+        let fresh = self.ranks[rank]
+            .iter()
+            .filter(|e| !self.base[rank].contains(e))
+            .count();
+        fresh < cfg.spare && copied[rank] < cfg.copies_per_rank
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one candidate and what it is weighed against")]
+    fn consider(
+        &self,
+        expert: u16,
+        hot: usize,
+        rank: usize,
+        is_copy: bool,
+        cfg: &EvenSplitConfig,
+        norm: f64,
+        best: &mut Option<Step>,
+    ) {
+        let rooms = self.rooms(rank, cfg.places);
+        for evicted in rooms {
+            for given_up_by in [None, Some(hot as u16)] {
+                let mut step = Step {
+                    expert,
+                    rank: rank as u16,
+                    evicted,
+                    given_up_by,
+                    is_copy,
+                    gain: 0.0,
+                };
+                step.gain = (norm - self.norm(&self.load_after(&step))) / norm;
+                let is_better = best.as_ref().is_none_or(|b| step.gain > b.gain);
+                if step.gain >= cfg.min_gain && is_better {
+                    *best = Some(step);
+                }
+            }
+        }
+    }
+
+    /// What may make room on a rank: nothing if a place is free, else an expert that others hold.
+    fn rooms(&self, rank: usize, places: usize) -> Vec<Option<u16>> {
+        if self.ranks[rank].len() < places {
+            return vec![None];
+        }
+        self.ranks[rank]
+            .iter()
+            .filter(|e| self.holders[usize::from(**e)].len() > 1)
+            .map(|e| Some(*e))
+            .collect()
+    }
+
+    fn load_after(&self, step: &Step) -> Vec<f64> {
+        let mut load = self.load.clone();
+        let rank = usize::from(step.rank);
+        self.shift(&mut load, step.expert, Some(rank), step.given_up_by.map(usize::from));
+        if let Some(evicted) = step.evicted {
+            self.shift(&mut load, evicted, None, Some(rank));
+        }
+        load
+    }
+
+    /// Adds and removes a holder of an expert in a list of loads.
+    fn shift(&self, load: &mut [f64], expert: u16, added: Option<usize>, removed: Option<usize>) {
+        let holders = &self.holders[usize::from(expert)];
+        let count = holders.len() + usize::from(added.is_some()) - usize::from(removed.is_some());
+        let (old, new) = (
+            self.part(expert),
+            self.shares[usize::from(expert)] / count.max(1) as f64,
+        );
+        for holder in holders {
+            let holder = usize::from(*holder);
+            let part = if Some(holder) == removed { 0.0 } else { new };
+            load[holder] += (part - old) * self.pace[holder];
+        }
+        if let Some(added) = added {
+            load[added] += new * self.pace[added];
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        let rank = usize::from(step.rank);
+        if let Some(evicted) = step.evicted {
+            self.drop_holder(evicted, step.rank);
+        }
+        if let Some(giver) = step.given_up_by {
+            self.drop_holder(step.expert, giver);
+        }
+        self.ranks[rank].push(step.expert);
+        self.holders[usize::from(step.expert)].push(step.rank);
+        for rank in 0..self.ranks.len() {
+            self.load[rank] = self.load_of(rank);
+        }
+    }
+
+    fn drop_holder(&mut self, expert: u16, rank: u16) {
+        self.ranks[usize::from(rank)].retain(|e| *e != expert);
+        self.holders[usize::from(expert)].retain(|r| *r != rank);
+    }
+}
--- a/crates/oriole_placement/src/lib.rs
+++ b/crates/oriole_placement/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 
 pub mod balance;
+pub mod even_split;
 pub mod greedy;
 pub mod loads;
 pub mod map;
--- /dev/null
+++ b/crates/oriole_ranks/src/demand.rs
@@ -0,0 +1,49 @@
+//! Which experts are in demand, from counts of choices.
+
+use std::time::Duration;
+
+/// Time after which a choice counts 1/e: long enough for few samples, short against the seconds
+/// between shifts of demand.
+const MEMORY: Duration = Duration::from_millis(900);
+
+/// Choices of a layer set below which its demand is not known, for each expert.
+const MIN_CHOICES: f64 = 20.0;
+
+/// Shares of the experts of each layer set, forgetting old choices.
+#[derive(Debug, Default)]
+pub struct Demand {
+    choices: Vec<f64>,
+    at: Duration,
+}
+
+impl Demand {
+    /// Adds choices that were made up to `now`.
+    pub fn add(&mut self, now: Duration, picks: &[u32]) {
+        if self.choices.len() != picks.len() {
+            self.choices = vec![0.0; picks.len()];
+            self.at = now;
+        }
+        let faded = now.saturating_sub(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        let keep = (-faded).exp();
+        self.at = self.at.max(now);
+        for (choices, picks) in self.choices.iter_mut().zip(picks) {
+            *choices = *choices * keep + f64::from(*picks);
+        }
+    }
+
+    /// Choices by layer set; `None` if too few are known.
+    #[must_use]
+    pub fn by_set(&self, sets: usize) -> Option<Vec<Vec<f64>>> {
+        if sets == 0 || self.choices.is_empty() || !self.choices.len().is_multiple_of(sets) {
+            return None;
+        }
+        let experts = self.choices.len() / sets;
+        let total: f64 = self.choices.iter().sum();
+        if total < MIN_CHOICES * self.choices.len() as f64 {
+            return None;
+        }
+        // One more choice of each, so that an expert that was not chosen keeps some weight.
+        let smoothed = self.choices.chunks(experts);
+        Some(smoothed.map(|s| s.iter().map(|c| c + 1.0).collect()).collect())
+    }
+}
--- /dev/null
+++ b/crates/oriole_ranks/src/follower.rs
@@ -0,0 +1,68 @@
+//! The next order to the agent's own engine.
+
+use std::time::Duration;
+
+use oriole_fleet::prelude::*;
+
+use crate::message::Intent;
+
+/// Time after which an unanswered preparation is ordered again.
+const PREPARE_AGAIN: Duration = Duration::from_millis(400);
+
+/// What an agent remembers of the orders that it gave.
+#[derive(Clone, Debug, Default)]
+pub struct Follower {
+    /// Run of the group and version that the engine accepted.
+    accepted: Option<(u64, u64)>,
+    /// Version that the engine refused.
+    pub refused: Option<u64>,
+    asked_at: Option<Duration>,
+}
+
+impl Follower {
+    /// Notes how an order ended; `None` if no answer came.
+    pub fn ended(&mut self, now: Duration, epoch: u64, order: &EngineOrder, end: Option<OrderEnd>) {
+        if let EngineOrder::Prepare { version, .. } = order {
+            self.asked_at = Some(now);
+            match end {
+                Some(OrderEnd::Accepted) => self.accepted = Some((epoch, *version)),
+                Some(OrderEnd::Refused) => self.refused = Some(*version),
+                None => {}
+            }
+        }
+    }
+}
+
+/// The order that brings the engine closer to the leader's intent.
+///
+/// It arms only what the engine has prepared whole, and only at the pass that the leader holds.
+#[must_use]
+pub fn next_order(
+    now: Duration,
+    report: &EngineReport,
+    intent: &Intent,
+    memory: &Follower,
+) -> Option<EngineOrder> {
+    let version = intent.version;
+    if intent.epoch != report.epoch || intent.group != report.group || !report.open {
+        return None;
+    }
+    if report.map_version >= version || report.armed.is_some() {
+        return None;
+    }
+    if report.prepared == Some(version) {
+        let pass = intent.arm_pass?;
+        return (report.pass < pass).then_some(EngineOrder::Arm { version, pass });
+    }
+    let is_under_way = memory.accepted == Some((report.epoch, version));
+    let was_asked = memory
+        .asked_at
+        .is_some_and(|at| now < at + PREPARE_AGAIN && memory.accepted.is_none());
+    if is_under_way || was_asked || memory.refused == Some(version) || intent.map.is_empty() {
+        return None;
+    }
+    Some(EngineOrder::Prepare {
+        version,
+        map: intent.rank_map(),
+    })
+}
--- /dev/null
+++ b/crates/oriole_ranks/src/leader.rs
@@ -0,0 +1,424 @@
+//! The agent beside rank 0 leads each change of maps.
+//!
+//! A change only ever goes forward: once a pass is held and any rank may have been armed for it, the
+//! leader arms all of them and then lets the pass go. So an order that is carried out late, or twice,
+//! or by an agent that slept, finds its rank armed for the very same change, or the pass begun.
+//! A leader that starts anew goes on from what the engines report.
+
+use std::time::Duration;
+
+use oriole_fleet::prelude::*;
+use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan};
+
+use crate::demand::Demand;
+use crate::message::{Intent, Status, layer_sets};
+
+/// Silence of a rank's agent after which the leader starts nothing new.
+const HEARD_FOR: Duration = Duration::from_millis(900);
+
+/// Time that a preparation may take before another map is planned.
+const PREPARE_FOR: Duration = Duration::from_secs(8);
+
+/// Time between the end of a change and the next plan.
+const REST: Duration = Duration::from_millis(250);
+
+/// Time between unchanged orders to the leader's own engine.
+const ORDER_AGAIN: Duration = Duration::from_millis(100);
+
+/// Time that arming all ranks takes as a rule; the held pass lies beyond it, so that the group
+/// does not stop.
+const ARMING_TIME: Duration = Duration::from_millis(250);
+
+/// Bounds of the passes between the one that runs and the held one.
+const MIN_LEAD: u64 = 3;
+const MAX_LEAD: u64 = 60;
+
+/// Passes take this much longer while experts are copied.
+const COPY_SLOWDOWN: f64 = 0.15;
+
+/// Bits of a version that are random for each run of a leader, so that a late preparation of an
+/// earlier run cannot carry the same version with another map.
+const SALT_BITS: u32 = 16;
+
+/// When a change is worth its cost.
+#[derive(Clone, Debug)]
+pub struct LeaderConfig {
+    /// Time for which demand stays as it is, on average.
+    pub horizon: Duration,
+    /// Least share of the experts' time that a change must save.
+    pub min_gain: f64,
+    /// Most experts that a rank copies in one change.
+    pub copies_per_rank: usize,
+}
+
+impl Default for LeaderConfig {
+    fn default() -> Self {
+        Self {
+            horizon: Duration::from_secs(2),
+            min_gain: 0.04,
+            copies_per_rank: 8,
+        }
+    }
+}
+
+/// How far a change has come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    /// No change is under way.
+    Idle,
+    /// Ranks copy experts.
+    Preparing {
+        /// Time at which it began.
+        since: Duration,
+    },
+    /// The pass is to be held.
+    Holding {
+        /// Pass.
+        pass: u64,
+    },
+    /// The pass is held, and ranks are armed for it.
+    Arming {
+        /// Pass.
+        pass: u64,
+    },
+    /// All ranks are armed, and the pass may begin.
+    Releasing {
+        /// Pass.
+        pass: u64,
+    },
+}
+
+/// What the leader's agent has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LeaderAction {
+    /// Give an order to the leader's own engine.
+    Order(EngineOrder),
+    /// Tell all agents of the group.
+    Tell(Intent),
+    /// Log a plan that is carried out.
+    Planned {
+        /// Version.
+        version: u64,
+        /// Skew before and after.
+        before: f64,
+        /// Skew that is expected afterwards.
+        after: f64,
+        /// Experts that are copied.
+        copies: usize,
+    },
+    /// Log that a phase ended.
+    Entered(Phase),
+}
+
+#[derive(Clone, Debug)]
+struct SeatView {
+    status: Status,
+    heard_at: Duration,
+}
+
+/// The state machine of a group's leader.
+pub struct Leader {
+    cfg: LeaderConfig,
+    salt: u64,
+    shape: Option<GroupShape>,
+    seats: Vec<Option<SeatView>>,
+    own: EngineReport,
+    demand: Demand,
+    phase: Phase,
+    version: u64,
+    map: RankMap,
+    rested_since: Duration,
+    ordered_at: Option<Duration>,
+    pass_at: Option<(u64, Duration)>,
+    pass_time: Duration,
+}
+
+impl Leader {
+    /// A leader that knows of no change. `salt` is random for each run.
+    #[must_use]
+    pub fn new(cfg: LeaderConfig, salt: u64) -> Self {
+        Self {
+            cfg,
+            salt: salt & ((1 << SALT_BITS) - 1),
+            shape: None,
+            seats: Vec::new(),
+            own: EngineReport::default(),
+            demand: Demand::default(),
+            phase: Phase::Idle,
+            version: 0,
+            map: Vec::new(),
+            rested_since: Duration::ZERO,
+            ordered_at: None,
+            pass_at: None,
+            pass_time: Duration::from_millis(40),
+        }
+    }
+
+    /// Shape of the group, from the configuration.
+    pub fn set_shape(&mut self, shape: GroupShape) {
+        self.shape = Some(shape);
+    }
+
+    /// How far the change under way has come.
+    #[must_use]
+    pub fn phase(&self) -> &Phase {
+        &self.phase
+    }
+
+    /// Takes the report of the leader's own engine.
+    pub fn reported(&mut self, now: Duration, report: EngineReport) {
+        if report.epoch != self.own.epoch || report.group != self.own.group {
+            // A re-formed group holds, prepares and arms nothing.
+            self.phase = Phase::Idle;
+            self.seats.clear();
+            self.demand = Demand::default();
+            self.rested_since = now;
+            self.pass_at = None;
+        }
+        if self.seats.len() != report.ranks {
+            self.seats = vec![None; report.ranks];
+        }
+        self.time_passes(now, report.pass);
+        self.own = report;
+    }
+
+    fn time_passes(&mut self, now: Duration, pass: u64) {
+        if let Some((last, at)) = self.pass_at
+            && pass > last
+        {
+            let took = now.saturating_sub(at) / u32::try_from(pass - last).unwrap_or(1).max(1);
+            self.pass_time = (self.pass_time * 3 + took) / 4;
+        }
+        if self.pass_at.is_none_or(|(last, _)| pass != last) {
+            self.pass_at = Some((pass, now));
+        }
+    }
+
+    /// Takes a status of a rank, the leader's own included.
+    pub fn heard(&mut self, now: Duration, status: Status) {
+        if status.group != self.own.group || status.epoch != self.own.epoch {
+            return;
+        }
+        self.demand.add(now, &status.picks);
+        let rank = status.rank as usize;
+        if let Some(seat) = self.seats.get_mut(rank) {
+            *seat = Some(SeatView {
+                status,
+                heard_at: now,
+            });
+        }
+    }
+
+    /// Takes the end of an order to the leader's own engine.
+    pub fn ordered(&mut self, order: &EngineOrder, end: OrderEnd) {
+        if let (EngineOrder::Hold { pass }, Phase::Holding { pass: wanted }) = (order, &self.phase)
+            && pass == wanted
+            && end == OrderEnd::Accepted
+        {
+            self.own.held = Some(*pass);
+        }
+    }
+
+    /// What is to be done now.
+    pub fn tick(&mut self, now: Duration) -> Vec<LeaderAction> {
+        if !self.own.open || self.own.rank != 0 || self.seats.is_empty() {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        for _ in 0..5 {
+            let before = self.phase.clone();
+            self.step(now, &mut actions);
+            if self.phase == before {
+                break;
+            }
+            actions.push(LeaderAction::Entered(self.phase.clone()));
+            self.ordered_at = None;
+        }
+        self.tell(&mut actions);
+        actions
+    }
+
+    fn step(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
+        match self.phase {
+            Phase::Idle => self.idle(now, actions),
+            Phase::Preparing { since } => self.preparing(now, since),
+            Phase::Holding { pass } => self.holding(now, pass, actions),
+            Phase::Arming { pass } => {
+                if self.all(now, |s| is_bound_for(s, self.version)) {
+                    self.phase = Phase::Releasing { pass };
+                }
+            }
+            Phase::Releasing { pass } => self.releasing(now, pass, actions),
+        }
+    }
+
+    fn idle(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
+        if let Some(pass) = self.own.held {
+            self.take_up(now, pass);
+            return;
+        }
+        if now < self.rested_since + REST {
+            return;
+        }
+        let version = self.own.map_version;
+        if !self.all(now, |s| s.open && s.armed.is_none() && s.map_version == version) {
+            return;
+        }
+        let Some(plan) = self.plan(now) else { return };
+        self.version = self.next_version();
+        self.map = plan.map;
+        self.phase = Phase::Preparing { since: now };
+        actions.push(LeaderAction::Planned {
+            version: self.version,
+            before: plan.before,
+            after: plan.after,
+            copies: plan.copies,
+        });
+    }
+
+    /// Goes on with a change that an earlier run of the leader left with its pass held.
+    fn take_up(&mut self, now: Duration, pass: u64) {
+        if !self.all(now, |s| s.open) {
+            return;
+        }
+        let bound: Vec<Option<u64>> = self
+            .statuses()
+            .map(|s| s.armed.or(s.prepared))
+            .collect();
+        let first = bound.first().copied().flatten();
+        match first {
+            Some(version) if bound.iter().all(|b| *b == first) => {
+                self.version = version;
+                self.map.clear();
+                self.phase = Phase::Arming { pass };
+            }
+            // Ranks are armed only after all have prepared the same map, so none is.
+            _ if self.statuses().all(|s| s.armed.is_none()) => {
+                self.phase = Phase::Releasing { pass };
+            }
+            _ => {}
+        }
+    }
+
+    fn preparing(&mut self, now: Duration, since: Duration) {
+        let version = self.version;
+        let is_refused = self.statuses().any(|s| s.refused == Some(version));
+        if is_refused || now >= since + PREPARE_FOR {
+            self.phase = Phase::Idle;
+            self.rested_since = now;
+        } else if self.all(now, |s| s.prepared == Some(version)) {
+            let pass = self.pass_ahead();
+            self.phase = Phase::Holding { pass };
+        }
+    }
+
+    fn holding(&mut self, now: Duration, pass: u64, actions: &mut Vec<LeaderAction>) {
+        if self.own.held == Some(pass) {
+            self.phase = Phase::Arming { pass };
+        } else if self.own.pass >= pass {
+            // The hold came too late, and none of that pass can come any more.
+            let pass = self.pass_ahead();
+            self.phase = Phase::Holding { pass };
+        } else {
+            self.order(now, EngineOrder::Hold { pass }, actions);
+        }
+    }
+
+    fn releasing(&mut self, now: Duration, pass: u64, actions: &mut Vec<LeaderAction>) {
+        if self.own.held.is_some() && self.own.pass < pass {
+            self.order(now, EngineOrder::Go { pass }, actions);
+        } else if self.statuses().all(|s| s.armed.is_none()) {
+            self.phase = Phase::Idle;
+            self.rested_since = now;
+            self.version = 0;
+        }
+    }
+
+    fn order(&mut self, now: Duration, order: EngineOrder, actions: &mut Vec<LeaderAction>) {
+        if self.ordered_at.is_none_or(|at| now >= at + ORDER_AGAIN) {
+            self.ordered_at = Some(now);
+            actions.push(LeaderAction::Order(order));
+        }
+    }
+
+    fn tell(&self, actions: &mut Vec<LeaderAction>) {
+        let (map, arm_pass) = match self.phase {
+            Phase::Preparing { .. } => (layer_sets(&self.map), None),
+            Phase::Arming { pass } => (Vec::new(), Some(pass)),
+            Phase::Idle | Phase::Holding { .. } | Phase::Releasing { .. } => return,
+        };
+        actions.push(LeaderAction::Tell(Intent {
+            group: self.own.group.clone(),
+            epoch: self.own.epoch,
+            version: self.version,
+            map,
+            arm_pass,
+        }));
+    }
+
+    fn pass_ahead(&self) -> u64 {
+        let passes = ARMING_TIME.as_secs_f64() / self.pass_time.as_secs_f64().max(0.001);
+        self.own.pass + (passes.ceil() as u64).clamp(MIN_LEAD, MAX_LEAD)
+    }
+
+    fn next_version(&self) -> u64 {
+        let highest = self
+            .statuses()
+            .flat_map(|s| [Some(s.map_version), s.prepared, s.armed, s.refused])
+            .flatten()
+            .max()
+            .unwrap_or(0)
+            .max(self.version);
+        (((highest >> SALT_BITS) + 1) << SALT_BITS) | self.salt
+    }
+
+    fn statuses(&self) -> impl Iterator<Item = &Status> {
+        self.seats.iter().flatten().map(|s| &s.status)
+    }
+
+    /// Whether something holds of all ranks, as heard lately.
+    fn all(&self, now: Duration, holds: impl Fn(&Status) -> bool) -> bool {
+        self.seats.iter().all(|seat| {
+            seat.as_ref()
+                .is_some_and(|s| now < s.heard_at + HEARD_FOR && holds(&s.status))
+        })
+    }
+
+    fn plan(&self, now: Duration) -> Option<EvenSplitPlan> {
+        let _ = now;
+        let shape = self.shape.as_ref()?;
+        let map = self.map_in_use(shape)?;
+        let demand = self.demand.by_set(shape.layer_sets)?;
+        let pace: Vec<f64> = self.statuses().map(|s| s.pace.max(0.1)).collect();
+        let limits = EvenSplitConfig {
+            places: shape.places,
+            spare: shape.spare,
+            copies_per_rank: self.cfg.copies_per_rank,
+            ..EvenSplitConfig::default()
+        };
+        let plan = even_split::plan(&map, &demand, &pace, &limits);
+        let gain = (plan.before - plan.after) / plan.before;
+        let copying = plan.copies_of_busiest as f64 * shape.copy_s;
+        let saved = gain * shape.expert_share * self.cfg.horizon.as_secs_f64();
+        let pays_back = saved > COPY_SLOWDOWN * copying;
+        (gain >= self.cfg.min_gain && pays_back).then_some(plan)
+    }
+
+    fn map_in_use(&self, shape: &GroupShape) -> Option<RankMap> {
+        let mut map = vec![Vec::with_capacity(self.seats.len()); shape.layer_sets];
+        for status in self.statuses() {
+            if status.placed.len() != shape.layer_sets {
+                return None;
+            }
+            for (set, experts) in map.iter_mut().zip(&status.placed) {
+                set.push(experts.to_ids());
+            }
+        }
+        Some(map)
+    }
+}
+
+/// Whether a rank changes to a version by itself, or has done so.
+fn is_bound_for(status: &Status, version: u64) -> bool {
+    status.armed == Some(version) || status.map_version == version
+}
--- /dev/null
+++ b/crates/oriole_ranks/src/main.rs
@@ -0,0 +1,47 @@
+//! `oriole-rank-agent`: the agent beside one rank of an expert-parallel group, as a process.
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use oriole_kernel::{logging, settings, signals, telemetry};
+use oriole_platform::prelude::{PlatformDialect, PlatformEngine, PlatformStore};
+use oriole_ranks::prelude::{AgentParts, RankAgent, RankAgentSettings};
+
+/// An agent of oriolefield beside one rank of an expert-parallel group.
+#[derive(FromArgs)]
+struct Args {
+    /// TOML file with the settings
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// check the settings, print what would be in force, and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let path = settings::path_or_variable(args.settings)?;
+    let cfg: RankAgentSettings = settings::read(&path)?;
+    if args.check {
+        print!("{}", settings::render(&cfg)?);
+        return Ok(());
+    }
+    telemetry::open_bounded();
+    let level = logging::parse_level(&cfg.log_level).map_err(|e| eyre::eyre!(e))?;
+    let log = logging::open_stdout(&cfg.name, level);
+    let engine_timeout = Duration::from_millis(cfg.engine_timeout_ms);
+    let store_timeout = Duration::from_millis(cfg.store_timeout_ms);
+    let parts = AgentParts {
+        engine: Arc::new(PlatformEngine::open(cfg.engine, engine_timeout)),
+        dialect: Arc::new(PlatformDialect::default()),
+        store: Arc::new(PlatformStore::open(cfg.store, store_timeout)),
+    };
+    let agent = RankAgent::bind(cfg, parts, log).await?;
+    signals::stop_requested().await?;
+    agent.shutdown();
+    Ok(())
+}
--- /dev/null
+++ b/crates/oriole_ranks/src/message.rs
@@ -0,0 +1,131 @@
+//! What agents of a group tell each other, one datagram each.
+
+use oriole_fleet::prelude::RankMap;
+
+/// State of one rank, from its agent to the leader.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Status {
+    /// Group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Run of the group.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Rank.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+    /// Number of ranks.
+    #[prost(uint32, tag = "4")]
+    pub ranks: u32,
+    /// Last pass that was begun.
+    #[prost(uint64, tag = "5")]
+    pub pass: u64,
+    /// Version of the map in use.
+    #[prost(uint64, tag = "6")]
+    pub map_version: u64,
+    /// Version that is copied in full.
+    #[prost(uint64, optional, tag = "7")]
+    pub prepared: Option<u64>,
+    /// Version that the rank will change to.
+    #[prost(uint64, optional, tag = "8")]
+    pub armed: Option<u64>,
+    /// Version whose preparation the engine refused.
+    #[prost(uint64, optional, tag = "9")]
+    pub refused: Option<u64>,
+    /// Whether the group runs.
+    #[prost(bool, tag = "10")]
+    pub open: bool,
+    /// How many times as long as usual the rank takes.
+    #[prost(double, tag = "11")]
+    pub pace: f64,
+    /// Choices of each expert since the last status, by layer set.
+    #[prost(uint32, repeated, tag = "12")]
+    pub picks: Vec<u32>,
+    /// Experts of the rank in the map in use, by layer set.
+    #[prost(message, repeated, tag = "13")]
+    pub placed: Vec<Experts>,
+}
+
+/// A list of experts.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Experts {
+    /// Experts.
+    #[prost(uint32, repeated, tag = "1")]
+    pub experts: Vec<u32>,
+}
+
+impl Experts {
+    /// The list as engines take it.
+    #[must_use]
+    pub fn to_ids(&self) -> Vec<u16> {
+        self.experts.iter().map(|e| *e as u16).collect()
+    }
+}
+
+impl From<&[u16]> for Experts {
+    fn from(ids: &[u16]) -> Self {
+        Self {
+            experts: ids.iter().map(|e| u32::from(*e)).collect(),
+        }
+    }
+}
+
+/// Experts of one layer set, by rank.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LayerSet {
+    /// Ranks.
+    #[prost(message, repeated, tag = "1")]
+    pub ranks: Vec<Experts>,
+}
+
+/// What the leader wants, to all agents of the group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Intent {
+    /// Group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Run of the group.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Version of the next map.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The next map; empty if every rank has prepared it.
+    #[prost(message, repeated, tag = "4")]
+    pub map: Vec<LayerSet>,
+    /// Pass at which it comes into use; none before every rank has prepared it.
+    #[prost(uint64, optional, tag = "5")]
+    pub arm_pass: Option<u64>,
+}
+
+impl Intent {
+    /// The next map as engines take it.
+    #[must_use]
+    pub fn rank_map(&self) -> RankMap {
+        self.map
+            .iter()
+            .map(|set| set.ranks.iter().map(Experts::to_ids).collect())
+            .collect()
+    }
+}
+
+/// A map as it is sent.
+#[must_use]
+pub fn layer_sets(map: &RankMap) -> Vec<LayerSet> {
+    map.iter()
+        .map(|set| LayerSet {
+            ranks: set.iter().map(|r| Experts::from(r.as_slice())).collect(),
+        })
+        .collect()
+}
+
+/// One datagram between agents.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// State of the sender's rank.
+    #[prost(message, optional, tag = "1")]
+    pub status: Option<Status>,
+    /// What the sender, the leader, wants.
+    #[prost(message, optional, tag = "2")]
+    pub intent: Option<Intent>,
+}
