--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Time after which a choice counts 1/e: long enough for few samples, short against the seconds
-/// between shifts of demand.
-const MEMORY: Duration = Duration::from_millis(900);
+/// Time after which a choice counts 1/e: the requests that run now make the demand of the next
+/// second, and a group makes many choices in each pass.
+const MEMORY: Duration = Duration::from_millis(350);
 
 /// Choices of a layer set below which its demand is not known, for each expert.
 const MIN_CHOICES: f64 = 20.0;
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -47,8 +47,8 @@
     pub horizon: Duration,
     /// Least share of the experts' time that a change must save.
     pub min_gain: f64,
-    /// Most experts that a rank copies in one change.
-    pub copies_per_rank: usize,
+    /// Numbers of experts that a rank may copy in one change, of which the best is chosen.
+    pub copies_per_rank: Vec<usize>,
 }
 
 impl Default for LeaderConfig {
@@ -56,7 +56,7 @@
         Self {
             horizon: Duration::from_secs(2),
             min_gain: 0.04,
-            copies_per_rank: 8,
+            copies_per_rank: vec![1, 2, 3, 4, 6, 8, 12],
         }
     }
 }
@@ -264,7 +264,7 @@
         if !self.all(now, |s| s.open && s.armed.is_none() && s.map_version == version) {
             return;
         }
-        let Some(plan) = self.plan(now) else { return };
+        let Some(plan) = self.plan() else { return };
         self.version = self.next_version();
         self.map = plan.map;
         self.phase = Phase::Preparing { since: now };
@@ -384,24 +384,37 @@
         })
     }
 
-    fn plan(&self, now: Duration) -> Option<EvenSplitPlan> {
-        let _ = now;
+    fn plan(&self) -> Option<EvenSplitPlan> {
         let shape = self.shape.as_ref()?;
         let map = self.map_in_use(shape)?;
         let demand = self.demand.by_set(shape.layer_sets)?;
         let pace: Vec<f64> = self.statuses().map(|s| s.pace.max(0.1)).collect();
-        let limits = EvenSplitConfig {
-            places: shape.places,
-            spare: shape.spare,
-            copies_per_rank: self.cfg.copies_per_rank,
-            ..EvenSplitConfig::default()
-        };
-        let plan = even_split::plan(&map, &demand, &pace, &limits);
-        let gain = (plan.before - plan.after) / plan.before;
-        let copying = plan.copies_of_busiest as f64 * shape.copy_s;
-        let saved = gain * shape.expert_share * self.cfg.horizon.as_secs_f64();
-        let pays_back = saved > COPY_SLOWDOWN * copying;
-        (gain >= self.cfg.min_gain && pays_back).then_some(plan)
+        let mut best: Option<(f64, EvenSplitPlan)> = None;
+        for copies_per_rank in &self.cfg.copies_per_rank {
+            let limits = EvenSplitConfig {
+                places: shape.places,
+                spare: shape.spare,
+                copies_per_rank: *copies_per_rank,
+                ..EvenSplitConfig::default()
+            };
+            let plan = even_split::plan(&map, &demand, &pace, &limits);
+            let saved = self.saved(shape, &plan);
+            if best.as_ref().is_none_or(|(most, _)| saved > *most) {
+                best = Some((saved, plan));
+            }
+        }
+        let (saved, plan) = best?;
+        let least = self.cfg.min_gain * plan.before * self.cfg.horizon.as_secs_f64();
+        (saved >= least).then_some(plan)
+    }
+
+    /// Time that a plan saves over the horizon, in seconds of an evenly spread pass: nothing until
+    /// its experts are copied, and passes are slower meanwhile.
+    fn saved(&self, shape: &GroupShape, plan: &EvenSplitPlan) -> f64 {
+        let horizon = self.cfg.horizon.as_secs_f64();
+        let copying = (plan.copies_of_busiest as f64 * shape.copy_s).min(horizon);
+        let gained = (plan.before - plan.after) * shape.expert_share * (horizon - copying);
+        gained - COPY_SLOWDOWN * plan.before * copying
     }
 
     fn map_in_use(&self, shape: &GroupShape) -> Option<RankMap> {
