Fuzz a whole group against one map for each pass

Late orders, lost messages, restarted and frozen agents, new epochs; two broken variants are caught (release by time alone, arming without a hold).

--- /dev/null
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -0,0 +1,105 @@
+//! Placement for ranks that share an expert's tokens evenly.
+
+use oriole_placement::even_split::{EvenSplitConfig, RankSets, plan, skew};
+use proptest::prelude::*;
+
+/// Map 0 of an engine: experts in turn.
+fn in_turn(sets: usize, ranks: usize, experts: usize) -> Vec<RankSets> {
+    let set: RankSets = (0..ranks)
+        .map(|r| (r..experts).step_by(ranks).map(|e| e as u16).collect())
+        .collect();
+    vec![set; sets]
+}
+
+fn config(places: usize, spare: usize, copies: usize) -> EvenSplitConfig {
+    EvenSplitConfig {
+        places,
+        spare,
+        copies_per_rank: copies,
+        ..EvenSplitConfig::default()
+    }
+}
+
+fn new_experts(before: &[u16], after: &[u16]) -> usize {
+    after.iter().filter(|e| !before.contains(e)).count()
+}
+
+#[test]
+fn plan_one_hot_expert_is_shared_by_more_ranks() {
+    let map = in_turn(1, 8, 64);
+    let mut shares = vec![1.0; 64];
+    shares[5] = 60.0;
+    let plan = plan(&map, &[shares], &[1.0; 8], &config(11, 4, 8));
+    let holders = plan.map[0].iter().filter(|r| r.contains(&5)).count();
+    assert!(holders >= 4, "held by {holders} ranks");
+    assert!(plan.before > 3.0, "{plan:?}");
+    assert!(plan.after < 1.3, "{} to {}", plan.before, plan.after);
+}
+
+#[test]
+fn plan_even_demand_copies_nothing() {
+    let map = in_turn(6, 8, 64);
+    let plan = plan(&map, &vec![vec![1.0; 64]; 6], &[1.0; 8], &config(11, 4, 8));
+    assert_eq!(plan.copies, 0);
+    assert_eq!(plan.map, map);
+}
+
+#[test]
+fn plan_slow_rank_gets_less() {
+    let map = in_turn(1, 8, 64);
+    let mut pace = [1.0; 8];
+    pace[3] = 3.0;
+    let shares = vec![vec![1.0; 64]];
+    let plan = plan(&map, &shares, &pace, &config(11, 4, 8));
+    assert!(plan.after < plan.before * 0.7, "{plan:?}");
+}
+
+#[test]
+fn skew_even_map_is_one() {
+    let map = in_turn(2, 4, 8);
+    let skew = skew(&map, &vec![vec![2.0; 8]; 2], &[1.0; 4]);
+    assert!((skew - 1.0).abs() < 1e-9);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn plan_keeps_limits(
+        ranks in 2..9usize,
+        per_rank in 1..6usize,
+        free in 0..4usize,
+        spare in 0..5usize,
+        copies in 0..9usize,
+        seed in prop::collection::vec(0.0..40.0f64, 96),
+    ) {
+        let experts = ranks * per_rank;
+        let sets = 2;
+        let map = in_turn(sets, ranks, experts);
+        let demand: Vec<Vec<f64>> = (0..sets)
+            .map(|s| (0..experts).map(|e| seed[(s * 37 + e) % seed.len()] + 1.0).collect())
+            .collect();
+        let limits = config(per_rank + free, spare, copies);
+        let plan = plan(&map, &demand, &vec![1.0; ranks], &limits);
+        for (before, after) in map.iter().zip(&plan.map) {
+            for expert in 0..experts as u16 {
+                prop_assert!(after.iter().any(|r| r.contains(&expert)), "{} is lost", expert);
+            }
+            for (before, after) in before.iter().zip(after) {
+                prop_assert!(after.len() <= per_rank + free);
+                prop_assert!(new_experts(before, after) <= spare);
+                let mut sorted = after.clone();
+                sorted.sort_unstable();
+                sorted.dedup();
+                prop_assert_eq!(sorted.len(), after.len());
+            }
+        }
+        for rank in 0..ranks {
+            let copied: usize = (0..sets)
+                .map(|s| new_experts(&map[s][rank], &plan.map[s][rank]))
+                .sum();
+            prop_assert!(copied <= copies);
+        }
+        prop_assert!(plan.after <= plan.before + 1e-6, "{} to {}", plan.before, plan.after);
+    }
+}
--- /dev/null
+++ b/crates/oriole_ranks/tests/group_fuzz.rs
@@ -0,0 +1,499 @@
+//! A whole group under late orders, lost messages, restarted agents and new epochs, against the one
+//! rule that counts: no pass begins while two ranks differ in their maps.
+
+use std::time::Duration;
+
+use oriole_fleet::prelude::*;
+use oriole_ranks::prelude::*;
+use oriole_ranks::message::Experts;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use rstest::rstest;
+
+const RANKS: usize = 4;
+const EXPERTS: usize = 16;
+const SETS: usize = 2;
+/// Pause between events of a stream that callers still take as on time.
+const LONGEST_PAUSE: Duration = Duration::from_millis(120);
+const TICK: Duration = Duration::from_millis(10);
+const COPY: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug)]
+struct Engine {
+    version: u64,
+    map: RankMap,
+    highest: u64,
+    copying: Option<(u64, RankMap, Duration)>,
+    prepared: Option<(u64, RankMap)>,
+    armed: Option<(u64, u64)>,
+    held: Option<u64>,
+}
+
+fn map_zero() -> RankMap {
+    let set = (0..RANKS)
+        .map(|r| (r..EXPERTS).step_by(RANKS).map(|e| e as u16).collect())
+        .collect();
+    vec![set; SETS]
+}
+
+impl Engine {
+    fn new() -> Self {
+        Self {
+            version: 0,
+            map: map_zero(),
+            highest: 0,
+            copying: None,
+            prepared: None,
+            armed: None,
+            held: None,
+        }
+    }
+}
+
+/// How a variant of the leader is broken on purpose.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Broken {
+    No,
+    /// Lets the held pass go after some time, whether all ranks are armed or not.
+    ReleasesByTime,
+    /// Arms without holding a pass.
+    ArmsWithoutHold,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    late_order: f64,
+    lost_message: f64,
+    restart: f64,
+    new_epoch: f64,
+}
+
+const NONE: Faults = Faults {
+    late_order: 0.0,
+    lost_message: 0.0,
+    restart: 0.0,
+    new_epoch: 0.0,
+};
+
+struct Late {
+    at: Duration,
+    rank: usize,
+    epoch: u64,
+    order: EngineOrder,
+}
+
+struct Agent {
+    follower: Follower,
+    intent: Option<(Intent, Duration)>,
+    sleeps_until: Duration,
+    next: Duration,
+}
+
+struct Group {
+    rng: StdRng,
+    now: Duration,
+    epoch: u64,
+    pass: u64,
+    pass_at: Duration,
+    engines: Vec<Engine>,
+    agents: Vec<Agent>,
+    leader: Leader,
+    late: Vec<Late>,
+    messages: Vec<(Duration, usize, Intent)>,
+    statuses: Vec<(Duration, Status)>,
+    hot: usize,
+    changes: usize,
+    stalled_for: Duration,
+    longest_stall: Duration,
+    broken: Broken,
+    arming_since: Option<(u64, Duration)>,
+    /// Pass that the leader is told to be held, though it is not.
+    pretended_hold: Option<u64>,
+}
+
+fn new_leader(rng: &mut StdRng) -> Leader {
+    let mut leader = Leader::new(LeaderConfig::default(), rng.random());
+    leader.set_shape(GroupShape {
+        layer_sets: SETS,
+        experts: EXPERTS,
+        places: EXPERTS / RANKS + 2,
+        spare: 2,
+        expert_share: 0.85,
+        copy_s: 0.05,
+    });
+    leader
+}
+
+impl Group {
+    fn new(seed: u64, broken: Broken) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let agents = (0..RANKS)
+            .map(|_| Agent {
+                follower: Follower::default(),
+                intent: None,
+                sleeps_until: Duration::ZERO,
+                next: Duration::ZERO,
+            })
+            .collect();
+        Self {
+            leader: new_leader(&mut rng),
+            rng,
+            now: Duration::ZERO,
+            epoch: 1,
+            pass: 0,
+            pass_at: Duration::ZERO,
+            engines: vec![Engine::new(); RANKS],
+            agents,
+            late: Vec::new(),
+            messages: Vec::new(),
+            statuses: Vec::new(),
+            hot: 0,
+            changes: 0,
+            stalled_for: Duration::ZERO,
+            longest_stall: Duration::ZERO,
+            broken,
+            arming_since: None,
+            pretended_hold: None,
+        }
+    }
+
+    fn run(&mut self, time: Duration, faults: Faults) -> Result<(), String> {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.mischief(faults);
+            self.carry_out_late();
+            self.copy();
+            self.deliver();
+            for rank in 0..RANKS {
+                self.agent(rank, faults);
+            }
+            self.passes()?;
+        }
+        Ok(())
+    }
+
+    fn mischief(&mut self, faults: Faults) {
+        if self.rng.random_bool(0.004) {
+            self.hot = self.rng.random_range(0..EXPERTS);
+        }
+        if self.rng.random_bool(faults.restart) {
+            let rank = self.rng.random_range(0..RANKS);
+            let pause = Duration::from_millis(self.rng.random_range(0..3000));
+            self.agents[rank].sleeps_until = self.now + pause;
+            // A killed agent forgets; a frozen one goes on as it was.
+            if self.rng.random_bool(0.5) {
+                self.agents[rank].follower = Follower::default();
+                self.agents[rank].intent = None;
+                if rank == 0 {
+                    self.leader = new_leader(&mut self.rng);
+                }
+            }
+        }
+        if self.rng.random_bool(faults.new_epoch) {
+            self.epoch += 1;
+            self.engines = vec![Engine::new(); RANKS];
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let (due, rest): (Vec<Late>, Vec<Late>) =
+            self.late.drain(..).partition(|l| l.at <= self.now);
+        self.late = rest;
+        for late in due {
+            self.obey(late.rank, late.epoch, &late.order);
+        }
+    }
+
+    fn copy(&mut self) {
+        for engine in &mut self.engines {
+            if engine.copying.as_ref().is_some_and(|c| c.2 <= self.now)
+                && let Some((version, map, _)) = engine.copying.take()
+            {
+                engine.prepared = Some((version, map));
+            }
+        }
+    }
+
+    fn obey(&mut self, rank: usize, epoch: u64, order: &EngineOrder) -> OrderEnd {
+        let pass_now = self.pass;
+        if epoch != self.epoch {
+            return OrderEnd::Refused;
+        }
+        let engine = &mut self.engines[rank];
+        let accepted = match order {
+            EngineOrder::Prepare { version, map } => {
+                let fits = *version > engine.highest && engine.armed.is_none();
+                if fits {
+                    engine.highest = *version;
+                    engine.copying = Some((*version, map.clone(), self.now + COPY));
+                }
+                fits
+            }
+            EngineOrder::Arm { version, pass } => {
+                let is_prepared = engine.prepared.as_ref().is_some_and(|p| p.0 == *version);
+                let fits = is_prepared && pass_now < *pass;
+                if fits {
+                    engine.armed = Some((*version, *pass));
+                }
+                fits
+            }
+            EngineOrder::Hold { pass } => {
+                let fits = pass_now < *pass && engine.held.is_none_or(|h| h == *pass);
+                if fits {
+                    engine.held = Some(*pass);
+                }
+                fits
+            }
+            EngineOrder::Go { pass } => {
+                let fits = engine.held == Some(*pass);
+                if fits {
+                    engine.held = None;
+                }
+                fits
+            }
+        };
+        if accepted {
+            OrderEnd::Accepted
+        } else {
+            OrderEnd::Refused
+        }
+    }
+
+    fn order(&mut self, rank: usize, order: &EngineOrder, faults: Faults) -> Option<OrderEnd> {
+        let epoch = self.epoch;
+        if self.rng.random_bool(faults.late_order) {
+            let delay = Duration::from_millis(self.rng.random_range(0..12_000));
+            self.late.push(Late {
+                at: self.now + delay,
+                rank,
+                epoch,
+                order: order.clone(),
+            });
+            return None;
+        }
+        let end = self.obey(rank, epoch, order);
+        let is_answer_lost = self.rng.random_bool(faults.lost_message);
+        (!is_answer_lost).then_some(end)
+    }
+
+    fn report(&self, rank: usize) -> EngineReport {
+        let engine = &self.engines[rank];
+        EngineReport {
+            group: "g".to_owned(),
+            epoch: self.epoch,
+            rank,
+            ranks: RANKS,
+            open: true,
+            pass: self.pass,
+            map_version: engine.version,
+            prepared: engine.prepared.as_ref().map(|p| p.0),
+            armed: engine.armed.map(|a| a.0),
+            held: engine.held.or(self.pretended_hold.filter(|_| rank == 0)),
+            running: 1,
+            pace: 1.0,
+        }
+    }
+
+    fn status(&self, rank: usize) -> Status {
+        let report = self.report(rank);
+        let mut picks = vec![30_u32; SETS * EXPERTS];
+        for set in 0..SETS {
+            picks[set * EXPERTS + self.hot] = 600;
+        }
+        let engine = &self.engines[rank];
+        Status {
+            group: report.group,
+            epoch: report.epoch,
+            rank: rank as u32,
+            ranks: RANKS as u32,
+            pass: report.pass,
+            map_version: report.map_version,
+            prepared: report.prepared,
+            armed: report.armed,
+            refused: self.agents[rank].follower.refused,
+            open: true,
+            pace: 1.0,
+            picks,
+            placed: engine.map.iter().map(|s| Experts::from(s[rank].as_slice())).collect(),
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            self.messages.drain(..).partition(|(at, ..)| *at <= now);
+        self.messages = rest;
+        for (_, rank, intent) in due {
+            self.agents[rank].intent = Some((intent, now));
+        }
+        let (due, rest): (Vec<_>, Vec<_>) =
+            self.statuses.drain(..).partition(|(at, _)| *at <= now);
+        self.statuses = rest;
+        for (_, status) in due {
+            self.leader.heard(now, status);
+        }
+    }
+
+    fn agent(&mut self, rank: usize, faults: Faults) {
+        if self.now < self.agents[rank].sleeps_until || self.now < self.agents[rank].next {
+            return;
+        }
+        let pause = Duration::from_millis(self.rng.random_range(20..60));
+        self.agents[rank].next = self.now + pause;
+        let report = self.report(rank);
+        let status = self.status(rank);
+        if rank == 0 {
+            self.leader.reported(self.now, report.clone());
+            self.leader.heard(self.now, status);
+        } else if !self.rng.random_bool(faults.lost_message) {
+            let delay = Duration::from_millis(self.rng.random_range(0..40));
+            self.statuses.push((self.now + delay, status));
+        }
+        let intent = self.agents[rank].intent.clone();
+        if let Some((intent, at)) = intent
+            && self.now < at + Duration::from_millis(400)
+            && let Some(order) = next_order(self.now, &report, &intent, &self.agents[rank].follower)
+        {
+            let end = self.order(rank, &order, faults);
+            let (now, epoch) = (self.now, self.epoch);
+            self.agents[rank].follower.ended(now, epoch, &order, end);
+        }
+        if rank == 0 {
+            self.lead(faults);
+        }
+    }
+
+    fn lead(&mut self, faults: Faults) {
+        for action in self.leader.tick(self.now) {
+            match action {
+                LeaderAction::Order(order) => {
+                    if let EngineOrder::Hold { pass } = order
+                        && self.broken == Broken::ArmsWithoutHold
+                    {
+                        self.pretended_hold = Some(pass);
+                    } else if let Some(end) = self.order(0, &order, faults) {
+                        self.leader.ordered(&order, end);
+                    }
+                }
+                LeaderAction::Tell(intent) => self.tell(&intent, faults),
+                LeaderAction::Planned { .. } => self.changes += 1,
+                LeaderAction::Entered(phase) => {
+                    self.arming_since = match phase {
+                        Phase::Arming { pass } => Some((pass, self.now)),
+                        _ => None,
+                    };
+                }
+            }
+        }
+        if self.broken == Broken::ReleasesByTime
+            && let Some((pass, since)) = self.arming_since
+            && self.now > since + Duration::from_millis(300)
+        {
+            self.obey(0, self.epoch, &EngineOrder::Go { pass });
+        }
+    }
+
+    fn tell(&mut self, intent: &Intent, faults: Faults) {
+        self.agents[0].intent = Some((intent.clone(), self.now));
+        for rank in 1..RANKS {
+            if !self.rng.random_bool(faults.lost_message) {
+                let delay = Duration::from_millis(self.rng.random_range(0..40));
+                self.messages.push((self.now + delay, rank, intent.clone()));
+            }
+        }
+    }
+
+    fn passes(&mut self) -> Result<(), String> {
+        if self.now < self.pass_at + Duration::from_millis(40) {
+            return Ok(());
+        }
+        self.pass_at = self.now;
+        let next = self.pass + 1;
+        if self.engines.iter().any(|e| e.held.is_some_and(|h| h <= next)) {
+            self.stalled_for += Duration::from_millis(40);
+            self.longest_stall = self.longest_stall.max(self.stalled_for);
+            return Ok(());
+        }
+        self.stalled_for = Duration::ZERO;
+        self.pretended_hold = self.pretended_hold.filter(|p| *p > next);
+        self.pass = next;
+        for engine in &mut self.engines {
+            if let Some((version, pass)) = engine.armed
+                && pass == next
+            {
+                engine.armed = None;
+                let prepared = engine.prepared.take();
+                let (_, map) = prepared.filter(|p| p.0 == version).ok_or("armed, not prepared")?;
+                engine.version = version;
+                engine.map = map;
+            }
+        }
+        let first = &self.engines[0];
+        for (rank, engine) in self.engines.iter().enumerate() {
+            if engine.version != first.version || engine.map != first.map {
+                return Err(format!("pass {next}: rank {rank} differs from rank 0"));
+            }
+        }
+        Ok(())
+    }
+}
+
+const ROUGH: Faults = Faults {
+    late_order: 0.3,
+    lost_message: 0.15,
+    restart: 0.01,
+    new_epoch: 0.0005,
+};
+
+fn run_rough(seed: u64, broken: Broken) -> Result<Group, String> {
+    let mut group = Group::new(seed, broken);
+    group.run(Duration::from_secs(20), ROUGH)?;
+    Ok(group)
+}
+
+#[test]
+fn group_calm_follows_demand() {
+    let mut group = Group::new(1, Broken::No);
+    group.run(Duration::from_secs(20), NONE).unwrap();
+    assert!(group.changes >= 3, "{} changes", group.changes);
+    assert!(group.engines[0].version > 0);
+    assert!(group.longest_stall <= LONGEST_PAUSE, "{:?}", group.longest_stall);
+}
+
+#[rstest]
+#[case::late_orders(Faults { late_order: 0.5, ..NONE })]
+#[case::lost_messages(Faults { lost_message: 0.4, ..NONE })]
+#[case::restarts(Faults { restart: 0.02, ..NONE })]
+#[case::all(ROUGH)]
+fn group_faults_one_map_each_pass(#[case] faults: Faults) {
+    for seed in 0..60 {
+        let mut group = Group::new(seed, Broken::No);
+        let run = group.run(Duration::from_secs(20), faults);
+        run.unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    }
+}
+
+/// Once faults cease and no late order is left, the group runs and follows demand again.
+#[test]
+fn group_after_faults_goes_on() {
+    for seed in 0..60 {
+        let mut group = run_rough(seed, Broken::No).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        group.late.clear();
+        for agent in &mut group.agents {
+            agent.sleeps_until = Duration::ZERO;
+        }
+        group.run(Duration::from_secs(2), NONE).unwrap();
+        let pass = group.pass;
+        group.run(Duration::from_secs(2), NONE).unwrap();
+        assert!(group.pass >= pass + 45, "seed {seed}: stalled at {pass}");
+    }
+}
+
+#[rstest]
+#[case::release_by_time(Broken::ReleasesByTime)]
+#[case::no_hold(Broken::ArmsWithoutHold)]
+fn group_broken_variant_is_caught(#[case] broken: Broken) {
+    let caught = (0..60).any(|seed| run_rough(seed, broken).is_err());
+    assert!(caught, "{broken:?} was not caught");
+}
