One instance an address; groups that do not run come last; fewer calls and bytes

Cause: after a loss of all VMs old entries of upstreams stood for 3.6 s beside new ones at the same addresses, so that 421 and refusals of groups still forming used up the retry budget; callers told to come back in 0.2 s were refused again.

--- a/crates/oriole_fleet/src/dialect.rs
+++ b/crates/oriole_fleet/src/dialect.rs
@@ -69,6 +69,9 @@
     /// Prefix of the upstreams' entries.
     fn upstreams_prefix(&self) -> &'static str;
 
+    /// Prefix of the entry daemons' peer addresses.
+    fn peers_prefix(&self) -> &'static str;
+
     /// Meaning of an item.
     fn decode(&self, key: &str, value: &[u8]) -> Declared;
 
--- a/crates/oriole_fleet/src/upstream.rs
+++ b/crates/oriole_fleet/src/upstream.rs
@@ -22,6 +22,8 @@
         pub group: String,
         /// Rank in it.
         pub rank: usize,
+        /// Whether the group runs; one that lost a rank refuses requests until it is formed anew.
+        pub open: bool,
     }
 }
 
--- a/crates/oriole_gateway/src/belief/known.rs
+++ b/crates/oriole_gateway/src/belief/known.rs
@@ -15,6 +15,8 @@
     pub cold_until: Duration,
     /// Time at which its entry was removed.
     pub gone_at: Option<Duration>,
+    /// Whether another instance has its address.
+    pub is_superseded: bool,
     usable_until: Duration,
 }
 
@@ -26,6 +28,7 @@
             heard_at: now,
             cold_until: now + upstream.cold_for,
             gone_at: None,
+            is_superseded: false,
             usable_until: Duration::MAX,
             upstream,
         }
@@ -34,7 +37,23 @@
     /// Whether it takes new work, evacuations aside.
     #[must_use]
     pub fn takes_work(&self, now: Duration) -> bool {
-        self.upstream.state == UpstreamState::Ready && now < self.usable_until
+        self.upstream.state == UpstreamState::Ready
+            && now < self.usable_until
+            && !self.is_superseded
+    }
+
+    /// Whether its group runs, if it belongs to one.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.upstream.seat.as_ref().is_none_or(|s| s.open)
+    }
+
+    /// Whether it started after another instance, as far as both tell.
+    pub(super) fn is_younger(&self, other: &Self) -> bool {
+        match (self.upstream.born_ms, other.upstream.born_ms) {
+            (Some(own), Some(other)) if own != other => own > other,
+            _ => self.heard_at >= other.heard_at,
+        }
     }
 
     /// Whether it bears only its cold rate.
@@ -49,6 +68,7 @@
         self.cold_until = self.cold_until.max(cold_until);
         self.heard_at = now;
         self.gone_at = None;
+        self.is_superseded = false;
         self.usable_until = Duration::MAX;
         self.upstream = upstream;
     }
--- a/crates/oriole_gateway/src/belief/mod.rs
+++ b/crates/oriole_gateway/src/belief/mod.rs
@@ -76,13 +76,6 @@
         /// Whether it is out of service now.
         out: bool,
     },
-    /// A peer's address was learned.
-    Peer {
-        /// VM.
-        name: String,
-        /// Peer address.
-        address: std::net::SocketAddr,
-    },
     /// An item cannot be understood.
     Unreadable {
         /// Key.
@@ -257,7 +250,6 @@
                 self.evacuated.insert(item.key, domain.clone());
                 vec![BeliefChange::Evacuated { domain, out: true }]
             }
-            Declared::Peer { name, address } => vec![BeliefChange::Peer { name, address }],
             Declared::Unreadable(reason) => {
                 // An entry that cannot be read names no upstream to use.
                 self.upstreams.remove(&item.key);
@@ -266,7 +258,7 @@
                     reason,
                 }]
             }
-            Declared::Other => Vec::new(),
+            Declared::Peer { .. } | Declared::Other => Vec::new(),
         }
     }
 
@@ -293,9 +285,41 @@
                 self.upstreams.insert(key.to_owned(), known);
             }
         }
+        self.supersede(key);
         vec![change]
     }
 
+    /// Of several instances at one address only the youngest is there: the entries of the others
+    /// have not lapsed yet.
+    fn supersede(&mut self, key: &str) {
+        let Some(newest) = self.upstreams.get(key).cloned() else {
+            return;
+        };
+        let mut is_superseded = false;
+        for (other_key, other) in &mut self.upstreams {
+            if other_key == key || other.upstream.address != newest.upstream.address {
+                continue;
+            }
+            if newest.is_younger(other) {
+                other.is_superseded = true;
+            } else {
+                is_superseded = true;
+            }
+        }
+        if let Some(known) = self.upstreams.get_mut(key) {
+            known.is_superseded = is_superseded;
+        }
+    }
+
+    /// Notes that another instance answered at an upstream's address.
+    pub fn misdirected(&mut self, instance: &str) {
+        for known in self.upstreams.values_mut() {
+            if known.upstream.instance == instance {
+                known.is_superseded = true;
+            }
+        }
+    }
+
     fn remove(&mut self, now: Duration, key: &str, revision: u64) -> Vec<BeliefChange> {
         if !self.advance(key, revision) {
             return Vec::new();
--- a/crates/oriole_gateway/src/forward/upstream_try.rs
+++ b/crates/oriole_gateway/src/forward/upstream_try.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, Response, header};
+use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
 use oriole_fleet::prelude::*;
 
@@ -183,6 +183,12 @@
         }
         Verdict::NotRun(reason) => {
             let status = live.answer.status();
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                gateway.belief().misdirected(&live.instance);
+            } else {
+                let now = gateway.clock.now();
+                gateway.traffic().load_mut(&live.instance).refused(now);
+            }
             TryEnd::NotRun {
                 reason: format!("{reason} ({status})"),
                 reached: true,
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -147,11 +147,7 @@
     }
 
     fn tell(&self, changes: &[BeliefChange], source: &str, version: u64) {
-        let now = self.clock.now();
         for change in changes {
-            if let BeliefChange::Peer { address, .. } = change {
-                self.members().add_contact(now, *address);
-            }
             self.log.event(&Event::Belief {
                 change,
                 source,
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -27,6 +27,9 @@
 /// usually faster.
 const PULL_PATIENCE: Duration = Duration::from_millis(250);
 
+/// Heartbeats between two that pass other members on.
+const RELAY_BEATS: u64 = 5;
+
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
@@ -156,7 +159,12 @@
     let (targets, others) = {
         let mut rng = rand::rng();
         let members = gateway.members();
-        (members.targets(now, &mut rng), members.relayed(now, &mut rng))
+        let others = if number % RELAY_BEATS == 0 {
+            members.relayed(now, &mut rng)
+        } else {
+            Vec::new()
+        };
+        (members.targets(now, &mut rng), others)
     };
     let heartbeat = Heartbeat {
         from: Some(own_record(gateway, number)),
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -4,6 +4,9 @@
 
 use http::StatusCode;
 
+/// Time in which a group that lost a rank is usually formed anew, or a restarted upstream is back.
+const GROUP_RETURN: Duration = Duration::from_millis(1500);
+
 /// An end of a request that is not an upstream's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -66,8 +69,8 @@
         match self {
             Self::Leaving => Some(Duration::ZERO),
             Self::NotReady => Some(Duration::from_millis(300)),
-            Self::NoUpstream => Some(Duration::from_millis(500)),
-            Self::Busy | Self::Rejected | Self::BudgetSpent => Some(Duration::from_millis(200)),
+            Self::NoUpstream | Self::Rejected | Self::BudgetSpent => Some(GROUP_RETURN),
+            Self::Busy => Some(Duration::from_millis(200)),
             _ => None,
         }
     }
--- a/crates/oriole_gateway/src/registration.rs
+++ b/crates/oriole_gateway/src/registration.rs
@@ -63,6 +63,25 @@
     }
 }
 
+/// Reads where the other daemons are heard. One that starts knows all that started before, and
+/// they hear from it.
+async fn read_peers(gateway: &Gateway, store: &dyn FleetStore) -> Result<(), StoreError> {
+    let prefix = gateway.dialect.peers_prefix();
+    let page = store.list(prefix, None, Freshness::Latest).await?;
+    let now = gateway.clock.now();
+    for item in page.items {
+        match gateway.dialect.decode(&item.key, &item.value) {
+            Declared::Peer { address, .. } => gateway.members().add_contact(now, address),
+            meaning => gateway.log.event(&Event::MeshError {
+                step: "read peer address",
+                peer: None,
+                error: &format!("{}: {meaning:?}", item.key),
+            }),
+        }
+    }
+    Ok(())
+}
+
 async fn register(
     gateway: &Gateway,
     store: &dyn FleetStore,
@@ -82,5 +101,5 @@
     };
     store.put(item).await?;
     *lease = Some(granted);
-    Ok(())
+    read_peers(gateway, store).await
 }
--- a/crates/oriole_gateway/src/settings.rs
+++ b/crates/oriole_gateway/src/settings.rs
@@ -108,7 +108,7 @@
 
 /// Longest wait that costs one call; the store takes up to 30,000.
 fn default_watch_ms() -> u64 {
-    20_000
+    29_000
 }
 
 impl Settings for GatewaySettings {
--- a/crates/oriole_gateway/src/traffic/load.rs
+++ b/crates/oriole_gateway/src/traffic/load.rs
@@ -13,6 +13,9 @@
 /// [`SUSPECT_MAX`]. Shorter than an upstream's restart, so that its return is noticed soon.
 const SUSPECT_FIRST: Duration = Duration::from_millis(400);
 
+/// Pause after an upstream refused a request: its queue was full, or its group does not run.
+const REFUSED_PAUSE: Duration = Duration::from_millis(250);
+
 /// Longest pause without trying an upstream that keeps failing.
 const SUSPECT_MAX: Duration = Duration::from_secs(4);
 
@@ -81,6 +84,11 @@
         self.failure_rate += NEWEST_WEIGHT * (1.0 - self.failure_rate);
     }
 
+    /// Notes that it refused a request without running it.
+    pub fn refused(&mut self, now: Duration) {
+        self.suspect_until = self.suspect_until.max(now + REFUSED_PAUSE);
+    }
+
     /// Notes that it could not be reached, broke off or stayed silent.
     pub fn unreachable(&mut self, now: Duration) {
         self.failed();
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -204,7 +204,7 @@
         let sound: Vec<&KnownUpstream> = allowed
             .iter()
             .copied()
-            .filter(|k| !self.loads[&k.upstream.instance].is_suspect(now))
+            .filter(|k| k.is_open() && !self.loads[&k.upstream.instance].is_suspect(now))
             .collect();
         let candidates = if sound.is_empty() { allowed } else { sound };
         let load_of = |k: &&KnownUpstream| &self.loads[&k.upstream.instance];
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -17,6 +17,10 @@
     max: Duration::from_millis(800),
 };
 
+/// Pause after changes, so that those that come together cost one call. Short against the bounds on
+/// changes.
+const GATHER: Duration = Duration::from_millis(150);
+
 /// Follows each prefix that the dialect names until told to stop.
 pub fn spawn(gateway: &Arc<Gateway>, store: &Arc<dyn FleetStore>, stop: &CancellationToken) {
     for prefix in gateway.dialect.watched_prefixes() {
@@ -86,10 +90,14 @@
         let wait = Duration::from_millis(self.gateway.cfg.store.watch_ms);
         match self.store.watch(self.prefix, revision, wait).await? {
             WatchEnd::Changes { changes, at } => {
+                let has_changes = !changes.is_empty();
                 for change in changes {
                     self.gateway.apply(change, "store");
                 }
                 self.revision = Some(at.max(revision));
+                if has_changes {
+                    tokio::time::sleep(GATHER).await;
+                }
             }
             WatchEnd::HistoryGone => {
                 self.tell("history gone", "the store dropped its history");
--- a/crates/oriole_ranks/src/follower.rs
+++ b/crates/oriole_ranks/src/follower.rs
@@ -7,7 +7,7 @@
 use crate::message::Intent;
 
 /// Time after which an unanswered preparation is ordered again.
-const PREPARE_AGAIN: Duration = Duration::from_millis(400);
+const PREPARE_AGAIN: Duration = Duration::from_millis(50);
 
 /// What an agent remembers of the orders that it gave.
 #[derive(Clone, Debug, Default)]
--- a/crates/oriole_ranks/src/settings.rs
+++ b/crates/oriole_ranks/src/settings.rs
@@ -43,7 +43,7 @@
 
 /// Well over a local call; an order without an answer is given again after it.
 fn default_engine_timeout_ms() -> u64 {
-    120
+    80
 }
 
 impl Settings for RankAgentSettings {
