Plan by the best prefix of copies; tell maps only to ranks that lack them

Cause: on the grown site the leader's link of 8 Mbit/s was full of repeated maps (31 ranks x 2.7 KB each 30 ms), so that no change came through; seven plans a look took up to 0.035 cores.

--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -55,30 +55,25 @@
 /// `demand` has the share of each expert by layer set, `pace` how much longer each rank takes.
 #[must_use]
 pub fn skew(map: &[RankSets], demand: &[Vec<f64>], pace: &[f64]) -> f64 {
-    let mut sum = 0.0;
-    let mut sets = 0;
-    for (ranks, shares) in map.iter().zip(demand) {
-        let total: f64 = shares.iter().sum();
-        if total <= 0.0 || ranks.is_empty() {
-            continue;
-        }
-        let layer = Layer::new(ranks, shares, pace);
-        sum += layer.peak() / (total / ranks.len() as f64);
-        sets += 1;
-    }
-    if sets == 0 {
-        return 1.0;
-    }
-    sum / f64::from(sets)
+    let layers: Vec<Layer> = map
+        .iter()
+        .zip(demand)
+        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
+        .collect();
+    mean_skew(&layers)
 }
 
 /// Plans the next map from the one in use.
+///
+/// Of the copies that shorten the pass, as many are made as leave `worth` highest; it is given the
+/// skew in use, the planned one, and how many experts the busiest rank copies.
 #[must_use]
 pub fn plan(
     map: &[RankSets],
     demand: &[Vec<f64>],
     pace: &[f64],
     cfg: &EvenSplitConfig,
+    worth: impl Fn(f64, f64, usize) -> f64,
 ) -> EvenSplitPlan {
     let mut layers: Vec<Layer> = map
         .iter()
@@ -87,28 +82,61 @@
         .collect();
     let ranks = map.first().map_or(0, Vec::len);
     let mut copied = vec![0; ranks];
-    let mut best: Vec<Option<Step>> = layers.iter().map(|l| l.best_step(cfg, &copied)).collect();
-    while let Some(i) = best_layer(&best) {
-        let Some(step) = best[i].take() else { break };
-        let full_before = copied[usize::from(step.rank)] >= cfg.copies_per_rank;
-        if step.is_copy && full_before {
-            best[i] = layers[i].best_step(cfg, &copied);
-            continue;
+    let mut steps: Vec<Option<Step>> = layers.iter().map(|l| l.best_step(cfg, &copied)).collect();
+    let before = mean_skew(&layers);
+    let mut taken: Vec<(usize, Step)> = Vec::new();
+    let mut best = (0.0, 0);
+    while let Some(i) = best_layer(&steps) {
+        let Some(step) = steps[i].take() else { break };
+        let is_full = copied[usize::from(step.rank)] >= cfg.copies_per_rank;
+        if !(step.is_copy && is_full) {
+            layers[i].apply(&step);
+            copied[usize::from(step.rank)] += usize::from(step.is_copy);
+            taken.push((i, step));
+            let busiest = copied.iter().copied().max().unwrap_or(0);
+            let worth = worth(before, mean_skew(&layers), busiest);
+            if worth > best.0 {
+                best = (worth, taken.len());
+            }
         }
-        layers[i].apply(&step);
+        steps[i] = layers[i].best_step(cfg, &copied);
+    }
+    taken.truncate(best.1);
+    made_of(map, demand, pace, &taken, before)
+}
+
+/// The plan that some steps lead to.
+fn made_of(
+    map: &[RankSets],
+    demand: &[Vec<f64>],
+    pace: &[f64],
+    steps: &[(usize, Step)],
+    before: f64,
+) -> EvenSplitPlan {
+    let mut layers: Vec<Layer> = map
+        .iter()
+        .zip(demand)
+        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
+        .collect();
+    let mut copied = vec![0; map.first().map_or(0, Vec::len)];
+    for (i, step) in steps {
+        layers[*i].apply(step);
         copied[usize::from(step.rank)] += usize::from(step.is_copy);
-        best[i] = layers[i].best_step(cfg, &copied);
     }
-    let planned: Vec<RankSets> = layers.into_iter().map(|l| l.ranks).collect();
     EvenSplitPlan {
-        before: skew(map, demand, pace),
-        after: skew(&planned, demand, pace),
-        map: planned,
+        before,
+        after: mean_skew(&layers),
+        map: layers.into_iter().map(|l| l.ranks).collect(),
         copies: copied.iter().sum(),
         copies_of_busiest: copied.iter().copied().max().unwrap_or(0),
     }
 }
 
+fn mean_skew(layers: &[Layer]) -> f64 {
+    let sum: f64 = layers.iter().map(|l| l.peak() / l.mean).sum();
+    sum / layers.len().max(1) as f64
+}
+
 fn best_layer(steps: &[Option<Step>]) -> Option<usize> {
     steps
         .iter()
@@ -189,9 +217,12 @@
         self.load.iter().copied().fold(0.0, f64::max)
     }
 
-    fn norm(&self, load: &[f64]) -> f64 {
-        let sum: f64 = load.iter().map(|l| (l / self.mean).powi(NORM)).sum();
-        sum.powf(1.0 / f64::from(NORM))
+    fn power(&self, load: f64) -> f64 {
+        (load.max(0.0) / self.mean).powi(NORM)
+    }
+
+    fn power_sum(&self) -> f64 {
+        self.load.iter().map(|l| self.power(*l)).sum()
     }
 
     fn hottest(&self) -> Option<usize> {
@@ -201,7 +232,7 @@
     /// The change that relieves the most loaded rank most.
     fn best_step(&self, cfg: &EvenSplitConfig, copied: &[usize]) -> Option<Step> {
         let hot = self.hottest()?;
-        let norm = self.norm(&self.load);
+        let sum = self.power_sum();
         let mut best: Option<Step> = None;
         for expert in &self.ranks[hot] {
             for rank in 0..self.ranks.len() {
@@ -212,7 +243,23 @@
                 if is_copy && !self.may_copy(rank, cfg, copied) {
                     continue;
                 }
-                self.consider(*expert, hot, rank, is_copy, cfg, norm, &mut best);
+                for evicted in self.rooms(rank, cfg.places) {
+                    for given_up_by in [None, Some(hot as u16)] {
+                        let mut step = Step {
+                            expert: *expert,
+                            rank: rank as u16,
+                            evicted,
+                            given_up_by,
+                            is_copy,
+                            gain: 0.0,
+                        };
+                        step.gain = self.gain(&step, sum);
+                        let is_better = best.as_ref().is_none_or(|b| step.gain > b.gain);
+                        if step.gain >= cfg.min_gain && is_better {
+                            best = Some(step);
+                        }
+                    }
+                }
             }
         }
         best
@@ -226,37 +273,6 @@
         fresh < cfg.spare && copied[rank] < cfg.copies_per_rank
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one candidate and what it is weighed against")]
-    fn consider(
-        &self,
-        expert: u16,
-        hot: usize,
-        rank: usize,
-        is_copy: bool,
-        cfg: &EvenSplitConfig,
-        norm: f64,
-        best: &mut Option<Step>,
-    ) {
-        let rooms = self.rooms(rank, cfg.places);
-        for evicted in rooms {
-            for given_up_by in [None, Some(hot as u16)] {
-                let mut step = Step {
-                    expert,
-                    rank: rank as u16,
-                    evicted,
-                    given_up_by,
-                    is_copy,
-                    gain: 0.0,
-                };
-                step.gain = (norm - self.norm(&self.load_after(&step))) / norm;
-                let is_better = best.as_ref().is_none_or(|b| step.gain > b.gain);
-                if step.gain >= cfg.min_gain && is_better {
-                    *best = Some(step);
-                }
-            }
-        }
-    }
-
     /// What may make room on a rank: nothing if a place is free, else an expert that others hold.
     fn rooms(&self, rank: usize, places: usize) -> Vec<Option<u16>> {
         if self.ranks[rank].len() < places {
@@ -269,31 +285,47 @@
             .collect()
     }
 
-    fn load_after(&self, step: &Step) -> Vec<f64> {
-        let mut load = self.load.clone();
+    /// Share of the norm of all loads that a step saves.
+    fn gain(&self, step: &Step, sum: f64) -> f64 {
         let rank = usize::from(step.rank);
-        self.shift(&mut load, step.expert, Some(rank), step.given_up_by.map(usize::from));
+        let mut changes: Vec<(usize, f64)> = Vec::with_capacity(16);
+        let giver = step.given_up_by.map(usize::from);
+        self.shift(&mut changes, step.expert, Some(rank), giver);
         if let Some(evicted) = step.evicted {
-            self.shift(&mut load, evicted, None, Some(rank));
+            self.shift(&mut changes, evicted, None, Some(rank));
         }
-        load
+        let mut after = sum;
+        for i in 0..changes.len() {
+            let (rank, _) = changes[i];
+            if changes[..i].iter().any(|(r, _)| *r == rank) {
+                continue;
+            }
+            let change: f64 = changes.iter().filter(|(r, _)| *r == rank).map(|(_, d)| d).sum();
+            after += self.power(self.load[rank] + change) - self.power(self.load[rank]);
+        }
+        let ratio = (after.max(0.0) / sum).powf(1.0 / f64::from(NORM));
+        1.0 - ratio
     }
 
-    /// Adds and removes a holder of an expert in a list of loads.
-    fn shift(&self, load: &mut [f64], expert: u16, added: Option<usize>, removed: Option<usize>) {
+    /// How loads change as an expert gets and loses a holder.
+    fn shift(
+        &self,
+        changes: &mut Vec<(usize, f64)>,
+        expert: u16,
+        added: Option<usize>,
+        removed: Option<usize>,
+    ) {
         let holders = &self.holders[usize::from(expert)];
         let count = holders.len() + usize::from(added.is_some()) - usize::from(removed.is_some());
-        let (old, new) = (
-            self.part(expert),
-            self.shares[usize::from(expert)] / count.max(1) as f64,
-        );
+        let old = self.part(expert);
+        let new = self.shares[usize::from(expert)] / count.max(1) as f64;
         for holder in holders {
             let holder = usize::from(*holder);
             let part = if Some(holder) == removed { 0.0 } else { new };
-            load[holder] += (part - old) * self.pace[holder];
+            changes.push((holder, (part - old) * self.pace[holder]));
         }
         if let Some(added) = added {
-            load[added] += new * self.pace[added];
+            changes.push((added, new * self.pace[added]));
         }
     }
 
--- a/crates/oriole_placement/tests/even_split.rs
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -20,6 +20,11 @@
     }
 }
 
+/// Copies cost nothing.
+fn gained(before: f64, after: f64, _copies: usize) -> f64 {
+    before - after
+}
+
 fn new_experts(before: &[u16], after: &[u16]) -> usize {
     after.iter().filter(|e| !before.contains(e)).count()
 }
@@ -29,7 +34,7 @@
     let map = in_turn(1, 8, 64);
     let mut shares = vec![1.0; 64];
     shares[5] = 60.0;
-    let plan = plan(&map, &[shares], &[1.0; 8], &config(11, 4, 8));
+    let plan = plan(&map, &[shares], &[1.0; 8], &config(11, 4, 8), gained);
     let holders = plan.map[0].iter().filter(|r| r.contains(&5)).count();
     assert!(holders >= 4, "held by {holders} ranks");
     assert!(plan.before > 3.0, "{plan:?}");
@@ -39,7 +44,7 @@
 #[test]
 fn plan_even_demand_copies_nothing() {
     let map = in_turn(6, 8, 64);
-    let plan = plan(&map, &vec![vec![1.0; 64]; 6], &[1.0; 8], &config(11, 4, 8));
+    let plan = plan(&map, &vec![vec![1.0; 64]; 6], &[1.0; 8], &config(11, 4, 8), gained);
     assert_eq!(plan.copies, 0);
     assert_eq!(plan.map, map);
 }
@@ -50,10 +55,26 @@
     let mut pace = [1.0; 8];
     pace[3] = 3.0;
     let shares = vec![vec![1.0; 64]];
-    let plan = plan(&map, &shares, &pace, &config(11, 4, 8));
+    let plan = plan(&map, &shares, &pace, &config(11, 4, 8), gained);
     assert!(plan.after < plan.before * 0.7, "{plan:?}");
 }
 
+/// Copying takes time in which the demand shifts again: a dear copy is made only for a hot expert.
+#[test]
+fn plan_dear_copies_are_few() {
+    let map = in_turn(2, 8, 64);
+    let mut shares: Vec<f64> = (0..64).map(|e| 1.0 + f64::from(e % 7)).collect();
+    shares[9] = 80.0;
+    let demand = vec![shares; 2];
+    let limits = config(11, 4, 12);
+    let free = plan(&map, &demand, &[1.0; 8], &limits, gained);
+    let dear = plan(&map, &demand, &[1.0; 8], &limits, |before, after, copies| {
+        before - after - 0.3 * copies as f64
+    });
+    assert!(dear.copies < free.copies, "{} and {}", dear.copies, free.copies);
+    assert!(dear.after < dear.before);
+}
+
 #[test]
 fn skew_even_map_is_one() {
     let map = in_turn(2, 4, 8);
@@ -80,7 +101,7 @@
             .map(|s| (0..experts).map(|e| seed[(s * 37 + e) % seed.len()] + 1.0).collect())
             .collect();
         let limits = config(per_rank + free, spare, copies);
-        let plan = plan(&map, &demand, &vec![1.0; ranks], &limits);
+        let plan = plan(&map, &demand, &vec![1.0; ranks], &limits, gained);
         for (before, after) in map.iter().zip(&plan.map) {
             for expert in 0..experts as u16 {
                 prop_assert!(after.iter().any(|r| r.contains(&expert)), "{} is lost", expert);
--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -18,7 +18,7 @@
 
 use crate::follower::{Follower, next_order};
 use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
-use crate::message::{Datagram, Experts, Intent, Status};
+use crate::message::{Datagram, Experts, Intent, Status, pick_parts};
 use crate::settings::RankAgentSettings;
 
 /// Time between reports while nothing changes.
@@ -30,6 +30,9 @@
 /// Time between reads of the counts.
 const COUNTS_EVERY: Duration = Duration::from_millis(200);
 
+/// Time between reads of the counts for each rank of the group: the leader's link carries them all.
+const COUNTS_EVERY_RANK: Duration = Duration::from_millis(12);
+
 /// Time for which an intent holds; the leader repeats it while it does.
 const INTENT_FOR: Duration = Duration::from_millis(400);
 
@@ -173,6 +176,13 @@
     is_lost: bool,
 }
 
+impl EngineView {
+    /// Number of layer sets, known once the map was read.
+    fn sets(&self) -> usize {
+        self.placed.as_ref().map_or(0, |(_, _, sets)| sets.len())
+    }
+}
+
 async fn follow_engine(agent: Arc<Agent>) {
     let mut view = EngineView::default();
     loop {
@@ -201,7 +211,6 @@
 impl Agent {
     /// One round: tell the leader, follow its intent, lead. Whether a change is under way.
     async fn step(&self, view: &mut EngineView, report: EngineReport) -> bool {
-        let now = self.clock.now();
         if report.epoch != view.epoch {
             info!(self.log, "group"; "group" => &report.group, "epoch" => report.epoch,
                 "rank" => report.rank, "ranks" => report.ranks, "open" => report.open);
@@ -211,16 +220,18 @@
             };
         }
         lock(&self.shared).group.clone_from(&report.group);
-        self.read_counts(view, now).await;
         self.read_placed(view, &report).await;
+        self.read_counts(view, &report).await;
         self.tell_status(view, &report).await;
         let is_following = self.follow(view, &report).await;
         let is_leading = report.rank == 0 && self.lead(report).await;
         is_following || is_leading
     }
 
-    async fn read_counts(&self, view: &mut EngineView, now: Duration) {
-        if view.counts_at.is_some_and(|at| now < at + COUNTS_EVERY) {
+    async fn read_counts(&self, view: &mut EngineView, report: &EngineReport) {
+        let now = self.clock.now();
+        let pause = COUNTS_EVERY.max(COUNTS_EVERY_RANK * report.ranks as u32);
+        if view.counts_at.is_some_and(|at| now < at + pause) {
             return;
         }
         view.counts_at = Some(now);
@@ -229,9 +240,12 @@
                 if let Some(last) = &view.counts
                     && last.counts.len() == counts.counts.len()
                 {
-                    let picks = counts.counts.iter().zip(&last.counts);
-                    let picks = picks.map(|(new, old)| new.saturating_sub(*old) as u32);
-                    view.picks = picks.collect();
+                    let choices = counts.counts.iter().zip(&last.counts);
+                    let choices = choices.map(|(new, old)| new.saturating_sub(*old));
+                    let choices: Vec<u64> = choices.collect();
+                    if choices.iter().any(|c| *c > 0) {
+                        view.picks = pick_parts(&choices, view.sets());
+                    }
                 }
                 view.counts = Some(counts);
             }
@@ -277,6 +291,7 @@
             refused: view.follower.refused,
             open: report.open,
             pace: report.pace,
+            preparing: view.follower.preparing(report.epoch),
             picks: std::mem::take(&mut view.picks),
             placed: placed.map_or_else(Vec::new, |(_, _, sets)| sets.clone()),
         };
@@ -357,7 +372,7 @@
                         lock(&self.leader).ordered(&order, end);
                     }
                 }
-                LeaderAction::Tell(intent) => self.tell_intent(intent).await,
+                LeaderAction::Tell { intent, ranks } => self.tell_intent(intent, &ranks).await,
                 LeaderAction::Planned {
                     version,
                     before,
@@ -378,16 +393,17 @@
         is_busy
     }
 
-    async fn tell_intent(&self, intent: Intent) {
-        let ranks: Vec<usize> = lock(&self.shared).ranks.keys().copied().collect();
+    async fn tell_intent(&self, intent: Intent, ranks: &[usize]) {
         let datagram = Datagram {
             status: None,
             intent: Some(intent.clone()),
         };
-        for rank in ranks.into_iter().filter(|r| *r != 0) {
-            self.send(rank, &datagram).await;
+        for rank in ranks.iter().filter(|r| **r != 0) {
+            self.send(*rank, &datagram).await;
+        }
+        if ranks.contains(&0) {
+            lock(&self.shared).intent = Some((intent, self.clock.now()));
         }
-        lock(&self.shared).intent = Some((intent, self.clock.now()));
     }
 }
 
--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -6,9 +6,6 @@
 /// second, and a group makes many choices in each pass.
 const MEMORY: Duration = Duration::from_millis(350);
 
-/// Choices of a layer set below which its demand is not known, for each expert.
-const MIN_CHOICES: f64 = 20.0;
-
 /// Shares of the experts of each layer set, forgetting old choices.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -19,6 +16,9 @@
 impl Demand {
     /// Adds choices that were made up to `now`.
     pub fn add(&mut self, now: Duration, picks: &[u32]) {
+        if picks.is_empty() {
+            return;
+        }
         if self.choices.len() != picks.len() {
             self.choices = vec![0.0; picks.len()];
             self.at = now;
@@ -31,15 +31,14 @@
         }
     }
 
-    /// Choices by layer set; `None` if too few are known.
+    /// Choices by layer set; `None` if none is known.
     #[must_use]
     pub fn by_set(&self, sets: usize) -> Option<Vec<Vec<f64>>> {
         if sets == 0 || self.choices.is_empty() || !self.choices.len().is_multiple_of(sets) {
             return None;
         }
         let experts = self.choices.len() / sets;
-        let total: f64 = self.choices.iter().sum();
-        if total < MIN_CHOICES * self.choices.len() as f64 {
+        if self.choices.iter().all(|c| *c <= 0.0) {
             return None;
         }
         // One more choice of each, so that an expert that was not chosen keeps some weight.
--- a/crates/oriole_ranks/src/follower.rs
+++ b/crates/oriole_ranks/src/follower.rs
@@ -20,6 +20,12 @@
 }
 
 impl Follower {
+    /// Version that the engine has accepted to copy, in a run of the group.
+    #[must_use]
+    pub fn preparing(&self, epoch: u64) -> Option<u64> {
+        self.accepted.filter(|(e, _)| *e == epoch).map(|(_, v)| v)
+    }
+
     /// Notes how an order ended; `None` if no answer came.
     pub fn ended(&mut self, now: Duration, epoch: u64, order: &EngineOrder, end: Option<OrderEnd>) {
         if let EngineOrder::Prepare { version, .. } = order {
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -36,6 +36,15 @@
 /// Passes take this much longer while experts are copied.
 const COPY_SLOWDOWN: f64 = 0.15;
 
+/// Skew up to which no change is looked for: looking takes processor time.
+const GOOD_ENOUGH: f64 = 1.08;
+
+/// Time between two looks for a better map.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Time between unchanged intents that carry a map, which is large.
+const MAP_AGAIN: Duration = Duration::from_millis(200);
+
 /// Bits of a version that are random for each run of a leader, so that a late preparation of an
 /// earlier run cannot carry the same version with another map.
 const SALT_BITS: u32 = 16;
@@ -47,8 +56,8 @@
     pub horizon: Duration,
     /// Least share of the experts' time that a change must save.
     pub min_gain: f64,
-    /// Numbers of experts that a rank may copy in one change, of which the best is chosen.
-    pub copies_per_rank: Vec<usize>,
+    /// Most experts that a rank copies in one change.
+    pub copies_per_rank: usize,
 }
 
 impl Default for LeaderConfig {
@@ -56,7 +65,7 @@
         Self {
             horizon: Duration::from_secs(2),
             min_gain: 0.04,
-            copies_per_rank: vec![1, 2, 3, 4, 6, 8, 12],
+            copies_per_rank: 12,
         }
     }
 }
@@ -93,8 +102,13 @@
 pub enum LeaderAction {
     /// Give an order to the leader's own engine.
     Order(EngineOrder),
-    /// Tell all agents of the group.
-    Tell(Intent),
+    /// Tell some agents of the group.
+    Tell {
+        /// What is wanted.
+        intent: Intent,
+        /// Ranks that have not done it.
+        ranks: Vec<usize>,
+    },
     /// Log a plan that is carried out.
     Planned {
         /// Version.
@@ -128,7 +142,9 @@
     version: u64,
     map: RankMap,
     rested_since: Duration,
+    looked_at: Duration,
     ordered_at: Option<Duration>,
+    told_at: Option<Duration>,
     pass_at: Option<(u64, Duration)>,
     pass_time: Duration,
 }
@@ -148,7 +164,9 @@
             version: 0,
             map: Vec::new(),
             rested_since: Duration::ZERO,
+            looked_at: Duration::ZERO,
             ordered_at: None,
+            told_at: None,
             pass_at: None,
             pass_time: Duration::from_millis(40),
         }
@@ -233,8 +251,9 @@
             }
             actions.push(LeaderAction::Entered(self.phase.clone()));
             self.ordered_at = None;
+            self.told_at = None;
         }
-        self.tell(&mut actions);
+        self.tell(now, &mut actions);
         actions
     }
 
@@ -257,13 +276,14 @@
             self.take_up(now, pass);
             return;
         }
-        if now < self.rested_since + REST {
+        if now < self.rested_since + REST || now < self.looked_at + LOOK {
             return;
         }
         let version = self.own.map_version;
         if !self.all(now, |s| s.open && s.armed.is_none() && s.map_version == version) {
             return;
         }
+        self.looked_at = now;
         let Some(plan) = self.plan() else { return };
         self.version = self.next_version();
         self.map = plan.map;
@@ -341,19 +361,41 @@
         }
     }
 
-    fn tell(&self, actions: &mut Vec<LeaderAction>) {
+    fn tell(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
         let (map, arm_pass) = match self.phase {
             Phase::Preparing { .. } => (layer_sets(&self.map), None),
             Phase::Arming { pass } => (Vec::new(), Some(pass)),
             Phase::Idle | Phase::Holding { .. } | Phase::Releasing { .. } => return,
         };
-        actions.push(LeaderAction::Tell(Intent {
+        let is_again = !map.is_empty() && self.told_at.is_some_and(|at| now < at + MAP_AGAIN);
+        if is_again {
+            return;
+        }
+        self.told_at = Some(now);
+        let intent = Intent {
             group: self.own.group.clone(),
             epoch: self.own.epoch,
             version: self.version,
             map,
             arm_pass,
-        }));
+        };
+        let ranks = (0..self.seats.len()).filter(|r| self.is_waited_for(*r));
+        actions.push(LeaderAction::Tell {
+            intent,
+            ranks: ranks.collect(),
+        });
+    }
+
+    /// Whether a rank has not done what the intent asks.
+    fn is_waited_for(&self, rank: usize) -> bool {
+        let Some(seat) = &self.seats[rank] else {
+            return true;
+        };
+        let status = &seat.status;
+        let has_begun = status.preparing == Some(self.version);
+        let is_preparing = matches!(self.phase, Phase::Preparing { .. });
+        let is_done = status.prepared == Some(self.version) && is_preparing;
+        !(is_bound_for(status, self.version) || is_done || (is_preparing && has_begun))
     }
 
     fn pass_ahead(&self) -> u64 {
@@ -389,32 +431,29 @@
         let map = self.map_in_use(shape)?;
         let demand = self.demand.by_set(shape.layer_sets)?;
         let pace: Vec<f64> = self.statuses().map(|s| s.pace.max(0.1)).collect();
-        let mut best: Option<(f64, EvenSplitPlan)> = None;
-        for copies_per_rank in &self.cfg.copies_per_rank {
-            let limits = EvenSplitConfig {
-                places: shape.places,
-                spare: shape.spare,
-                copies_per_rank: *copies_per_rank,
-                ..EvenSplitConfig::default()
-            };
-            let plan = even_split::plan(&map, &demand, &pace, &limits);
-            let saved = self.saved(shape, &plan);
-            if best.as_ref().is_none_or(|(most, _)| saved > *most) {
-                best = Some((saved, plan));
-            }
+        if even_split::skew(&map, &demand, &pace) < GOOD_ENOUGH {
+            return None;
         }
-        let (saved, plan) = best?;
+        let limits = EvenSplitConfig {
+            places: shape.places,
+            spare: shape.spare,
+            copies_per_rank: self.cfg.copies_per_rank,
+            ..EvenSplitConfig::default()
+        };
+        let worth = |before: f64, after: f64, copies| self.saved(shape, before, after, copies);
+        let plan = even_split::plan(&map, &demand, &pace, &limits, worth);
+        let saved = worth(plan.before, plan.after, plan.copies_of_busiest);
         let least = self.cfg.min_gain * plan.before * self.cfg.horizon.as_secs_f64();
         (saved >= least).then_some(plan)
     }
 
     /// Time that a plan saves over the horizon, in seconds of an evenly spread pass: nothing until
     /// its experts are copied, and passes are slower meanwhile.
-    fn saved(&self, shape: &GroupShape, plan: &EvenSplitPlan) -> f64 {
+    fn saved(&self, shape: &GroupShape, before: f64, after: f64, copies: usize) -> f64 {
         let horizon = self.cfg.horizon.as_secs_f64();
-        let copying = (plan.copies_of_busiest as f64 * shape.copy_s).min(horizon);
-        let gained = (plan.before - plan.after) * shape.expert_share * (horizon - copying);
-        gained - COPY_SLOWDOWN * plan.before * copying
+        let copying = (copies as f64 * shape.copy_s).min(horizon);
+        let gained = (before - after) * shape.expert_share * (horizon - copying);
+        gained - COPY_SLOWDOWN * before * copying
     }
 
     fn map_in_use(&self, shape: &GroupShape) -> Option<RankMap> {
--- a/crates/oriole_ranks/src/message.rs
+++ b/crates/oriole_ranks/src/message.rs
@@ -38,12 +38,33 @@
     /// How many times as long as usual the rank takes.
     #[prost(double, tag = "11")]
     pub pace: f64,
-    /// Choices of each expert since the last status, by layer set.
+    /// How often each expert was chosen of late, by layer set, in parts of [`PICK_PARTS`] a layer
+    /// set; empty if nothing new was read.
     #[prost(uint32, repeated, tag = "12")]
     pub picks: Vec<u32>,
     /// Experts of the rank in the map in use, by layer set.
     #[prost(message, repeated, tag = "13")]
     pub placed: Vec<Experts>,
+    /// Version that the engine has begun to copy.
+    #[prost(uint64, optional, tag = "14")]
+    pub preparing: Option<u64>,
+}
+
+/// Parts that the choices of a layer set are told in: as fine as few samples allow, and most experts
+/// take one byte.
+pub const PICK_PARTS: u64 = 4096;
+
+/// Choices as they are told: shares of the layer set.
+#[must_use]
+pub fn pick_parts(choices: &[u64], sets: usize) -> Vec<u32> {
+    if sets == 0 || !choices.len().is_multiple_of(sets) {
+        return Vec::new();
+    }
+    let parts = choices.chunks(choices.len() / sets).flat_map(|set| {
+        let total = set.iter().sum::<u64>().max(1);
+        set.iter().map(move |c| (c * PICK_PARTS / total) as u32)
+    });
+    parts.collect()
 }
 
 /// A list of experts.
--- a/crates/oriole_ranks/tests/group_fuzz.rs
+++ b/crates/oriole_ranks/tests/group_fuzz.rs
@@ -312,6 +312,7 @@
             prepared: report.prepared,
             armed: report.armed,
             refused: self.agents[rank].follower.refused,
+            preparing: self.agents[rank].follower.preparing(self.epoch),
             open: true,
             pace: 1.0,
             picks,
@@ -376,7 +377,7 @@
                         self.leader.ordered(&order, end);
                     }
                 }
-                LeaderAction::Tell(intent) => self.tell(&intent, faults),
+                LeaderAction::Tell { intent, ranks } => self.tell(&intent, &ranks, faults),
                 LeaderAction::Planned { .. } => self.changes += 1,
                 LeaderAction::Entered(phase) => {
                     self.arming_since = match phase {
@@ -394,10 +395,11 @@
         }
     }
 
-    fn tell(&mut self, intent: &Intent, faults: Faults) {
-        self.agents[0].intent = Some((intent.clone(), self.now));
-        for rank in 1..RANKS {
-            if !self.rng.random_bool(faults.lost_message) {
+    fn tell(&mut self, intent: &Intent, ranks: &[usize], faults: Faults) {
+        for rank in ranks.iter().copied() {
+            if rank == 0 {
+                self.agents[0].intent = Some((intent.clone(), self.now));
+            } else if !self.rng.random_bool(faults.lost_message) {
                 let delay = Duration::from_millis(self.rng.random_range(0..40));
                 self.messages.push((self.now + delay, rank, intent.clone()));
             }
