--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -20,17 +20,17 @@
 const PREPARE_FOR: Duration = Duration::from_secs(8);
 
 /// Time between the end of a change and the next plan.
-const REST: Duration = Duration::from_millis(250);
+const REST: Duration = Duration::from_millis(50);
 
 /// Time between unchanged orders to the leader's own engine.
 const ORDER_AGAIN: Duration = Duration::from_millis(100);
 
 /// Time that arming all ranks takes as a rule; the held pass lies beyond it, so that the group
 /// does not stop.
-const ARMING_TIME: Duration = Duration::from_millis(250);
+const ARMING_TIME: Duration = Duration::from_millis(130);
 
 /// Bounds of the passes between the one that runs and the held one.
-const MIN_LEAD: u64 = 3;
+const MIN_LEAD: u64 = 2;
 const MAX_LEAD: u64 = 60;
 
 /// Passes take this much longer while experts are copied.
@@ -40,7 +40,7 @@
 const GOOD_ENOUGH: f64 = 1.08;
 
 /// Time between two looks for a better map.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(150);
 
 /// Time between unchanged intents that carry a map, which is large.
 const MAP_AGAIN: Duration = Duration::from_millis(200);
