--- a/crates/oriole_fleet/src/fleet_store.rs
+++ b/crates/oriole_fleet/src/fleet_store.rs
@@ -97,12 +97,8 @@
     /// # Errors
     ///
     /// As [`FleetStore::list`].
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: u64,
-        wait: Duration,
-    ) -> Result<WatchEnd, StoreError>;
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration)
+    -> Result<WatchEnd, StoreError>;
 
     /// Grants a lease.
     ///
--- a/crates/oriole_gateway/src/belief/mod.rs
+++ b/crates/oriole_gateway/src/belief/mod.rs
@@ -38,6 +38,20 @@
 /// Most removed keys whose revisions are kept for peers that lag.
 const MAX_REMOVED: usize = 4096;
 
+/// Highest revision held under each watched prefix. One number would hide a change that was missed
+/// under one prefix behind a later one under another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Versions(pub Vec<u64>);
+
+impl Versions {
+    /// Whether any of them is above another's.
+    #[must_use]
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
+        let others = other.0.iter().copied().chain(std::iter::repeat(0));
+        self.0.iter().zip(others).any(|(own, other)| *own > other)
+    }
+}
+
 /// An item as it is held and handed to peers.
 #[derive(Clone, Debug)]
 pub struct HeldItem {
@@ -89,7 +103,7 @@
 pub struct Belief {
     dialect: Arc<dyn Dialect>,
     items: HashMap<String, HeldItem>,
-    version: u64,
+    versions: Versions,
     configuration: Option<Arc<Configuration>>,
     upstreams: HashMap<String, KnownUpstream>,
     evacuated: HashMap<String, String>,
@@ -102,10 +116,11 @@
     /// A belief that knows nothing.
     #[must_use]
     pub fn new(dialect: Arc<dyn Dialect>) -> Self {
+        let prefixes = dialect.watched_prefixes().len();
         Self {
             dialect,
             items: HashMap::new(),
-            version: 0,
+            versions: Versions(vec![0; prefixes]),
             configuration: None,
             upstreams: HashMap::new(),
             evacuated: HashMap::new(),
@@ -115,10 +130,16 @@
         }
     }
 
-    /// Highest revision of any item held; peers compare it.
+    /// Highest revision of any item held, for logs.
     #[must_use]
     pub fn version(&self) -> u64 {
-        self.version
+        self.versions.0.iter().copied().max().unwrap_or(0)
+    }
+
+    /// Highest revisions held; peers compare them.
+    #[must_use]
+    pub fn versions(&self) -> &Versions {
+        &self.versions
     }
 
     /// The configuration in force.
@@ -177,16 +198,24 @@
         changes
     }
 
-    /// Items whose last change is above a revision, for a peer that lags.
+    /// Items whose last change is above what a peer that lags holds.
     #[must_use]
-    pub fn items_since(&self, revision: u64) -> Vec<(&str, &HeldItem)> {
+    pub fn items_since(&self, held: &Versions) -> Vec<(&str, &HeldItem)> {
         self.items
             .iter()
-            .filter(|(_, held)| held.revision > revision)
-            .map(|(key, held)| (key.as_str(), held))
+            .filter(|(key, item)| {
+                let since = self.prefix_of(key).and_then(|i| held.0.get(i));
+                item.revision > since.copied().unwrap_or(0)
+            })
+            .map(|(key, item)| (key.as_str(), item))
             .collect()
     }
 
+    fn prefix_of(&self, key: &str) -> Option<usize> {
+        let prefixes = self.dialect.watched_prefixes();
+        prefixes.iter().position(|p| key.starts_with(p))
+    }
+
     /// Upstreams of a service that take new work now.
     pub fn usable<'a>(
         &'a self,
@@ -227,8 +256,11 @@
 
     fn advance(&mut self, key: &str, revision: u64) -> bool {
         let is_newer = self.items.get(key).is_none_or(|h| h.revision < revision);
-        if is_newer {
-            self.version = self.version.max(revision);
+        if is_newer
+            && let Some(prefix) = self.prefix_of(key)
+            && let Some(version) = self.versions.0.get_mut(prefix)
+        {
+            *version = revision.max(*version);
         }
         is_newer
     }
@@ -268,12 +300,7 @@
         vec![BeliefChange::Configuration { version }]
     }
 
-    fn put_upstream(
-        &mut self,
-        now: Duration,
-        key: &str,
-        upstream: Upstream,
-    ) -> Vec<BeliefChange> {
+    fn put_upstream(&mut self, now: Duration, key: &str, upstream: Upstream) -> Vec<BeliefChange> {
         let change = BeliefChange::Upstream {
             instance: upstream.instance.clone(),
             state: upstream.state,
@@ -366,10 +393,12 @@
     fn may_be_lapse(&mut self, now: Duration) -> bool {
         self.vanished.retain(|at| now < *at + MASS_WINDOW);
         self.vanished.push(now);
-        let is_disturbed = self
-            .disturbed_at
-            .is_some_and(|at| now < at + DISTURBED_FOR);
-        let live = self.upstreams.values().filter(|u| u.gone_at.is_none()).count();
+        let is_disturbed = self.disturbed_at.is_some_and(|at| now < at + DISTURBED_FOR);
+        let live = self
+            .upstreams
+            .values()
+            .filter(|u| u.gone_at.is_none())
+            .count();
         let known = live + self.vanished.len() - 1;
         let is_mass = self.vanished.len() >= MASS_MIN
             && self.vanished.len() as f64 >= MASS_SHARE * known as f64;
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -89,8 +89,8 @@
     Pulled {
         /// Peer.
         peer: SocketAddr,
-        /// Revision after which they changed.
-        since: u64,
+        /// Revisions after which they changed.
+        since: &'a [u64],
         /// Number of items.
         items: usize,
     },
@@ -299,7 +299,7 @@
             }
             Event::Member { name, now } => info!(log, "member"; "name" => name, "now" => now),
             Event::Pulled { peer, since, items } => {
-                info!(log, "pulled"; "peer" => %peer, "since" => since, "items" => items);
+                info!(log, "pulled"; "peer" => %peer, "since" => format!("{since:?}"), "items" => items);
             }
             Event::MeshError { step, peer, error } => {
                 let peer = peer.map_or_else(String::new, |p| p.to_string());
--- a/crates/oriole_gateway/src/forward/head.rs
+++ b/crates/oriole_gateway/src/forward/head.rs
@@ -66,7 +66,10 @@
         if let Some(value) = account.and_then(|a| HeaderValue::from_str(a).ok()) {
             headers.insert(names.account.clone(), value);
         }
-        headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority.min(9))));
+        headers.insert(
+            names.priority.clone(),
+            HeaderValue::from(u16::from(priority.min(9))),
+        );
         // Callers that speak an older version reach upstreams in the current one.
         parts.version = http::Version::HTTP_11;
         Self { parts, body }
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -40,6 +40,10 @@
 /// asked; callers give up about a second later.
 const STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1300);
 
+/// Share of a route's objective that a request may wait for a place; the rest is for its own work.
+/// Places are as busy with a short queue as with a long one, and more answers come in time.
+pub const QUEUE_SHARE: f64 = 0.5;
+
 /// Time spent on leaving after which new requests are refused: what began before can still end.
 const LEAVING_ACCEPTS: Duration = Duration::from_millis(3500);
 
@@ -110,11 +114,7 @@
         .is_some_and(|since| now >= since + LEAVING_ACCEPTS)
 }
 
-async fn forward(
-    gateway: &Arc<Gateway>,
-    asked: Asked,
-    guard: CountGuard,
-) -> Response<AnswerBody> {
+async fn forward(gateway: &Arc<Gateway>, asked: Asked, guard: CountGuard) -> Response<AnswerBody> {
     gateway.traffic().request(asked.came, &asked.service);
     let mut progress = Progress::default();
     let left = asked.limit.saturating_sub(gateway.clock.now());
@@ -129,9 +129,7 @@
             answered(gateway, &asked, &progress, head.status.as_u16());
             Response::from_parts(head, full(body))
         }
-        Ok(Answer::Stream(live)) => {
-            stream::answer(gateway.clone(), asked, progress, *live, guard)
-        }
+        Ok(Answer::Stream(live)) => stream::answer(gateway.clone(), asked, progress, *live, guard),
         Err(ended) => refused(gateway, &asked, &progress, ended),
     }
 }
@@ -230,7 +228,7 @@
     let share = gateway.share();
     let ask = PickAsk {
         service: asked.cfg.services.get(&asked.service),
-        patience: asked.route.objective,
+        patience: asked.route.objective.mul_f64(QUEUE_SHARE),
         tried: &progress.tried,
     };
     let belief = gateway.belief();
@@ -311,10 +309,7 @@
 
 /// Reads an answer's body; `None` if it breaks off.
 async fn read_whole(gateway: &Arc<Gateway>, mut live: Live) -> Option<Answer> {
-    let (head, ()) = head::answer_head(&live.answer)
-        .body(())
-        .ok()?
-        .into_parts();
+    let (head, ()) = head::answer_head(&live.answer).body(()).ok()?.into_parts();
     let body = Limited::new(live.answer.body_mut(), MAX_BUFFERED_ANSWER)
         .collect()
         .await;
@@ -325,10 +320,7 @@
     };
     if head.status.is_success() {
         let took = now.saturating_sub(live.began);
-        gateway
-            .traffic()
-            .load_mut(&live.instance)
-            .succeeded(took);
+        gateway.traffic().load_mut(&live.instance).succeeded(took);
     }
     live.finish(gateway);
     Some(Answer::Whole {
--- a/crates/oriole_gateway/src/forward/upstream_try.rs
+++ b/crates/oriole_gateway/src/forward/upstream_try.rs
@@ -101,12 +101,9 @@
 ) -> TryEnd {
     let began = gateway.clock.now();
     let guard = InFlightGuard::new(gateway, &pick.instance);
-    let sent = tokio::time::timeout(
-        head_timeout,
-        send(gateway, asked, pick, last_event),
-    )
-    .await
-    .unwrap_or_else(|_| Err(SendError::NoAnswer("no answer in time".to_owned())));
+    let sent = tokio::time::timeout(head_timeout, send(gateway, asked, pick, last_event))
+        .await
+        .unwrap_or_else(|_| Err(SendError::NoAnswer("no answer in time".to_owned())));
     let end = match sent {
         Ok((connection, answer)) => {
             let live = Live {
@@ -142,7 +139,9 @@
             Connection::open(pick.address).await?
         }
     };
-    let left = asked.deadline.map(|d| d.saturating_sub(gateway.clock.now()));
+    let left = asked
+        .deadline
+        .map(|d| d.saturating_sub(gateway.clock.now()));
     let names = gateway.dialect.headers();
     let req = asked
         .outgoing
--- a/crates/oriole_gateway/src/main.rs
+++ b/crates/oriole_gateway/src/main.rs
@@ -1,7 +1,7 @@
 //! `oriole-gateway`: the entry daemon for plain HTTP as a process.
 #![forbid(unsafe_code)]
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,13 +40,6 @@
     Ok(())
 }
 
-fn reread(path: &Path) -> String {
-    match settings::read::<GatewaySettings>(path) {
-        Ok(_) => "valid; addresses and bounds of the start stay in force".to_owned(),
-        Err(e) => format!("refused: {e}"),
-    }
-}
-
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
@@ -73,7 +66,7 @@
                 stopped?;
                 break;
             }
-            Some(()) = reloads.recv() => daemon.reloaded(&reread(&path)),
+            Some(()) = reloads.recv() => daemon.reloaded(&settings::reread::<GatewaySettings>(&path)),
         }
     }
     daemon.shutdown().await;
--- a/crates/oriole_gateway/src/mesh/members.rs
+++ b/crates/oriole_gateway/src/mesh/members.rs
@@ -6,6 +6,8 @@
 
 use rand::{Rng, RngExt as _};
 
+use crate::belief::Versions;
+
 use super::message::{Heartbeat, MemberRecord, Readiness};
 
 /// Silence after which a member is no longer named to callers. Well under the time after which
@@ -39,8 +41,8 @@
     pub heard_at: Duration,
     /// Time at which it was last heard without another in between.
     direct_at: Option<Duration>,
-    /// Revision up to which its belief reaches.
-    pub belief_version: u64,
+    /// Revisions up to which its belief reaches.
+    pub belief_versions: Versions,
     /// Time since which its belief is ahead.
     ahead_since: Option<Duration>,
     in_flight: Vec<(u64, u32)>,
@@ -83,36 +85,31 @@
     }
 
     /// Takes a heartbeat that came from its sender.
-    pub fn heard(&mut self, now: Duration, heartbeat: Heartbeat, own_version: u64) {
+    pub fn heard(&mut self, now: Duration, heartbeat: Heartbeat, own: &Versions) {
         let in_flight = heartbeat
             .in_flight
             .iter()
             .map(|l| (l.instance, l.requests))
             .collect();
-        let version = heartbeat.belief_version;
+        let versions = Versions(heartbeat.belief_versions);
         if let Some(from) = heartbeat.from
             && let Some(member) = self.update(now, from, true)
         {
             member.direct_at = Some(now);
-            member.belief_version = version;
             member.in_flight = in_flight;
-            if version <= own_version {
+            if !versions.is_ahead_of(own) {
                 member.ahead_since = None;
             } else if member.ahead_since.is_none() {
                 member.ahead_since = Some(now);
             }
+            member.belief_versions = versions;
         }
         for record in heartbeat.others {
             self.update(now, record, false);
         }
     }
 
-    fn update(
-        &mut self,
-        now: Duration,
-        record: MemberRecord,
-        direct: bool,
-    ) -> Option<&mut Member> {
+    fn update(&mut self, now: Duration, record: MemberRecord, direct: bool) -> Option<&mut Member> {
         if record.name == self.own_name {
             return None;
         }
@@ -132,7 +129,7 @@
             peer_address,
             heard_at: now,
             direct_at: None,
-            belief_version: 0,
+            belief_versions: Versions::default(),
             ahead_since: None,
             in_flight: Vec::new(),
         });
@@ -190,12 +187,12 @@
     }
 
     /// The member to ask for newer items: one whose belief has been ahead for some time.
-    pub fn ahead(&self, now: Duration, patience: Duration, own_version: u64) -> Option<&Member> {
+    pub fn ahead(&self, now: Duration, patience: Duration, own: &Versions) -> Option<&Member> {
         self.members
             .values()
-            .filter(|m| m.belief_version > own_version && now < m.heard_at + NAMED_FOR)
+            .filter(|m| m.belief_versions.is_ahead_of(own) && now < m.heard_at + NAMED_FOR)
             .filter(|m| m.ahead_since.is_some_and(|since| now >= since + patience))
-            .max_by_key(|m| m.belief_version)
+            .max_by_key(|m| m.belief_versions.0.iter().sum::<u64>())
     }
 
     /// Requests that other daemons have in flight, by hash of the instance.
--- a/crates/oriole_gateway/src/mesh/message.rs
+++ b/crates/oriole_gateway/src/mesh/message.rs
@@ -55,9 +55,9 @@
     /// The sender.
     #[prost(message, optional, tag = "1")]
     pub from: Option<MemberRecord>,
-    /// Revision up to which the sender's belief reaches.
-    #[prost(uint64, tag = "2")]
-    pub belief_version: u64,
+    /// Revisions up to which the sender's belief reaches, by watched prefix.
+    #[prost(uint64, repeated, tag = "2")]
+    pub belief_versions: Vec<u64>,
     /// What the sender has in flight.
     #[prost(message, repeated, tag = "3")]
     pub in_flight: Vec<InFlight>,
@@ -66,12 +66,12 @@
     pub others: Vec<MemberRecord>,
 }
 
-/// Asks a peer for the items that changed after a revision.
+/// Asks a peer for the items that changed after some revisions.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct PullRequest {
-    /// Revision.
-    #[prost(uint64, tag = "1")]
-    pub since: u64,
+    /// Revisions by watched prefix.
+    #[prost(uint64, repeated, tag = "1")]
+    pub since: Vec<u64>,
 }
 
 /// An item of the belief.
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -91,9 +91,9 @@
         };
         match Heartbeat::decode(&buf[..len]) {
             Ok(heartbeat) => {
-                let version = gateway.belief().version();
+                let versions = gateway.belief().versions().clone();
                 let now = gateway.clock.now();
-                gateway.members().heard(now, heartbeat, version);
+                gateway.members().heard(now, heartbeat, &versions);
                 let in_flight = gateway.members().in_flight(now);
                 gateway.traffic().set_peers(&in_flight);
             }
@@ -147,10 +147,10 @@
 }
 
 fn peer_ahead(gateway: &Gateway) -> Option<SocketAddr> {
-    let version = gateway.belief().version();
+    let versions = gateway.belief().versions().clone();
     let now = gateway.clock.now();
     let members = gateway.members();
-    let member = members.ahead(now, PULL_PATIENCE, version)?;
+    let member = members.ahead(now, PULL_PATIENCE, &versions)?;
     Some(member.peer_address)
 }
 
@@ -168,7 +168,7 @@
     };
     let heartbeat = Heartbeat {
         from: Some(own_record(gateway, number)),
-        belief_version: gateway.belief().version(),
+        belief_versions: gateway.belief().versions().0.clone(),
         in_flight: own_in_flight(gateway),
         others,
     };
--- a/crates/oriole_gateway/src/mesh/pull.rs
+++ b/crates/oriole_gateway/src/mesh/pull.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::message::{PullReply, PullRequest, PulledItem};
+use crate::belief::Versions;
 use crate::decision_log::Event;
 use crate::gateway::Gateway;
 
@@ -47,14 +48,14 @@
 
 /// Asks a peer for what this daemon lacks.
 pub async fn pull(gateway: &Arc<Gateway>, peer: SocketAddr) {
-    let since = gateway.belief().version();
-    let outcome = tokio::time::timeout(TIMEOUT, exchange(peer, since)).await;
+    let since = gateway.belief().versions().clone();
+    let outcome = tokio::time::timeout(TIMEOUT, exchange(peer, &since)).await;
     let outcome = outcome.unwrap_or(Err(PullError::Timeout));
     match outcome {
         Ok(reply) => {
             gateway.log.event(&Event::Pulled {
                 peer,
-                since,
+                since: &since.0,
                 items: reply.items.len(),
             });
             for item in reply.items {
@@ -83,10 +84,13 @@
     }
 }
 
-async fn exchange(peer: SocketAddr, since: u64) -> Result<PullReply, PullError> {
+async fn exchange(peer: SocketAddr, since: &Versions) -> Result<PullReply, PullError> {
     let stream = SilenceLimits::default().connect(peer).await?;
     let mut frames = framed(stream);
-    let req = PullRequest { since }.encode_to_vec();
+    let req = PullRequest {
+        since: since.0.clone(),
+    };
+    let req = req.encode_to_vec();
     frames.send(Bytes::from(req)).await?;
     let frame = frames.next().await.ok_or(PullError::Closed)??;
     Ok(PullReply::decode(frame)?)
@@ -136,7 +140,7 @@
     let req = PullRequest::decode(frame)?;
     let reply = {
         let belief = gateway.belief();
-        let items = belief.items_since(req.since);
+        let items = belief.items_since(&Versions(req.since));
         let items = items.into_iter().map(|(key, held)| PulledItem {
             key: key.to_owned(),
             revision: held.revision,
--- a/crates/oriole_gateway/src/service_port.rs
+++ b/crates/oriole_gateway/src/service_port.rs
@@ -86,9 +86,7 @@
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let body = gateway
-        .dialect
-        .endpoint_answer(&addresses, endpoints::KEEP);
+    let body = gateway.dialect.endpoint_answer(&addresses, endpoints::KEEP);
     let mut answer = Response::new(Full::new(body));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
--- a/crates/oriole_gateway/src/settings.rs
+++ b/crates/oriole_gateway/src/settings.rs
@@ -120,7 +120,11 @@
         }
         oriole_kernel::logging::parse_level(&self.log_level)
             .map_err(|e| format!("log_level: {e}"))?;
-        check_range("max_descriptors", self.max_descriptors.into(), 256..=1 << 20)?;
+        check_range(
+            "max_descriptors",
+            self.max_descriptors.into(),
+            256..=1 << 20,
+        )?;
         check_range("store.timeout_ms", self.store.timeout_ms, 50..=10_000)?;
         check_range("store.watch_ms", self.store.watch_ms, 100..=30_000)?;
         let bounds = &self.bounds;
--- a/crates/oriole_gateway/src/traffic/load.rs
+++ b/crates/oriole_gateway/src/traffic/load.rs
@@ -93,7 +93,9 @@
     pub fn unreachable(&mut self, now: Duration) {
         self.failed();
         let doublings = self.failures_in_row.min(8);
-        let pause = SUSPECT_FIRST.saturating_mul(1 << doublings).min(SUSPECT_MAX);
+        let pause = SUSPECT_FIRST
+            .saturating_mul(1 << doublings)
+            .min(SUSPECT_MAX);
         self.failures_in_row += 1;
         self.suspect_until = now + pause;
     }
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -20,8 +20,16 @@
 /// Time to the head of an answer before any has come.
 const DEFAULT_HEAD_S: f64 = 0.1;
 
-/// Time that a request takes before any has ended.
-const DEFAULT_SERVICE_S: f64 = 0.5;
+/// Time that a request takes before any has ended: that of a usual stream, so that queues stay short
+/// from the start.
+const DEFAULT_SERVICE_S: f64 = 1.0;
+
+/// Mean age of what is known of other daemons' requests, in seconds: half of the time between
+/// heartbeats.
+const PEERS_AGE_S: f64 = 0.075;
+
+/// Time over which the rate of picks is averaged, in seconds.
+const RATE_S: f64 = 1.0;
 
 /// How many busy slots a failure rate of one weighs.
 const FAILURE_WEIGHT: f64 = 3.0;
@@ -102,7 +110,11 @@
     let (sum, count) = loads
         .filter_map(|l| l.head_s)
         .fold((0.0, 0.0), |(sum, count), s| (sum + s, count + 1.0));
-    if count > 0.0 { sum / count } else { DEFAULT_HEAD_S }
+    if count > 0.0 {
+        sum / count
+    } else {
+        DEFAULT_HEAD_S
+    }
 }
 
 /// Loads by instance and retry budgets by service.
@@ -110,6 +122,26 @@
     bounds: TrafficBounds,
     loads: HashMap<String, UpstreamLoad>,
     budgets: HashMap<String, RetryShare>,
+    rates: HashMap<String, PickRate>,
+}
+
+/// Picks a second for a service, averaged.
+#[derive(Debug, Default)]
+struct PickRate {
+    per_s: f64,
+    at: Duration,
+}
+
+impl PickRate {
+    fn now(&self, now: Duration) -> f64 {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        self.per_s * (-since / RATE_S).exp()
+    }
+
+    fn picked(&mut self, now: Duration) {
+        self.per_s = self.now(now) + 1.0 / RATE_S;
+        self.at = now;
+    }
 }
 
 impl Traffic {
@@ -120,6 +152,7 @@
             bounds,
             loads: HashMap::new(),
             budgets: HashMap::new(),
+            rates: HashMap::new(),
         }
     }
 
@@ -221,7 +254,12 @@
         let Some(best) = scored.min_by(|a, b| a.score.total_cmp(&b.score)) else {
             return Err(busy(Refusal::Busy.retry_after().unwrap_or_default()));
         };
-        let wait = expected_wait(best.known, best.load);
+        let service = &best.known.upstream.service;
+        let rate = self.rates.get(service).map_or(0.0, |r| r.now(now));
+        // What the others picked since they were last heard, if they pick as often as this one.
+        let others = share.daemons.saturating_sub(1) as f64;
+        let unseen = rate * others * PEERS_AGE_S / candidates.len() as f64;
+        let wait = expected_wait(best.known, best.load, unseen);
         if wait > ask.patience {
             return Err(busy(wait - ask.patience));
         }
@@ -233,6 +271,8 @@
             candidates: candidates.len(),
         };
         let is_cold = best.known.is_cold(now);
+        let service = service.clone();
+        self.rates.entry(service).or_default().picked(now);
         let load = self.load_mut(&pick.instance);
         load.own += 1;
         if is_cold {
@@ -279,25 +319,20 @@
 
 /// Busy share of an upstream, weighed by how slow it is and how often it fails; with up to one
 /// request of noise among equals.
-fn score(
-    known: &KnownUpstream,
-    load: &UpstreamLoad,
-    mean_head_s: f64,
-    rng: &mut impl Rng,
-) -> f64 {
+fn score(known: &KnownUpstream, load: &UpstreamLoad, mean_head_s: f64, rng: &mut impl Rng) -> f64 {
     let capacity = f64::from(known.upstream.capacity.max(1));
     let noise: f64 = rng.random();
     let head_s = load.head_s.unwrap_or(mean_head_s);
-    let slowness = (head_s / mean_head_s.max(f64::MIN_POSITIVE))
-        .clamp(*SLOWNESS.start(), *SLOWNESS.end());
+    let slowness =
+        (head_s / mean_head_s.max(f64::MIN_POSITIVE)).clamp(*SLOWNESS.start(), *SLOWNESS.end());
     let failures = load.failure_rate * FAILURE_WEIGHT;
     (f64::from(load.in_flight()) + 1.0 + noise + failures) * slowness / capacity
 }
 
 /// Time until a request that arrives now would begin.
-fn expected_wait(known: &KnownUpstream, load: &UpstreamLoad) -> Duration {
-    let capacity = known.upstream.capacity.max(1);
-    let before = (load.in_flight() + 1).saturating_sub(capacity);
+fn expected_wait(known: &KnownUpstream, load: &UpstreamLoad, unseen: f64) -> Duration {
+    let capacity = f64::from(known.upstream.capacity.max(1));
+    let before = (f64::from(load.in_flight()) + unseen + 1.0 - capacity).max(0.0);
     let service_s = load.service_s.unwrap_or(DEFAULT_SERVICE_S);
-    Duration::from_secs_f64(f64::from(before) * service_s / f64::from(capacity))
+    Duration::from_secs_f64(before * service_s / capacity)
 }
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -19,7 +19,7 @@
 
 /// Pause after changes, so that those that come together cost one call. Short against the bounds on
 /// changes.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 
 /// Follows each prefix that the dialect names until told to stop.
 pub fn spawn(gateway: &Arc<Gateway>, store: &Arc<dyn FleetStore>, stop: &CancellationToken) {
@@ -125,6 +125,8 @@
         }
         metrics::counter!("oriole_store_failures_total", "prefix" => self.prefix).increment(1);
         self.failed_calls += 1;
+        // A watch that is resumed after trouble may stay silent about what changed meanwhile.
+        self.revision = None;
         let pause = BACKOFF.pause(self.failed_calls, &mut rand::rng());
         tokio::time::sleep(pause).await;
     }
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/belief.rs
@@ -0,0 +1,204 @@
+//! What is believed of the fleet as changes come late, twice, out of order and around outages.
+
+use oriole_gateway::belief::{Belief, Versions};
+use proptest::prelude::*;
+
+use crate::fake::{belief, item, put, removed, s};
+
+fn usable(belief: &Belief, at: f64) -> Vec<String> {
+    let mut names: Vec<String> = belief
+        .usable(s(at), "llm")
+        .map(|u| u.upstream.instance.clone())
+        .collect();
+    names.sort();
+    names
+}
+
+const A: &str = "llm 10.0.0.1:80 north ready";
+
+#[test]
+fn apply_older_configuration_has_no_effect() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("cfg/0", "7", 20));
+    belief.apply(s(1.0), put("cfg/0", "3", 10));
+    assert_eq!(belief.configuration().unwrap().version, 7);
+}
+
+#[test]
+fn apply_removed_upstream_is_out_at_once() {
+    let mut belief = belief();
+    for i in 0..8 {
+        belief.apply(
+            s(0.0),
+            put(
+                &format!("up/{i}"),
+                &format!("llm 10.0.0.{i}:80 n ready"),
+                i + 1,
+            ),
+        );
+    }
+    belief.apply(s(10.0), removed("up/3", 20));
+    assert!(!usable(&belief, 10.0).contains(&"3".to_owned()));
+}
+
+#[test]
+fn apply_draining_upstream_is_out_at_once() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 1));
+    belief.apply(s(1.0), put("up/a", "llm 10.0.0.1:80 north draining", 2));
+    assert!(usable(&belief, 1.0).is_empty());
+}
+
+/// Leases lapse in an outage of the store, and entries are written again about two seconds after.
+#[test]
+fn apply_lapsed_around_outage_stays_for_a_while() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 1));
+    belief.store_disturbed(s(10.0));
+    belief.apply(s(10.5), removed("up/a", 2));
+    assert_eq!(usable(&belief, 12.0), ["a"]);
+    assert!(usable(&belief, 13.0).is_empty(), "still missing: gone");
+}
+
+/// The store may be away without a word; then many entries vanish at the same moment.
+#[test]
+fn apply_mass_lapse_is_no_departure() {
+    let mut belief = belief();
+    for i in 1..=10 {
+        belief.apply(
+            s(0.0),
+            put(&format!("up/{i}"), &format!("llm 10.0.0.{i}:80 n ready"), i),
+        );
+    }
+    for i in 1..=10 {
+        belief.apply(s(9.0), removed(&format!("up/{i}"), 20 + i));
+    }
+    assert_eq!(usable(&belief, 10.0).len(), 10);
+    belief.apply(s(10.5), put("up/1", "llm 10.0.0.1:80 n ready", 50));
+    assert_eq!(usable(&belief, 12.0), ["1"]);
+}
+
+/// After a loss of power the entries of the last runs stand beside those of the new ones.
+#[test]
+fn apply_new_run_at_an_address_supersedes_the_old() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/new", "llm 10.0.0.1:80 n ready 2000", 9));
+    belief.apply(s(0.1), put("up/old", "llm 10.0.0.1:80 n ready 1000", 5));
+    assert_eq!(usable(&belief, 0.2), ["new"]);
+}
+
+#[test]
+fn misdirected_is_out_until_declared_again() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 1));
+    belief.misdirected("a");
+    assert!(usable(&belief, 0.1).is_empty());
+    belief.apply(s(1.0), put("up/a", A, 2));
+    assert_eq!(usable(&belief, 1.1), ["a"]);
+}
+
+#[test]
+fn apply_evacuated_domain_is_out_until_returned() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 1));
+    belief.apply(s(1.0), put("cfg/out/north", "{}", 2));
+    assert!(usable(&belief, 1.0).is_empty());
+    belief.apply(s(5.0), removed("cfg/out/north", 3));
+    assert_eq!(usable(&belief, 5.0), ["a"]);
+}
+
+#[test]
+fn apply_unreadable_entry_names_no_upstream() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 1));
+    belief.apply(s(1.0), put("up/a", "llm nowhere", 2));
+    assert!(usable(&belief, 1.0).is_empty());
+}
+
+#[test]
+fn apply_listing_missing_key_was_removed() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("cfg/0", "1", 1));
+    belief.apply(s(0.0), put("cfg/out/north", "{}", 2));
+    belief.apply(s(0.0), put("up/a", A, 3));
+    belief.apply_listing(s(9.0), "cfg", vec![item("cfg/0", "1", 1)], 8);
+    assert_eq!(usable(&belief, 9.0), ["a"]);
+}
+
+#[test]
+fn apply_listing_keeps_what_is_newer_than_it() {
+    let mut belief = belief();
+    belief.apply(s(0.0), put("up/a", A, 30));
+    belief.apply_listing(s(0.1), "up/", vec![], 20);
+    assert_eq!(usable(&belief, 0.2), ["a"]);
+}
+
+/// A day of the hunt: the watch of the configuration missed a change while that of the upstreams
+/// went on, so that one number for both hid the gap.
+#[test]
+fn versions_gap_under_one_prefix_is_seen() {
+    let (mut whole, mut gap) = (belief(), belief());
+    for belief in [&mut whole, &mut gap] {
+        belief.apply(s(0.0), put("cfg/0", "1", 1));
+    }
+    whole.apply(s(1.0), put("cfg/0", "2", 60));
+    for belief in [&mut whole, &mut gap] {
+        belief.apply(s(2.0), put("up/a", A, 61));
+    }
+    assert_eq!(whole.version(), gap.version());
+    assert!(whole.versions().is_ahead_of(gap.versions()));
+    let missing = whole.items_since(gap.versions());
+    assert_eq!(
+        missing.iter().map(|(k, _)| *k).collect::<Vec<_>>(),
+        ["cfg/0"]
+    );
+}
+
+#[test]
+fn versions_equal_are_not_ahead() {
+    let versions = Versions(vec![3, 4]);
+    assert!(!versions.is_ahead_of(&versions.clone()));
+}
+
+proptest! {
+    /// Whatever the order in which changes come, and however often, all daemons end with the same
+    /// belief: that of the highest revision of each key.
+    #[test]
+    fn apply_any_order_same_end(
+        changes in prop::collection::vec((0..4u8, 0..3u8), 1..20),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 60),
+    ) {
+        let changes: Vec<_> = changes
+            .iter()
+            .enumerate()
+            .map(|(i, (key, what))| {
+                let (key, revision) = (format!("up/{key}"), i as u64 + 1);
+                match what {
+                    0 => removed(&key, revision),
+                    _ => put(&key, &format!("llm 10.0.0.{i}:80 n ready {i}"), revision),
+                }
+            })
+            .collect();
+        let (mut straight, mut shuffled) = (belief(), belief());
+        for change in &changes {
+            straight.apply(s(0.0), change.clone());
+        }
+        for i in &order {
+            shuffled.apply(s(0.0), i.get(&changes).clone());
+        }
+        for change in changes.iter().rev() {
+            shuffled.apply(s(0.0), change.clone());
+        }
+        prop_assert_eq!(straight.versions(), shuffled.versions());
+        let held = |b: &Belief| {
+            let mut items: Vec<_> = b
+                .items_since(&Versions::default())
+                .into_iter()
+                .map(|(k, h)| (k.to_owned(), h.revision, h.value.clone()))
+                .collect();
+            items.sort();
+            items
+        };
+        prop_assert_eq!(held(&straight), held(&shuffled));
+    }
+}
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -0,0 +1,161 @@
+//! A dialect without a platform: `up/NAME` holds `service address domain state born`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Uri};
+use oriole_fleet::prelude::*;
+use oriole_gateway::belief::{Belief, KnownUpstream};
+
+/// The dialect.
+pub struct FakeDialect {
+    names: HeaderNames,
+}
+
+impl Default for FakeDialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        Self {
+            names: HeaderNames {
+                attempt: name("attempt"),
+                deadline_ms: name("deadline"),
+                last_event: name("last-event"),
+                signature: name("signature"),
+                account: name("account"),
+                expect_instance: name("expect"),
+                load: name("load"),
+                not_run: name("not-run"),
+                priority: name("priority"),
+                cold_ms: name("cold"),
+            },
+        }
+    }
+}
+
+fn upstream(instance: &str, text: &str) -> Option<Upstream> {
+    let mut words = text.split(' ');
+    Some(Upstream {
+        instance: instance.to_owned(),
+        service: words.next()?.to_owned(),
+        address: words.next()?.parse().ok()?,
+        domain: words.next()?.to_owned(),
+        capacity: 4,
+        state: match words.next()? {
+            "ready" => UpstreamState::Ready,
+            "draining" => UpstreamState::Draining,
+            _ => return None,
+        },
+        cold_for: Duration::ZERO,
+        born_ms: words.next().and_then(|w| w.parse().ok()),
+        seat: None,
+    })
+}
+
+impl Dialect for FakeDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn account_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get("key")?.to_str().ok()
+    }
+
+    fn load(&self, _value: &str) -> Option<(u32, u32, u32)> {
+        None
+    }
+
+    fn is_ready_query(&self, uri: &Uri) -> bool {
+        uri.path() == "/ready"
+    }
+
+    fn endpoint_query(&self, _uri: &Uri) -> Option<EndpointQuery> {
+        None
+    }
+
+    fn endpoint_answer(&self, _addresses: &[SocketAddr], _keep: Duration) -> Bytes {
+        Bytes::new()
+    }
+
+    fn watched_prefixes(&self) -> &[&'static str] {
+        &["cfg", "up/"]
+    }
+
+    fn configuration_key(&self) -> &'static str {
+        "cfg/0"
+    }
+
+    fn upstreams_prefix(&self) -> &'static str {
+        "up/"
+    }
+
+    fn peers_prefix(&self) -> &'static str {
+        "peer/"
+    }
+
+    fn decode(&self, key: &str, value: &[u8]) -> Declared {
+        let text = String::from_utf8_lossy(value);
+        if key == "cfg/0" {
+            let version = text.parse().unwrap_or(0);
+            return Declared::Configuration(Box::new(Configuration {
+                version,
+                ..Configuration::default()
+            }));
+        }
+        if let Some(domain) = key.strip_prefix("cfg/out/") {
+            return Declared::Evacuated(domain.to_owned());
+        }
+        match key.strip_prefix("up/") {
+            Some(instance) => match upstream(instance, &text) {
+                Some(upstream) => Declared::Upstream(Box::new(upstream)),
+                None => Declared::Unreadable("not an upstream".to_owned()),
+            },
+            None => Declared::Other,
+        }
+    }
+
+    fn encode_peer(&self, name: &str, address: SocketAddr) -> (String, Bytes) {
+        (format!("peer/{name}"), address.to_string().into())
+    }
+}
+
+/// A belief that speaks the fake dialect.
+pub fn belief() -> Belief {
+    Belief::new(Arc::new(FakeDialect::default()))
+}
+
+/// A change that writes a key.
+pub fn put(key: &str, value: &str, revision: u64) -> Change {
+    Change::Put(item(key, value, revision))
+}
+
+/// An item.
+pub fn item(key: &str, value: &str, revision: u64) -> Item {
+    Item {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+        revision,
+    }
+}
+
+/// A change that removes a key.
+pub fn removed(key: &str, revision: u64) -> Change {
+    Change::Removed {
+        key: key.to_owned(),
+        revision,
+    }
+}
+
+/// A ready upstream of service `llm`.
+pub fn known(i: usize, capacity: u32) -> KnownUpstream {
+    let text = format!("llm 10.0.0.{i}:80 north ready");
+    let mut upstream = upstream(&format!("i{i}"), &text).expect("a proper upstream");
+    upstream.capacity = capacity;
+    KnownUpstream::new(Duration::ZERO, upstream)
+}
+
+/// Seconds.
+pub fn s(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -0,0 +1,11 @@
+//! Decisions of the entry daemon, without network and under a clock of their own.
+
+mod attempt;
+mod belief;
+mod endpoints;
+mod events;
+mod fake;
+mod members;
+mod overload;
+mod settings;
+mod shares;
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/members.rs
@@ -0,0 +1,141 @@
+//! Which entry daemons live, by heartbeats that are lost, late and relayed.
+
+use oriole_gateway::belief::Versions;
+use oriole_gateway::mesh::members::Members;
+use oriole_gateway::mesh::message::{Heartbeat, InFlight, MemberRecord, Readiness};
+
+use crate::fake::s;
+
+fn record(name: &str, incarnation: u64, heartbeat: u64, readiness: Readiness) -> MemberRecord {
+    MemberRecord {
+        name: name.to_owned(),
+        incarnation,
+        heartbeat,
+        peer_address: "10.0.0.9:7".to_owned(),
+        caller_address: "10.0.0.9:80".to_owned(),
+        domain: "north".to_owned(),
+        readiness: readiness.into(),
+    }
+}
+
+fn heartbeat(from: MemberRecord, versions: &[u64], in_flight: &[(u64, u32)]) -> Heartbeat {
+    Heartbeat {
+        from: Some(from),
+        belief_versions: versions.to_vec(),
+        in_flight: in_flight
+            .iter()
+            .map(|(instance, requests)| InFlight {
+                instance: *instance,
+                requests: *requests,
+            })
+            .collect(),
+        others: Vec::new(),
+    }
+}
+
+fn none() -> Versions {
+    Versions(vec![0, 0])
+}
+
+fn ready_names(members: &Members, at: f64) -> Vec<String> {
+    members
+        .ready(s(at))
+        .map(|m| m.record.name.clone())
+        .collect()
+}
+
+#[test]
+fn ready_silent_member_is_not_named_for_long() {
+    let mut members = Members::new("me");
+    members.heard(
+        s(0.0),
+        heartbeat(record("a", 1, 1, Readiness::Ready), &[], &[]),
+        &none(),
+    );
+    assert_eq!(ready_names(&members, 1.0), ["a"]);
+    assert!(ready_names(&members, 3.0).is_empty());
+}
+
+#[test]
+fn ready_leaving_member_is_not_named() {
+    let mut members = Members::new("me");
+    members.heard(
+        s(0.0),
+        heartbeat(record("a", 1, 1, Readiness::Ready), &[], &[]),
+        &none(),
+    );
+    members.heard(
+        s(0.1),
+        heartbeat(record("a", 1, 2, Readiness::Leaving), &[], &[]),
+        &none(),
+    );
+    assert!(ready_names(&members, 0.2).is_empty());
+}
+
+/// Others go on relaying a dead member's last heartbeat: it does not live by that.
+#[test]
+fn heard_relayed_again_and_again_does_not_live() {
+    let mut members = Members::new("me");
+    let dead = record("dead", 1, 5, Readiness::Ready);
+    members.heard(s(0.0), heartbeat(dead.clone(), &[], &[]), &none());
+    for i in 1..40_u64 {
+        let mut beat = heartbeat(record("b", 1, i, Readiness::Ready), &[], &[]);
+        beat.others.push(dead.clone());
+        members.heard(s(i as f64 * 0.1), beat, &none());
+    }
+    assert_eq!(ready_names(&members, 3.9), ["b"]);
+}
+
+#[test]
+fn heard_relayed_lives_while_its_counter_grows() {
+    let mut members = Members::new("me");
+    for i in 1..40_u64 {
+        let mut beat = heartbeat(record("b", 1, i, Readiness::Ready), &[], &[]);
+        beat.others
+            .push(record("cut off from me", 1, i, Readiness::Ready));
+        members.heard(s(i as f64 * 0.1), beat, &none());
+    }
+    assert_eq!(ready_names(&members, 3.9).len(), 2);
+}
+
+#[test]
+fn heard_restarted_member_takes_its_own_place() {
+    let mut members = Members::new("me");
+    members.heard(
+        s(0.0),
+        heartbeat(record("a", 1, 500, Readiness::Ready), &[], &[]),
+        &none(),
+    );
+    members.heard(
+        s(0.5),
+        heartbeat(record("a", 2, 1, Readiness::Starting), &[], &[]),
+        &none(),
+    );
+    assert!(ready_names(&members, 0.6).is_empty());
+    assert_eq!(members.place(s(0.6)).0, 2);
+}
+
+#[test]
+fn in_flight_sums_members_heard_lately() {
+    let mut members = Members::new("me");
+    let a = record("a", 1, 1, Readiness::Ready);
+    let b = record("b", 1, 1, Readiness::Ready);
+    members.heard(s(0.0), heartbeat(a, &[], &[(7, 2)]), &none());
+    members.heard(s(2.0), heartbeat(b, &[], &[(7, 3)]), &none());
+    assert_eq!(members.in_flight(s(2.1))[&7], 5);
+    assert_eq!(members.in_flight(s(3.0))[&7], 3);
+}
+
+#[test]
+fn ahead_only_after_patience() {
+    let mut members = Members::new("me");
+    let a = record("a", 1, 1, Readiness::Ready);
+    members.heard(s(0.0), heartbeat(a, &[9, 0], &[]), &none());
+    assert!(members.ahead(s(0.1), s(0.25), &none()).is_none());
+    assert!(members.ahead(s(0.3), s(0.25), &none()).is_some());
+    assert!(
+        members
+            .ahead(s(0.3), s(0.25), &Versions(vec![9, 0]))
+            .is_none()
+    );
+}
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/overload.rs
@@ -0,0 +1,212 @@
+//! The heaviest load: many daemons pick at once, with loads of the others that are some time old.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use oriole_gateway::belief::KnownUpstream;
+use oriole_gateway::forward::QUEUE_SHARE;
+use oriole_gateway::refusal::Refusal;
+use oriole_gateway::traffic::budget::BudgetBounds;
+use oriole_gateway::traffic::cold_share::ColdBounds;
+use oriole_gateway::traffic::{PickAsk, Share, Traffic, TrafficBounds};
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use crate::fake::{known, s};
+
+const DAEMONS: usize = 17;
+const UPSTREAMS: usize = 16;
+const CAPACITY: u32 = 12;
+
+const BOUNDS: TrafficBounds = TrafficBounds {
+    budget: BudgetBounds {
+        ratio: 0.2,
+        allowance: 196.0,
+        window: Duration::from_secs(10),
+    },
+    cold: ColdBounds {
+        overage: 1.5,
+        allowance: 5.0,
+    },
+};
+
+const SHARE: Share = Share {
+    daemons: DAEMONS,
+    ordinal: 0,
+};
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+const ASK: PickAsk<'static> = PickAsk {
+    service: None,
+    patience: Duration::from_millis((400.0 * QUEUE_SHARE) as u64),
+    tried: &[],
+};
+
+struct Fleet {
+    daemons: Vec<Traffic>,
+    /// What each daemon told last.
+    told: Vec<HashMap<u64, u32>>,
+    upstreams: Vec<KnownUpstream>,
+    rng: StdRng,
+    /// Requests that end: when, at which daemon, at which upstream.
+    ends: Vec<(Duration, usize, String)>,
+    refused: usize,
+    picked: usize,
+    /// Picks that wait for longer than the objective.
+    late: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            daemons: (0..DAEMONS).map(|_| Traffic::new(BOUNDS)).collect(),
+            told: vec![HashMap::new(); DAEMONS],
+            upstreams: (0..UPSTREAMS).map(|i| known(i, CAPACITY)).collect(),
+            rng: StdRng::seed_from_u64(7),
+            ends: Vec::new(),
+            refused: 0,
+            picked: 0,
+            late: 0,
+        }
+    }
+
+    fn in_flight(&self) -> HashMap<u64, u32> {
+        let mut sums = HashMap::new();
+        for daemon in &self.daemons {
+            for (_, load) in daemon.loads() {
+                *sums.entry(load.hash).or_insert(0) += load.own;
+            }
+        }
+        sums
+    }
+
+    /// One daemon tells what it has; all others take it in.
+    fn heartbeat(&mut self, from: usize) {
+        let loads = self.daemons[from].loads();
+        self.told[from] = loads.map(|(_, l)| (l.hash, l.own)).collect();
+        for (i, daemon) in self.daemons.iter_mut().enumerate() {
+            let mut sums = HashMap::new();
+            for (_, told) in self
+                .told
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != i)
+            {
+                for (hash, own) in told {
+                    *sums.entry(*hash).or_insert(0) += own;
+                }
+            }
+            daemon.set_peers(&sums);
+        }
+    }
+
+    fn request(&mut self, now: Duration, daemon: usize, takes: Duration) {
+        let usable = self.upstreams.iter();
+        let pick = self.daemons[daemon].pick(now, SHARE, &ASK, usable, &mut self.rng);
+        match pick {
+            Ok(pick) => {
+                self.picked += 1;
+                let at_upstream = self.ends.iter().filter(|e| e.2 == pick.instance).count();
+                let before = (at_upstream + 1).saturating_sub(CAPACITY as usize);
+                let wait = takes.mul_f64(before as f64 / f64::from(CAPACITY));
+                self.late += usize::from(wait > OBJECTIVE);
+                self.ends.push((now + takes, daemon, pick.instance));
+            }
+            Err(no) => {
+                assert_eq!(no.reason, Refusal::Busy);
+                assert!(no.retry_after > Duration::ZERO);
+                self.refused += 1;
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Duration) {
+        let (due, rest): (Vec<_>, Vec<_>) = self.ends.drain(..).partition(|e| e.0 <= now);
+        self.ends = rest;
+        for (_, daemon, instance) in due {
+            let load = self.daemons[daemon].load_mut(&instance);
+            load.own -= 1;
+            load.succeeded(s(1.3));
+        }
+    }
+
+    /// Plays requests at a rate, with a heartbeat of each daemon every 150 ms; returns the most requests that
+    /// one upstream had.
+    fn play(&mut self, per_s: f64, seconds: f64) -> u32 {
+        let mut highest = 0;
+        let mut due = 0.0;
+        for ms in 0..(seconds * 1000.0) as u64 {
+            let now = Duration::from_millis(ms);
+            self.finish(now);
+            // Each daemon has its own time within the 150 ms.
+            for daemon in (0..DAEMONS).filter(|d| ms % 150 == *d as u64 * 8) {
+                self.heartbeat(daemon);
+            }
+            due += per_s / 1000.0;
+            while due >= 1.0 {
+                due -= 1.0;
+                self.request(now, (ms as usize * 7 + self.picked) % DAEMONS, s(1.3));
+            }
+            highest = highest.max(self.in_flight().values().copied().max().unwrap_or(0));
+        }
+        highest
+    }
+}
+
+/// Seen on a calm day: 30 of 50 requests within 0.65 s went to one upstream, since all daemons took
+/// the one that had least when they last heard.
+#[test]
+fn pick_calm_load_no_herd() {
+    let mut fleet = Fleet::new();
+    let highest = fleet.play(75.0, 20.0);
+    assert!(highest <= CAPACITY, "{highest} at one upstream");
+    assert_eq!(fleet.refused, 0);
+}
+
+/// A burst beyond what the upstreams can run: what would wait too long is refused at once, and the
+/// queues of what was taken stay short.
+#[test]
+fn pick_burst_refuses_at_once_queues_stay_short() {
+    let mut fleet = Fleet::new();
+    fleet.play(75.0 * 3.0, 10.0);
+    assert!(fleet.refused > 0);
+    // The size that decides asks for the first token in time for 95 in 100.
+    let late = fleet.late as f64 / fleet.picked as f64;
+    assert!(
+        late <= 0.05,
+        "{late} of those taken wait beyond the objective"
+    );
+    let served = fleet.picked as f64 / 10.0;
+    let full = f64::from(CAPACITY) * UPSTREAMS as f64 / 1.3;
+    assert!(served > 0.9 * full, "{served} a second of {full}");
+}
+
+#[test]
+fn pick_failing_upstream_gets_less() {
+    let mut fleet = Fleet::new();
+    for daemon in &mut fleet.daemons {
+        for _ in 0..20 {
+            daemon.load_mut("i3").failed();
+        }
+    }
+    fleet.play(60.0, 10.0);
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for (_, _, instance) in &fleet.ends {
+        *counts.entry(instance.clone()).or_default() += 1;
+    }
+    let mean = fleet.ends.len() as f64 / UPSTREAMS as f64;
+    let failing = counts.get("i3").copied().unwrap_or(0) as f64;
+    assert!(failing < mean, "{failing} of {mean}");
+}
+
+#[test]
+fn pick_none_usable_says_so() {
+    let mut traffic = Traffic::new(BOUNDS);
+    let none: [KnownUpstream; 0] = [];
+    let mut rng = StdRng::seed_from_u64(1);
+    let no = traffic
+        .pick(s(0.0), SHARE, &ASK, none.iter(), &mut rng)
+        .unwrap_err();
+    assert_eq!(no.reason, Refusal::NoUpstream);
+}
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/settings.rs
@@ -0,0 +1,50 @@
+//! Settings are checked before anything listens.
+
+use std::path::Path;
+
+use oriole_gateway::settings::GatewaySettings;
+use oriole_kernel::settings::parse;
+use rstest::rstest;
+
+const GOOD: &str = r#"
+name = "edge-1"
+domain = "north"
+max_descriptors = 2870
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+endpoints = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+[peers]
+listen = "127.0.0.1:5"
+seeds = ["127.0.0.1:9"]
+[store]
+address = "127.0.0.1:6"
+[bounds]
+retry_ratio = 0.2
+retry_window_s = 10
+retry_allowance = 196
+cold_overage = 1.5
+cold_allowance = 5
+grace_s = 8
+"#;
+
+fn read(text: &str) -> Result<GatewaySettings, String> {
+    parse(Path::new("gateway.toml"), text).map_err(|e| e.to_string())
+}
+
+#[test]
+fn settings_good_are_read() {
+    assert_eq!(read(GOOD).unwrap().bounds.retry_window_s, 10.0);
+}
+
+#[rstest]
+#[case::unknown_key("grace_s = 8", "grace_s = 8\ngrace = 9", "grace")]
+#[case::no_name("name = \"edge-1\"", "name = \"\"", "name is empty")]
+#[case::out_of_range("grace_s = 8", "grace_s = 0", "allowed are 0.5 to 600")]
+#[case::not_an_address("127.0.0.1:6", "store", "address")]
+#[case::few_descriptors("2870", "10", "allowed are 256 to")]
+fn settings_bad_name_key_and_allowed(#[case] from: &str, #[case] to: &str, #[case] says: &str) {
+    let error = read(&GOOD.replace(from, to)).unwrap_err();
+    assert!(error.contains(says), "{error}");
+}
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/shares.rs
@@ -0,0 +1,78 @@
+//! Bounds over all daemons hold by their shares alone, though they hear nothing of each other.
+
+use std::time::Duration;
+
+use oriole_gateway::traffic::budget::{BudgetBounds, RetryShare};
+use oriole_gateway::traffic::cold_share::{ColdBounds, ColdShare};
+use proptest::prelude::*;
+
+use crate::fake::s;
+
+const BUDGET: BudgetBounds = BudgetBounds {
+    ratio: 0.2,
+    allowance: 196.0,
+    window: Duration::from_secs(10),
+};
+
+const COLD: ColdBounds = ColdBounds {
+    overage: 1.5,
+    allowance: 5.0,
+};
+
+/// Many callers whose requests all fail, at all daemons at once.
+#[test]
+fn retry_share_storm_stays_within_the_budget() {
+    let daemons = 17;
+    let mut shares: Vec<_> = (0..daemons).map(|_| RetryShare::new(BUDGET)).collect();
+    let mut retries = Vec::new();
+    let mut requests = Vec::new();
+    for tick in 0..3000 {
+        let now = s(f64::from(tick) * 0.01);
+        for share in &mut shares {
+            share.request(now);
+            requests.push(now);
+            for _ in 0..3 {
+                if share.try_retry(now, daemons) {
+                    retries.push(now);
+                }
+            }
+        }
+    }
+    for start in 0..20 {
+        let (from, to) = (s(f64::from(start)), s(f64::from(start) + 10.0));
+        let within = |times: &[Duration]| times.iter().filter(|t| (from..to).contains(*t)).count();
+        let allowed = 0.2 * within(&requests) as f64 + 196.0;
+        assert!(
+            within(&retries) as f64 <= allowed + 1.0,
+            "window from {start} s"
+        );
+    }
+    assert!(!retries.is_empty());
+}
+
+proptest! {
+    #[test]
+    fn cold_share_sum_stays_within_the_bound(
+        daemons in 1..400usize,
+        per_s in 0.0..80.0f64,
+        asks in prop::collection::vec((any::<prop::sample::Index>(), 0..30u64), 1..400),
+    ) {
+        let mut shares: Vec<ColdShare> = (0..daemons).map(|_| ColdShare::default()).collect();
+        let mut now = Duration::ZERO;
+        let mut sent = Vec::new();
+        for (who, wait) in asks {
+            now += Duration::from_millis(wait);
+            let who = who.index(daemons);
+            if shares[who].allows(now, &COLD, per_s, daemons, who) {
+                shares[who].sent(now);
+                sent.push(now);
+            }
+        }
+        let bound = (per_s * 1.5 + 5.0).floor() as usize;
+        for from in &sent {
+            let end = *from + Duration::from_secs(1);
+            let count = sent.iter().filter(|t| (*from..end).contains(*t)).count();
+            prop_assert!(count <= bound, "{} of {}", count, bound);
+        }
+    }
+}
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -42,6 +42,16 @@
     parse(path, &text)
 }
 
+/// Reads a settings file again on request and tells what came of it. Addresses and bounds hold from
+/// the start to the end of a process, so that a valid file changes nothing before the next start.
+#[must_use]
+pub fn reread<S: Settings>(path: &Path) -> String {
+    match read::<S>(path) {
+        Ok(_) => "valid; the settings of the start stay in force".to_owned(),
+        Err(e) => format!("refused: {e}"),
+    }
+}
+
 /// Parses settings from TOML text and checks them.
 ///
 /// # Errors
--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -300,7 +300,11 @@
             if changes[..i].iter().any(|(r, _)| *r == rank) {
                 continue;
             }
-            let change: f64 = changes.iter().filter(|(r, _)| *r == rank).map(|(_, d)| d).sum();
+            let change: f64 = changes
+                .iter()
+                .filter(|(r, _)| *r == rank)
+                .map(|(_, d)| d)
+                .sum();
             after += self.power(self.load[rank] + change) - self.power(self.load[rank]);
         }
         let ratio = (after.max(0.0) / sum).powf(1.0 / f64::from(NORM));
--- a/crates/oriole_placement/tests/even_split.rs
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -44,7 +44,13 @@
 #[test]
 fn plan_even_demand_copies_nothing() {
     let map = in_turn(6, 8, 64);
-    let plan = plan(&map, &vec![vec![1.0; 64]; 6], &[1.0; 8], &config(11, 4, 8), gained);
+    let plan = plan(
+        &map,
+        &vec![vec![1.0; 64]; 6],
+        &[1.0; 8],
+        &config(11, 4, 8),
+        gained,
+    );
     assert_eq!(plan.copies, 0);
     assert_eq!(plan.map, map);
 }
@@ -63,15 +69,25 @@
 #[test]
 fn plan_dear_copies_are_few() {
     let map = in_turn(2, 8, 64);
-    let mut shares: Vec<f64> = (0..64).map(|e| 1.0 + f64::from(e * 7 % 13)).collect();
-    shares[9] = 80.0;
-    let demand = vec![shares; 2];
+    let mild: Vec<f64> = (0..64).map(|e| 10.0 + f64::from(e * 7 % 13)).collect();
+    let mut hot = vec![1.0; 64];
+    hot[9] = 80.0;
+    let demand = vec![hot, mild];
     let limits = config(11, 4, 12);
     let free = plan(&map, &demand, &[1.0; 8], &limits, gained);
-    let dear = plan(&map, &demand, &[1.0; 8], &limits, |before, after, copies| {
-        before - after - 0.2 * copies as f64
-    });
-    assert!(dear.copies < free.copies, "{} and {}", dear.copies, free.copies);
+    let dear = plan(
+        &map,
+        &demand,
+        &[1.0; 8],
+        &limits,
+        |before, after, copies| before - after - 0.2 * copies as f64,
+    );
+    assert!(
+        dear.copies < free.copies,
+        "{} and {}",
+        dear.copies,
+        free.copies
+    );
     assert!(dear.after < dear.before);
 }
 
--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -9,6 +9,7 @@
 use metrics::{counter, gauge};
 use oriole_fleet::prelude::*;
 use oriole_kernel::clock::Clock;
+use oriole_store::backoff::Backoff;
 use oriole_store::error::StoreError;
 use prost::Message as _;
 use slog::{Logger, info, warn};
@@ -39,8 +40,11 @@
 /// Time between reads of the group's addresses.
 const ADDRESSES_EVERY: Duration = Duration::from_secs(4);
 
-/// Time between tries to read what is needed at the start.
-const AGAIN: Duration = Duration::from_millis(300);
+/// Pauses between tries to read what is needed at the start.
+const AGAIN: Backoff = Backoff {
+    first: Duration::from_millis(400),
+    max: Duration::from_secs(4),
+};
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 64 * 1024;
@@ -124,6 +128,11 @@
         Ok(Self { stop, log })
     }
 
+    /// Notes that the settings file was read again.
+    pub fn reloaded(&self, outcome: &str) {
+        info!(self.log, "reloaded"; "outcome" => outcome);
+    }
+
     /// Ends the tasks. A change under way is gone on with by the next run.
     pub fn shutdown(self) {
         info!(self.log, "stopped");
@@ -409,30 +418,36 @@
 
 /// Learns the group's shape once, and its addresses again and again.
 async fn learn(agent: Arc<Agent>) {
+    let mut failed_reads = 0;
+    let mut has_shape = false;
     loop {
-        match agent.read_shape().await {
-            Ok(true) => break,
-            Ok(false) => {}
-            Err(e) => {
-                warn!(agent.log, "store"; "step" => "read configuration", "error" => e.to_string());
+        let outcome = agent.learn_once(&mut has_shape).await;
+        let pause = match outcome {
+            Ok(true) => {
+                failed_reads = 0;
+                ADDRESSES_EVERY
             }
-        }
-        tokio::time::sleep(AGAIN).await;
-    }
-    loop {
-        let pause = match agent.read_addresses().await {
-            Ok(true) => ADDRESSES_EVERY,
-            Ok(false) => AGAIN,
-            Err(e) => {
-                warn!(agent.log, "store"; "step" => "read upstreams", "error" => e.to_string());
-                AGAIN
+            Ok(false) | Err(_) => {
+                failed_reads += 1;
+                AGAIN.pause(failed_reads, &mut rand::rng())
             }
         };
+        if let Err(e) = outcome {
+            warn!(agent.log, "store"; "step" => "learn the group", "error" => e.to_string());
+        }
         tokio::time::sleep(pause).await;
     }
 }
 
 impl Agent {
+    /// Whether all that the agent has to know is known.
+    async fn learn_once(&self, has_shape: &mut bool) -> Result<bool, StoreError> {
+        if !*has_shape {
+            *has_shape = self.read_shape().await?;
+        }
+        Ok(self.read_addresses().await? && *has_shape)
+    }
+
     async fn read_shape(&self) -> Result<bool, StoreError> {
         let dialect = &self.parts.dialect;
         let key = dialect.configuration_key();
--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -43,6 +43,10 @@
         }
         // One more choice of each, so that an expert that was not chosen keeps some weight.
         let smoothed = self.choices.chunks(experts);
-        Some(smoothed.map(|s| s.iter().map(|c| c + 1.0).collect()).collect())
+        Some(
+            smoothed
+                .map(|s| s.iter().map(|c| c + 1.0).collect())
+                .collect(),
+        )
     }
 }
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -280,7 +280,9 @@
             return;
         }
         let version = self.own.map_version;
-        if !self.all(now, |s| s.open && s.armed.is_none() && s.map_version == version) {
+        if !self.all(now, |s| {
+            s.open && s.armed.is_none() && s.map_version == version
+        }) {
             return;
         }
         self.looked_at = now;
@@ -301,10 +303,7 @@
         if !self.all(now, |s| s.open) {
             return;
         }
-        let bound: Vec<Option<u64>> = self
-            .statuses()
-            .map(|s| s.armed.or(s.prepared))
-            .collect();
+        let bound: Vec<Option<u64>> = self.statuses().map(|s| s.armed.or(s.prepared)).collect();
         let first = bound.first().copied().flatten();
         match first {
             Some(version) if bound.iter().all(|b| *b == first) => {
--- a/crates/oriole_ranks/src/main.rs
+++ b/crates/oriole_ranks/src/main.rs
@@ -40,8 +40,21 @@
         dialect: Arc::new(PlatformDialect::default()),
         store: Arc::new(PlatformStore::open(cfg.store, store_timeout)),
     };
+    let mut reloads = signals::reload_requests()?;
     let agent = RankAgent::bind(cfg, parts, log).await?;
-    signals::stop_requested().await?;
+    let stop = signals::stop_requested();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stopped = &mut stop => {
+                stopped?;
+                break;
+            }
+            Some(()) = reloads.recv() => {
+                agent.reloaded(&settings::reread::<RankAgentSettings>(&path));
+            }
+        }
+    }
     agent.shutdown();
     Ok(())
 }
--- a/crates/oriole_ranks/tests/group_fuzz.rs
+++ b/crates/oriole_ranks/tests/group_fuzz.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
-use oriole_ranks::prelude::*;
 use oriole_ranks::message::Experts;
+use oriole_ranks::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
@@ -316,7 +316,11 @@
             open: true,
             pace: 1.0,
             picks,
-            placed: engine.map.iter().map(|s| Experts::from(s[rank].as_slice())).collect(),
+            placed: engine
+                .map
+                .iter()
+                .map(|s| Experts::from(s[rank].as_slice()))
+                .collect(),
         }
     }
 
@@ -328,8 +332,7 @@
         for (_, rank, intent) in due {
             self.agents[rank].intent = Some((intent, now));
         }
-        let (due, rest): (Vec<_>, Vec<_>) =
-            self.statuses.drain(..).partition(|(at, _)| *at <= now);
+        let (due, rest): (Vec<_>, Vec<_>) = self.statuses.drain(..).partition(|(at, _)| *at <= now);
         self.statuses = rest;
         for (_, status) in due {
             self.leader.heard(now, status);
@@ -412,7 +415,11 @@
         }
         self.pass_at = self.now;
         let next = self.pass + 1;
-        if self.engines.iter().any(|e| e.held.is_some_and(|h| h <= next)) {
+        if self
+            .engines
+            .iter()
+            .any(|e| e.held.is_some_and(|h| h <= next))
+        {
             self.stalled_for += Duration::from_millis(40);
             self.longest_stall = self.longest_stall.max(self.stalled_for);
             return Ok(());
@@ -426,7 +433,9 @@
             {
                 engine.armed = None;
                 let prepared = engine.prepared.take();
-                let (_, map) = prepared.filter(|p| p.0 == version).ok_or("armed, not prepared")?;
+                let (_, map) = prepared
+                    .filter(|p| p.0 == version)
+                    .ok_or("armed, not prepared")?;
                 engine.version = version;
                 engine.map = map;
             }
@@ -460,7 +469,11 @@
     group.run(Duration::from_secs(20), NONE).unwrap();
     assert!(group.changes >= 3, "{} changes", group.changes);
     assert!(group.engines[0].version > 0);
-    assert!(group.longest_stall <= LONGEST_PAUSE, "{:?}", group.longest_stall);
+    assert!(
+        group.longest_stall <= LONGEST_PAUSE,
+        "{:?}",
+        group.longest_stall
+    );
 }
 
 #[rstest]
