--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -8,6 +8,9 @@
 /// equally loaded ranks counts as a gain.
 const NORM: i32 = 10;
 
+/// How much each copy that a rank makes already lowers the score of another one.
+const BUSY_WEIGHT: f64 = 0.2;
+
 /// Experts of a layer set, by rank.
 pub type RankSets = Vec<Vec<u16>>;
 
@@ -141,7 +144,7 @@
     steps
         .iter()
         .enumerate()
-        .filter_map(|(i, s)| s.as_ref().map(|s| (i, s.gain)))
+        .filter_map(|(i, s)| s.as_ref().map(|s| (i, s.score)))
         .max_by(|a, b| a.1.total_cmp(&b.1))
         .map(|(i, _)| i)
 }
@@ -161,6 +164,8 @@
     is_copy: bool,
     /// Share of the layer set's time that it saves.
     gain: f64,
+    /// The gain, less for a rank that copies much already.
+    score: f64,
 }
 
 struct Layer {
@@ -252,9 +257,13 @@
                             given_up_by,
                             is_copy,
                             gain: 0.0,
+                            score: 0.0,
                         };
                         step.gain = self.gain(&step, sum);
-                        let is_better = best.as_ref().is_none_or(|b| step.gain > b.gain);
+                        // The change waits for the rank that copies most.
+                        let busy = if is_copy { copied[rank] as f64 } else { 0.0 };
+                        step.score = step.gain / (1.0 + BUSY_WEIGHT * busy);
+                        let is_better = best.as_ref().is_none_or(|b| step.score > b.score);
                         if step.gain >= cfg.min_gain && is_better {
                             best = Some(step);
                         }
--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -32,7 +32,7 @@
 const COUNTS_EVERY: Duration = Duration::from_millis(150);
 
 /// Time between reads of the counts for each rank of the group: the leader's link carries them all.
-const COUNTS_EVERY_RANK: Duration = Duration::from_millis(8);
+const COUNTS_EVERY_RANK: Duration = Duration::from_millis(6);
 
 /// Time for which an intent holds; the leader repeats it while it does.
 const INTENT_FOR: Duration = Duration::from_millis(400);
--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -4,7 +4,7 @@
 
 /// Time after which a choice counts 1/e: the requests that run now make the demand of the next
 /// second, and a group makes many choices in each pass.
-const MEMORY: Duration = Duration::from_millis(350);
+const MEMORY: Duration = Duration::from_millis(280);
 
 /// Shares of the experts of each layer set, forgetting old choices.
 #[derive(Debug, Default)]
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -186,10 +186,10 @@
     /// Takes the report of the leader's own engine.
     pub fn reported(&mut self, now: Duration, report: EngineReport) {
         if report.epoch != self.own.epoch || report.group != self.own.group {
-            // A re-formed group holds, prepares and arms nothing.
+            // A re-formed group holds, prepares and arms nothing. What callers ask for has not
+            // changed by it, so that the first map is planned from the demand of before.
             self.phase = Phase::Idle;
             self.seats.clear();
-            self.demand = Demand::default();
             self.rested_since = now;
             self.pass_at = None;
         }
