--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -63,7 +63,7 @@
 impl Default for LeaderConfig {
     fn default() -> Self {
         Self {
-            horizon: Duration::from_secs(2),
+            horizon: Duration::from_millis(1200),
             min_gain: 0.04,
             copies_per_rank: 12,
         }
