--- a/crates/oriole_ctl/src/args.rs
+++ b/crates/oriole_ctl/src/args.rs
@@ -51,6 +51,8 @@
     Explain(ExplainArgs),
     /// Makes a fresh account key.
     AccountKey(AccountKeyArgs),
+    /// Prints the decisions about one request from daemons' logs.
+    Trace(TraceArgs),
 }
 
 /// Make the catalog what a document says; all of it or nothing.
@@ -276,3 +278,18 @@
         Ok((args, json))
     }
 }
+
+/// Print the decisions about one request, in the order of their times, from daemons' log lines.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "trace")]
+pub struct TraceArgs {
+    /// attempt id of the request
+    #[argh(positional)]
+    pub request: String,
+    /// files of log lines (default standard input)
+    #[argh(option, long = "log")]
+    pub logs: Vec<PathBuf>,
+    /// also print what daemons came to believe in the seconds before
+    #[argh(option, default = "0")]
+    pub before_s: u64,
+}
--- a/crates/oriole_ctl/src/commands/mod.rs
+++ b/crates/oriole_ctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod service;
 pub mod status;
+pub mod trace;
 
 use oriole_catalog::stored::Accepted;
 use oriole_types::ids::Revision;
--- a/crates/oriole_ctl/src/ctl.rs
+++ b/crates/oriole_ctl/src/ctl.rs
@@ -70,6 +70,7 @@
             Command::Status(args) => commands::status::status(self, args).await,
             Command::Explain(args) => commands::explain::explain(self, args).await,
             Command::AccountKey(_) => commands::account_key::account_key(),
+            Command::Trace(args) => commands::trace::trace(args),
         }
     }
 
@@ -136,9 +137,11 @@
 }
 
 async fn run_args(args: &Args) -> Result<Reply, CtlError> {
-    // A fresh key needs neither store nor fleet.
-    if let Some(Command::AccountKey(_)) = args.command {
-        return commands::account_key::account_key();
+    // These need neither store nor fleet.
+    match &args.command {
+        Some(Command::AccountKey(_)) => return commands::account_key::account_key(),
+        Some(Command::Trace(args)) => return commands::trace::trace(args),
+        _ => {}
     }
     let settings = Settings::read(&args.settings)?;
     if args.check {
--- a/crates/oriole_gateway/src/daemon.rs
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use eyre::WrapErr as _;
 use oriole_fleet::prelude::*;
-use oriole_kernel::sockets;
+use oriole_kernel::{metrics_port, sockets};
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
@@ -54,9 +54,10 @@
         let gateway = Arc::new(Gateway::new(cfg, dialect, log));
         let stop = CancellationToken::new();
         ingress::spawn(&gateway, callers, &stop);
-        for listener in [ready, endpoints, metrics] {
+        for listener in [ready, endpoints] {
             service_port::spawn(&gateway, listener, &stop);
         }
+        metrics_port::spawn(metrics, stop.clone());
         mesh::spawn(&gateway, peers, &stop);
         watcher::spawn(&gateway, &store, &stop);
         registration::spawn(&gateway, &store, &stop);
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -111,7 +111,7 @@
     loop {
         number += 1;
         send(&gateway, &udp, number).await;
-        if number % HOUSE_KEEPING_BEATS == 0 {
+        if number.is_multiple_of(HOUSE_KEEPING_BEATS) {
             house_keeping(&gateway);
         }
         if let Some(peer) = peer_ahead(&gateway) {
@@ -159,7 +159,7 @@
     let (targets, others) = {
         let mut rng = rand::rng();
         let members = gateway.members();
-        let others = if number % RELAY_BEATS == 0 {
+        let others = if number.is_multiple_of(RELAY_BEATS) {
             members.relayed(now, &mut rng)
         } else {
             Vec::new()
--- a/crates/oriole_gateway/src/service_port.rs
+++ b/crates/oriole_gateway/src/service_port.rs
@@ -1,4 +1,4 @@
-//! Questions about the process: whether it is ready, where callers should connect, its metrics.
+//! Questions about the process: whether it is ready, and where callers should connect.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -12,7 +12,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use oriole_kernel::telemetry;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -23,9 +22,6 @@
 /// Time for which a connection may stay idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Path of the metrics.
-const METRICS_PATH: &str = "/metrics";
-
 /// Answers until told to stop.
 pub fn spawn(gateway: &Arc<Gateway>, listener: TcpListener, stop: &CancellationToken) {
     let (gateway, stop) = (gateway.clone(), stop.clone());
@@ -69,9 +65,6 @@
     if let Some(query) = gateway.dialect.endpoint_query(req.uri()) {
         return endpoint_answer(gateway, &query.domain);
     }
-    if req.uri().path() == METRICS_PATH {
-        return Response::new(Full::new(telemetry::render().into()));
-    }
     status(StatusCode::NOT_FOUND)
 }
 
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -7,7 +7,7 @@
 //!   order of their dependencies and yields a [`app::RunningApp`] that stops them in reverse.
 //! - [`clock`]: time since the process started.
 //! - [`logging`]: JSON lines through `slog`.
-//! - [`telemetry`]: the process-wide metrics recorder.
+//! - [`telemetry`]: the process-wide metrics recorder; [`metrics_port`] serves it.
 //! - [`settings`]: reading and checking a daemon's TOML settings.
 //! - [`signals`]: signals that ask a process to end or to read its settings again.
 //! - [`sockets`]: TCP connections that notice a silent peer.
@@ -35,6 +35,7 @@
 pub mod clock;
 pub mod error;
 pub mod logging;
+pub mod metrics_port;
 pub mod registry;
 pub mod settings;
 pub mod signals;
--- a/crates/oriole_placement/tests/even_split.rs
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -131,12 +131,13 @@
                 prop_assert_eq!(sorted.len(), after.len());
             }
         }
-        for rank in 0..ranks {
-            let copied: usize = (0..sets)
-                .map(|s| new_experts(&map[s][rank], &plan.map[s][rank]))
-                .sum();
-            prop_assert!(copied <= copies);
+        let mut copied = vec![0; ranks];
+        for (before, after) in map.iter().zip(&plan.map) {
+            for (rank, copied) in copied.iter_mut().enumerate() {
+                *copied += new_experts(&before[rank], &after[rank]);
+            }
         }
+        prop_assert!(copied.iter().all(|c| *c <= copies), "{:?}", copied);
         prop_assert!(plan.after <= plan.before + 1e-6, "{} to {}", plan.before, plan.after);
     }
 }
--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -9,6 +9,7 @@
 use metrics::{counter, gauge};
 use oriole_fleet::prelude::*;
 use oriole_kernel::clock::Clock;
+use oriole_kernel::{metrics_port, sockets};
 use oriole_store::backoff::Backoff;
 use oriole_store::error::StoreError;
 use prost::Message as _;
@@ -102,6 +103,7 @@
         let udp = UdpSocket::bind(cfg.listen)
             .await
             .wrap_err("listen for agents")?;
+        let metrics = sockets::listen(cfg.metrics).wrap_err("listen for metrics")?;
         let agent = Arc::new(Agent {
             clock: Clock::start(),
             log: log.clone(),
@@ -113,6 +115,7 @@
             parts,
         });
         let stop = CancellationToken::new();
+        metrics_port::spawn(metrics, stop.clone());
         info!(log, "started"; "engine" => agent.cfg.engine.to_string());
         for task in [
             tokio::spawn(follow_engine(agent.clone())),
@@ -398,8 +401,7 @@
                 }
             }
         }
-        let is_busy = *lock(&self.leader).phase() != Phase::Idle;
-        is_busy
+        *lock(&self.leader).phase() != Phase::Idle
     }
 
     async fn tell_intent(&self, intent: Intent, ranks: &[usize]) {
