--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -455,6 +455,8 @@
                     if let Some(end) = self.order(epoch, &order).await {
                         lock(&self.leader).ordered(&order, end);
                     }
+                    // A held pass must not wait for the next report.
+                    self.wake.notify_one();
                 }
                 LeaderAction::Tell { intent, ranks } => self.tell_intent(intent, &ranks).await,
                 LeaderAction::Planned {
