--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -152,7 +152,8 @@
 ) -> Result<Answer, Ended> {
     let mut fallback = None;
     loop {
-        let pick = match pick(gateway, asked, progress) {
+        let patience = asked.route.objective.mul_f64(QUEUE_SHARE);
+        let pick = match pick(gateway, asked, progress, patience) {
             Ok(pick) => pick,
             // A failure that an upstream gave is a better answer than one of our own.
             Err(ended) => return fallback.ok_or(ended),
@@ -223,12 +224,18 @@
     .min(asked.route.timeout)
 }
 
-fn pick(gateway: &Gateway, asked: &Asked, progress: &Progress) -> Result<Pick, Ended> {
+/// Picks the upstream of the next attempt, if one is free within `patience`.
+fn pick(
+    gateway: &Gateway,
+    asked: &Asked,
+    progress: &Progress,
+    patience: Duration,
+) -> Result<Pick, Ended> {
     let now = gateway.clock.now();
     let share = gateway.share();
     let ask = PickAsk {
         service: asked.cfg.services.get(&asked.service),
-        patience: asked.route.objective.mul_f64(QUEUE_SHARE),
+        patience,
         tried: &progress.tried,
     };
     let belief = gateway.belief();
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -26,6 +26,10 @@
 /// Time for which a broken stream waits for the head of another upstream's answer.
 const RESUME_HEAD_TIMEOUT: Duration = Duration::from_millis(1300);
 
+/// Time that a broken stream may wait for a place: what the caller already has would be lost, and it
+/// stays for about a second after the silence was noticed.
+const RESUME_PATIENCE: Duration = Duration::from_millis(600);
+
 /// The answer whose body relays a stream.
 pub(super) fn answer(
     gateway: Arc<Gateway>,
@@ -209,7 +213,8 @@
         if !try_retry(&self.gateway, &self.asked, "resume") {
             return Err("budget spent");
         }
-        let pick = pick(&self.gateway, &self.asked, progress).map_err(|_| "no upstream")?;
+        let pick = pick(&self.gateway, &self.asked, progress, RESUME_PATIENCE)
+            .map_err(|_| "no upstream")?;
         progress.offers += 1;
         let end = upstream_try::run(
             &self.gateway,
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -11,13 +11,17 @@
 
 /// The dialect.
 pub struct FakeDialect {
-    names: HeaderNames,
+    /// Header names.
+    pub names: HeaderNames,
+    /// Configuration that `cfg/0` stands for, if not an empty one.
+    pub configuration: Option<Configuration>,
 }
 
 impl Default for FakeDialect {
     fn default() -> Self {
         let name = HeaderName::from_static;
         Self {
+            configuration: None,
             names: HeaderNames {
                 attempt: name("attempt"),
                 deadline_ms: name("deadline"),
@@ -94,7 +98,7 @@
             let version = text.parse().unwrap_or(0);
             return Declared::Configuration(Box::new(Configuration {
                 version,
-                ..Configuration::default()
+                ..self.configuration.clone().unwrap_or_default()
             }));
         }
         if let Some(domain) = key.strip_prefix("cfg/out/") {
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -9,3 +9,4 @@
 mod overload;
 mod settings;
 mod shares;
+mod walks;
