--- a/crates/oriole_gateway/src/main.rs
+++ b/crates/oriole_gateway/src/main.rs
@@ -43,15 +43,12 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    let path = settings::path_or_variable(args.settings)?;
-    let cfg: GatewaySettings = settings::read(&path)?;
-    if args.check {
-        print!("{}", settings::render(&cfg)?);
+    let start = settings::read_at_start::<GatewaySettings>(args.settings, args.check)?;
+    let Some((path, cfg)) = start else {
         return Ok(());
-    }
+    };
     telemetry::open_bounded();
-    let level = logging::parse_level(&cfg.log_level).map_err(|e| eyre::eyre!(e))?;
-    let log = logging::open_stdout(&cfg.name, level);
+    let log = logging::open_stdout(&cfg.name, &cfg.log_level)?;
     let registry = Registry::default();
     register_platform(&cfg, &registry)?;
     let dialect = registry.get::<Arc<dyn Dialect>>(DIALECT)?;
--- a/crates/oriole_kernel/src/logging.rs
+++ b/crates/oriole_kernel/src/logging.rs
@@ -17,8 +17,13 @@
 }
 
 /// A logger that writes JSON lines to standard output.
-pub fn open_stdout(process: &str, level: Level) -> Logger {
-    open_to(process, level, std::io::stdout())
+///
+/// # Errors
+///
+/// Fails with the allowed names if the level is none of them.
+pub fn open_stdout(process: &str, level: &str) -> eyre::Result<Logger> {
+    let level = parse_level(level).map_err(|e| eyre::eyre!(e))?;
+    Ok(open_to(process, level, std::io::stdout()))
 }
 
 /// A logger that writes JSON lines to a writer.
--- a/crates/oriole_kernel/src/settings.rs
+++ b/crates/oriole_kernel/src/settings.rs
@@ -42,6 +42,25 @@
     parse(path, &text)
 }
 
+/// Reads a daemon's settings at its start. With `check` what would be in force is printed, and
+/// `None` returned.
+///
+/// # Errors
+///
+/// As [`path_or_variable`], [`read`] and [`render`].
+pub fn read_at_start<S: Settings + Serialize>(
+    path: Option<PathBuf>,
+    check: bool,
+) -> eyre::Result<Option<(PathBuf, S)>> {
+    let path = path_or_variable(path)?;
+    let settings: S = read(&path)?;
+    if check {
+        print!("{}", render(&settings)?);
+        return Ok(None);
+    }
+    Ok(Some((path, settings)))
+}
+
 /// Reads a settings file again on request and tells what came of it. Addresses and bounds hold from
 /// the start to the end of a process, so that a valid file changes nothing before the next start.
 #[must_use]
--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -58,12 +58,7 @@
 /// `demand` has the share of each expert by layer set, `pace` how much longer each rank takes.
 #[must_use]
 pub fn skew(map: &[RankSets], demand: &[Vec<f64>], pace: &[f64]) -> f64 {
-    let layers: Vec<Layer> = map
-        .iter()
-        .zip(demand)
-        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
-        .collect();
-    mean_skew(&layers)
+    mean_skew(&layers_of(map, demand, pace))
 }
 
 /// Plans the next map from the one in use.
@@ -78,11 +73,7 @@
     cfg: &EvenSplitConfig,
     worth: impl Fn(f64, f64, usize) -> f64,
 ) -> EvenSplitPlan {
-    let mut layers: Vec<Layer> = map
-        .iter()
-        .zip(demand)
-        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
-        .collect();
+    let mut layers = layers_of(map, demand, pace);
     let ranks = map.first().map_or(0, Vec::len);
     let mut copied = vec![0; ranks];
     let mut steps: Vec<Option<Step>> = layers.iter().map(|l| l.best_step(cfg, &copied)).collect();
@@ -116,11 +107,7 @@
     steps: &[(usize, Step)],
     before: f64,
 ) -> EvenSplitPlan {
-    let mut layers: Vec<Layer> = map
-        .iter()
-        .zip(demand)
-        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
-        .collect();
+    let mut layers = layers_of(map, demand, pace);
     let mut copied = vec![0; map.first().map_or(0, Vec::len)];
     for (i, step) in steps {
         layers[*i].apply(step);
@@ -135,6 +122,13 @@
     }
 }
 
+fn layers_of(map: &[RankSets], demand: &[Vec<f64>], pace: &[f64]) -> Vec<Layer> {
+    map.iter()
+        .zip(demand)
+        .map(|(ranks, shares)| Layer::new(ranks, shares, pace))
+        .collect()
+}
+
 fn mean_skew(layers: &[Layer]) -> f64 {
     let sum: f64 = layers.iter().map(|l| l.peak() / l.mean).sum();
     sum / layers.len().max(1) as f64
--- a/crates/oriole_ranks/src/agent.rs
+++ b/crates/oriole_ranks/src/agent.rs
@@ -464,11 +464,13 @@
                     before,
                     after,
                     copies,
+                    pass_time,
                 } => {
                     counter!("oriole_map_changes_total").increment(1);
                     gauge!("oriole_map_skew").set(before);
                     info!(self.log, "planned"; "version" => version, "skew" => before,
-                        "skew_after" => after, "copies" => copies);
+                        "skew_after" => after, "copies" => copies,
+                        "pass_ms" => pass_time.as_millis() as u64);
                 }
                 LeaderAction::Entered(phase) => {
                     info!(self.log, "phase"; "phase" => format!("{phase:?}"));
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -119,6 +119,8 @@
         after: f64,
         /// Experts that are copied.
         copies: usize,
+        /// Time of a pass, averaged.
+        pass_time: Duration,
     },
     /// Log that a phase ended.
     Entered(Phase),
@@ -295,6 +297,7 @@
             before: plan.before,
             after: plan.after,
             copies: plan.copies,
+            pass_time: self.pass_time,
         });
     }
 
--- a/crates/oriole_ranks/src/main.rs
+++ b/crates/oriole_ranks/src/main.rs
@@ -25,15 +25,12 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    let path = settings::path_or_variable(args.settings)?;
-    let cfg: RankAgentSettings = settings::read(&path)?;
-    if args.check {
-        print!("{}", settings::render(&cfg)?);
+    let start = settings::read_at_start::<RankAgentSettings>(args.settings, args.check)?;
+    let Some((path, cfg)) = start else {
         return Ok(());
-    }
+    };
     telemetry::open_bounded();
-    let level = logging::parse_level(&cfg.log_level).map_err(|e| eyre::eyre!(e))?;
-    let log = logging::open_stdout(&cfg.name, level);
+    let log = logging::open_stdout(&cfg.name, &cfg.log_level)?;
     let engine_timeout = Duration::from_millis(cfg.engine_timeout_ms);
     let store_timeout = Duration::from_millis(cfg.store_timeout_ms);
     let parts = AgentParts {
