--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/bad_input.rs
@@ -0,0 +1,68 @@
+//! Requests that are not proper get their 4xx, the connection closes, and no upstream sees them.
+
+use oriole_fleet::prelude::RouteKind;
+use rstest::rstest;
+
+use crate::scene::{open, upstream};
+
+#[rstest]
+#[case::no_attempt_id(
+    "POST /a/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nhi",
+    400
+)]
+#[case::two_lengths(
+    "POST /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: b\r\nContent-Length: 2\r\n\
+     Content-Length: 30\r\n\r\nhi",
+    400
+)]
+#[case::no_number(
+    "POST /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: b\r\nContent-Length: x\r\n\r\nhi",
+    400
+)]
+#[case::large_body(
+    "POST /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: b\r\nContent-Length: 99999999\r\n\r\n",
+    413
+)]
+#[case::no_request("bytes of something else\r\n\r\n", 400)]
+#[tokio::test]
+async fn bad_request_is_refused_and_closed(#[case] req: &str, #[case] status: u16) {
+    let (address, requests) = upstream("").await;
+    let scene = open(RouteKind::AtMostOnce, address).await;
+    // The daemon is ready once a proper request passes.
+    scene.ask("first").await;
+    let before = *requests.lock().unwrap();
+    let answer = scene.send(req).await;
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status}")),
+        "{answer}"
+    );
+    assert_eq!(*requests.lock().unwrap(), before);
+}
+
+#[tokio::test]
+async fn bad_request_oversized_head_is_refused() {
+    let (address, requests) = upstream("").await;
+    let scene = open(RouteKind::AtMostOnce, address).await;
+    scene.ask("first").await;
+    let before = *requests.lock().unwrap();
+    let long = "x".repeat(40_000);
+    let req = format!("GET /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: b\r\nlong: {long}\r\n\r\n");
+    let answer = scene.send(&req).await;
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 431"),
+        "{answer}"
+    );
+    assert_eq!(*requests.lock().unwrap(), before);
+}
+
+#[tokio::test]
+async fn bad_request_unknown_route_is_not_found() {
+    let (address, requests) = upstream("").await;
+    let scene = open(RouteKind::AtMostOnce, address).await;
+    scene.ask("first").await;
+    let before = *requests.lock().unwrap();
+    let req = "GET /else/ HTTP/1.1\r\nHost: a.example\r\nattempt: b\r\nConnection: close\r\n\r\n";
+    let answer = scene.send(req).await;
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    assert_eq!(*requests.lock().unwrap(), before);
+}
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -1,12 +1,14 @@
 //! Decisions of the entry daemon, without network and under a clock of their own.
 
 mod attempt;
+mod bad_input;
 mod belief;
 mod endpoints;
 mod events;
 mod fake;
 mod members;
 mod overload;
+mod scene;
 mod settings;
 mod shares;
 mod walks;
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/scene.rs
@@ -0,0 +1,242 @@
+//! The real daemon before an upstream and a store that both play a part.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use oriole_fleet::prelude::*;
+use oriole_gateway::prelude::*;
+use oriole_gateway::settings::{BoundSettings, ListenSettings, PeerSettings, StoreSettings};
+use oriole_kernel::logging;
+use oriole_store::error::StoreError;
+use oriole_store::store::LeaseId;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fake::{FakeDialect, item};
+
+/// Time in which a line of the log is written.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A store that holds some items for ever.
+struct FakeStore(Vec<Item>);
+
+#[async_trait]
+impl FleetStore for FakeStore {
+    async fn list(
+        &self,
+        prefix: &str,
+        _after: Option<&str>,
+        _freshness: Freshness,
+    ) -> Result<Page, StoreError> {
+        let items = self.0.iter().filter(|i| i.key.starts_with(prefix));
+        Ok(Page {
+            items: items.cloned().collect(),
+            truncated: false,
+            at: 9,
+        })
+    }
+
+    async fn watch(&self, _: &str, after: u64, wait: Duration) -> Result<WatchEnd, StoreError> {
+        tokio::time::sleep(wait).await;
+        Ok(WatchEnd::Changes {
+            changes: Vec::new(),
+            at: after,
+        })
+    }
+
+    async fn grant_lease(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        Ok(LeaseId(1))
+    }
+
+    async fn renew_lease(&self, _: LeaseId) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn put(&self, _: PutItem<'_>) -> Result<(), StoreError> {
+        Ok(())
+    }
+}
+
+/// Log lines as they are written.
+#[derive(Clone, Default)]
+pub struct LogBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl Write for LogBuffer {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogBuffer {
+    /// Kind and whole text of the lines about a request, once one of some kind is there.
+    pub async fn lines(&self, request: &str, last: &str) -> Vec<(String, String)> {
+        let began = tokio::time::Instant::now();
+        loop {
+            let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+            let lines: Vec<(String, String)> = text
+                .lines()
+                .filter_map(|l| {
+                    let record: serde_json::Value = serde_json::from_str(l).ok()?;
+                    let is_about = record["request"] == request;
+                    is_about.then(|| (record["msg"].as_str().unwrap().to_owned(), l.to_owned()))
+                })
+                .collect();
+            if lines.iter().any(|(kind, _)| kind == last) {
+                return lines;
+            }
+            assert!(began.elapsed() < PATIENCE, "no {last} line:\n{text}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// An upstream that answers each request with the same bytes and closes.
+pub async fn upstream(answer: &'static str) -> (SocketAddr, Arc<Mutex<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(Mutex::new(0));
+    let count = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = vec![0; 4096];
+            if stream.read(&mut buf).await.unwrap_or(0) > 0 {
+                *count.lock().unwrap() += 1;
+                let _ = stream.write_all(answer.as_bytes()).await;
+                let _ = stream.shutdown().await;
+            }
+        }
+    });
+    (address, requests)
+}
+
+fn route(kind: RouteKind) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/a/".to_owned(),
+        kind,
+        resumable: false,
+        services: vec![ServiceShare {
+            service: "llm".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(1),
+        priority: 1,
+        public: true,
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings() -> GatewaySettings {
+    GatewaySettings {
+        name: "edge-1".to_owned(),
+        domain: "north".to_owned(),
+        platform: "fake".to_owned(),
+        log_level: "info".to_owned(),
+        max_descriptors: 512,
+        listen: ListenSettings {
+            callers: free_address(),
+            ready: free_address(),
+            endpoints: free_address(),
+            metrics: free_address(),
+        },
+        peers: PeerSettings {
+            listen: free_address(),
+            seeds: Vec::new(),
+        },
+        store: StoreSettings {
+            address: free_address(),
+            timeout_ms: 500,
+            watch_ms: 1000,
+        },
+        bounds: BoundSettings {
+            retry_ratio: 0.2,
+            retry_window_s: 10.0,
+            retry_allowance: 196.0,
+            cold_overage: 1.5,
+            cold_allowance: 5.0,
+            drain_ms: 2000.0,
+            grace_s: 8.0,
+        },
+    }
+}
+
+/// The daemon and its log.
+pub struct Scene {
+    callers: SocketAddr,
+    /// What it wrote.
+    pub log: LogBuffer,
+    _daemon: GatewayDaemon,
+}
+
+/// The daemon before one upstream.
+pub async fn open(kind: RouteKind, upstream: SocketAddr) -> Scene {
+    let cfg = settings();
+    let callers = cfg.listen.callers;
+    let dialect = FakeDialect {
+        configuration: Some(Configuration {
+            routes: RouteTable::new(vec![route(kind)]),
+            ..Configuration::default()
+        }),
+        ..FakeDialect::default()
+    };
+    let store = FakeStore(vec![
+        item("cfg/0", "3", 1),
+        item("up/i-1", &format!("llm {upstream} north ready"), 2),
+    ]);
+    let log = LogBuffer::default();
+    let logger = logging::open_to("edge-1", logging::parse_level("info").unwrap(), log.clone());
+    let daemon = GatewayDaemon::bind(cfg, Arc::new(dialect), Arc::new(store), logger)
+        .await
+        .unwrap();
+    Scene {
+        callers,
+        log,
+        _daemon: daemon,
+    }
+}
+
+impl Scene {
+    /// Asks until the daemon knows its configuration; returns all that came back.
+    pub async fn ask(&self, id: &str) -> String {
+        let req = format!(
+            "POST /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: {id}\r\n\
+             Content-Length: 2\r\nConnection: close\r\n\r\nhi"
+        );
+        self.send(&req).await
+    }
+
+    /// Sends bytes until the daemon knows its configuration; returns all that came back until it
+    /// closed the connection.
+    pub async fn send(&self, req: &str) -> String {
+        let began = tokio::time::Instant::now();
+        loop {
+            let mut stream = TcpStream::connect(self.callers).await.unwrap();
+            // The daemon may close before all is written.
+            let _ = stream.write_all(req.as_bytes()).await;
+            let mut answer = Vec::new();
+            // A stream that broke off ends with an error or without its last chunk.
+            let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+            let answer = String::from_utf8_lossy(&answer).into_owned();
+            if !answer.contains("not_ready") {
+                return answer;
+            }
+            assert!(began.elapsed() < PATIENCE, "never ready");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
