--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use oriole_kernel::sockets::SilenceLimits;
+use oriole_kernel::sockets::{self, SilenceLimits};
 use tokio::task::JoinHandle;
 
 /// Why a request got no answer's head.
@@ -21,7 +21,7 @@
     NoAnswer(String),
 }
 
-/// A connection that carries one request at a time. Dropping it closes it.
+/// A connection that carries one request at a time. Dropping it resets it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
@@ -42,6 +42,8 @@
             .connect(address)
             .await
             .map_err(|e| SendError::NotSent(format!("connect: {e}")))?;
+        sockets::reset_on_close(&stream)
+            .map_err(|e| SendError::NotSent(format!("reset on close: {e}")))?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/abandoned.rs
@@ -0,0 +1,35 @@
+//! A day kept from a hunt (deploy/days/leader-freezes.toml): requests lay in the sockets of a VM that
+//! stood still, and reached its upstream a second after their callers had left.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriole_gateway::upstream::Connection;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpListener;
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// The upstream accepts, sleeps, and reads only after the request was given up.
+#[tokio::test]
+async fn drop_connection_abandoned_request_is_reset() {
+    let (listener, address) = listen().await;
+    let mut connection = Connection::open(address).await.unwrap();
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let req = http::Request::post("/a/x")
+        .body(http_body_util::Full::default())
+        .unwrap();
+    let sent = tokio::time::timeout(Duration::from_millis(100), connection.send(req)).await;
+    assert!(sent.is_err(), "nobody answers");
+    drop(connection);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    // What had arrived may be read; then the upstream learns that the request was given up, which
+    // a proper close would not tell. What is still on its way is dropped.
+    let mut rest = Vec::new();
+    let error = stream.read_to_end(&mut rest).await.expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the entry daemon, without network and under a clock of their own.
 
+mod abandoned;
 mod attempt;
 mod bad_input;
 mod belief;
--- a/crates/oriole_kernel/src/sockets.rs
+++ b/crates/oriole_kernel/src/sockets.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// Makes a connection reset when it is closed: what the peer has not read yet is dropped on the way,
+/// so that an abandoned request is not run by a peer that wakes later.
+///
+/// # Errors
+///
+/// Passes on the kernel's refusal.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Listens at an address that an earlier run of the process may have used.
 ///
 /// # Errors
