--- a/crates/oriole_gateway/tests/gateway/belief.rs
+++ b/crates/oriole_gateway/tests/gateway/belief.rs
@@ -14,6 +14,16 @@
     names
 }
 
+/// A belief that knows ready upstreams, each under its number.
+fn belief_of(numbers: std::ops::Range<u64>) -> Belief {
+    let mut belief = belief();
+    for i in numbers {
+        let upstream = format!("llm 10.0.0.{i}:80 n ready");
+        belief.apply(s(0.0), put(&format!("up/{i}"), &upstream, i + 1));
+    }
+    belief
+}
+
 const A: &str = "llm 10.0.0.1:80 north ready";
 
 #[test]
@@ -26,17 +36,7 @@
 
 #[test]
 fn apply_removed_upstream_is_out_at_once() {
-    let mut belief = belief();
-    for i in 0..8 {
-        belief.apply(
-            s(0.0),
-            put(
-                &format!("up/{i}"),
-                &format!("llm 10.0.0.{i}:80 n ready"),
-                i + 1,
-            ),
-        );
-    }
+    let mut belief = belief_of(0..8);
     belief.apply(s(10.0), removed("up/3", 20));
     assert!(!usable(&belief, 10.0).contains(&"3".to_owned()));
 }
@@ -64,17 +64,7 @@
 /// request 2,005 ms later where 2,000 are allowed.
 #[test]
 fn apply_departure_after_outage_is_out_in_time() {
-    let mut belief = belief();
-    for i in 0..8 {
-        belief.apply(
-            s(0.0),
-            put(
-                &format!("up/{i}"),
-                &format!("llm 10.0.0.{i}:80 n ready"),
-                i + 1,
-            ),
-        );
-    }
+    let mut belief = belief_of(0..8);
     belief.store_disturbed(s(12.1));
     belief.apply(s(15.0), removed("up/3", 20));
     assert!(!usable(&belief, 15.0).contains(&"3".to_owned()));
@@ -87,13 +77,7 @@
 /// The store may be away without a word; then many entries vanish at the same moment.
 #[test]
 fn apply_mass_lapse_is_no_departure() {
-    let mut belief = belief();
-    for i in 1..=10 {
-        belief.apply(
-            s(0.0),
-            put(&format!("up/{i}"), &format!("llm 10.0.0.{i}:80 n ready"), i),
-        );
-    }
+    let mut belief = belief_of(1..11);
     for i in 1..=10 {
         belief.apply(s(9.0), removed(&format!("up/{i}"), 20 + i));
     }
