End a resumed stream at its route's timeout; keep an upstream's failure over a refusal after it

Causes, found on reading: a resume gave its upstream 1.3 s for the head even if the route's timeout came before, so that the caller's end came up to 1.3 s late; and refusals after an upstream's own 500 turned it into a 502. Before: tests ends::* failed (1.30 s where 1.1 s are the bound; 502 where 500 was answered). After: both hold.

--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -193,7 +193,9 @@
                 if !stale {
                     progress.tried.push(pick.instance);
                 }
-                may_offer_again(gateway, asked, progress, reached)?;
+                if let Err(ended) = may_offer_again(gateway, asked, progress, reached) {
+                    return fallback.ok_or(ended);
+                }
                 continue;
             }
             TryEnd::Unknown { .. } => progress.tried.push(pick.instance),
@@ -269,23 +271,18 @@
     progress: &Progress,
     reached: bool,
 ) -> Result<(), Ended> {
-    if progress.offers >= MAX_OFFERS {
-        let refusal = if progress.runs > 0 {
-            Refusal::UpstreamFailed
-        } else {
-            Refusal::Rejected
-        };
-        return Err(refusal.into());
-    }
-    if reached && !try_retry(gateway, asked, "not_run") {
-        let refusal = if progress.runs > 0 {
-            Refusal::UpstreamFailed
-        } else {
-            Refusal::BudgetSpent
-        };
-        return Err(refusal.into());
+    let refusal = if progress.offers >= MAX_OFFERS {
+        Refusal::Rejected
+    } else if reached && !try_retry(gateway, asked, "not_run") {
+        Refusal::BudgetSpent
+    } else {
+        return Ok(());
+    };
+    // An earlier attempt may have run: then no refusal that promises otherwise.
+    if progress.runs > 0 {
+        return Err(Refusal::UpstreamFailed.into());
     }
-    Ok(())
+    Err(refusal.into())
 }
 
 /// Whether a request that may have run may run once more.
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -75,6 +75,16 @@
     Expired,
 }
 
+/// How an attempt to go on elsewhere ended.
+enum ResumeEnd {
+    /// The stream goes on.
+    Resumed,
+    /// That upstream does not go on with it; another may.
+    NextUpstream,
+    /// None will be asked any more.
+    GivenUp(&'static str),
+}
+
 struct Relay {
     gateway: Arc<Gateway>,
     asked: Asked,
@@ -113,7 +123,7 @@
     }
 
     async fn step(&mut self) -> Step {
-        let left = self.asked.limit.saturating_sub(self.gateway.clock.now());
+        let left = self.left();
         if left.is_zero() {
             return Step::Expired;
         }
@@ -185,15 +195,17 @@
             self.progress.tried.push(live.instance.clone());
         }
         self.splitter.drop_part();
-        let mut outcome = "not resumable";
-        while self.asked.route.may_rerun() {
-            outcome = match self.attempt().await {
-                Ok(()) => "resumed",
-                Err("again") => continue,
-                Err(why) => why,
-            };
-            break;
-        }
+        let outcome = if self.asked.route.may_rerun() {
+            loop {
+                match self.attempt().await {
+                    ResumeEnd::Resumed => break "resumed",
+                    ResumeEnd::NextUpstream => {}
+                    ResumeEnd::GivenUp(why) => break why,
+                }
+            }
+        } else {
+            "not resumable"
+        };
         counter!("oriole_resumes_total", "outcome" => outcome, "reason" => reason).increment(1);
         self.gateway.log.event(&Event::Resume {
             request: &self.asked.id,
@@ -204,17 +216,22 @@
         self.live.is_some()
     }
 
-    /// One attempt to go on; `Err("again")` if another one may follow.
-    async fn attempt(&mut self) -> Result<(), &'static str> {
+    /// One attempt to go on.
+    async fn attempt(&mut self) -> ResumeEnd {
+        let left = self.left();
+        if left.is_zero() {
+            return ResumeEnd::GivenUp("time is up");
+        }
         let progress = &mut self.progress;
         if progress.runs >= self.asked.route.max_attempts || progress.offers >= MAX_OFFERS {
-            return Err("attempts spent");
+            return ResumeEnd::GivenUp("attempts spent");
         }
         if !try_retry(&self.gateway, &self.asked, "resume") {
-            return Err("budget spent");
+            return ResumeEnd::GivenUp("budget spent");
         }
-        let pick = pick(&self.gateway, &self.asked, progress, RESUME_PATIENCE)
-            .map_err(|_| "no upstream")?;
+        let Ok(pick) = pick(&self.gateway, &self.asked, progress, RESUME_PATIENCE) else {
+            return ResumeEnd::GivenUp("no upstream");
+        };
         progress.offers += 1;
         let end = upstream_try::run(
             &self.gateway,
@@ -222,25 +239,25 @@
             &pick,
             progress.offers,
             self.splitter.last_id(),
-            RESUME_HEAD_TIMEOUT,
+            RESUME_HEAD_TIMEOUT.min(left),
         )
         .await;
         match end {
             TryEnd::Success(live) => {
                 progress.runs += 1;
                 self.live = Some(*live);
-                Ok(())
-            }
-            TryEnd::NotRun { .. } => {
-                progress.tried.push(pick.instance);
-                Err("again")
-            }
-            TryEnd::Failure(_) | TryEnd::Unknown { .. } => {
-                progress.runs += 1;
-                progress.tried.push(pick.instance);
-                Err("again")
+                return ResumeEnd::Resumed;
             }
+            TryEnd::NotRun { .. } => {}
+            TryEnd::Failure(_) | TryEnd::Unknown { .. } => progress.runs += 1,
         }
+        progress.tried.push(pick.instance);
+        ResumeEnd::NextUpstream
+    }
+
+    /// Time until the caller must have its end.
+    fn left(&self) -> Duration {
+        self.asked.limit.saturating_sub(self.gateway.clock.now())
     }
 }
 
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod belief;
 mod endpoints;
+mod ends;
 mod events;
 mod fake;
 mod members;
--- a/crates/oriole_gateway/tests/gateway/scene.rs
+++ b/crates/oriole_gateway/tests/gateway/scene.rs
@@ -98,6 +98,19 @@
     }
 }
 
+/// An upstream that takes requests and never answers.
+pub async fn silent_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.push(stream);
+        }
+    });
+    address
+}
+
 /// An upstream that answers each request with the same bytes and closes.
 pub async fn upstream(answer: &'static str) -> (SocketAddr, Arc<Mutex<usize>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -117,7 +130,8 @@
     (address, requests)
 }
 
-fn route(kind: RouteKind) -> Route {
+/// A public route whose streams are not resumed.
+pub fn route(kind: RouteKind) -> Route {
     Route {
         name: "r".to_owned(),
         host: "a.example".to_owned(),
@@ -185,19 +199,26 @@
 
 /// The daemon before one upstream.
 pub async fn open(kind: RouteKind, upstream: SocketAddr) -> Scene {
+    open_with(route(kind), &[upstream]).await
+}
+
+/// The daemon before some upstreams.
+pub async fn open_with(route: Route, upstreams: &[SocketAddr]) -> Scene {
     let cfg = settings();
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
         configuration: Some(Configuration {
-            routes: RouteTable::new(vec![route(kind)]),
+            routes: RouteTable::new(vec![route]),
             ..Configuration::default()
         }),
         ..FakeDialect::default()
     };
-    let store = FakeStore(vec![
-        item("cfg/0", "3", 1),
-        item("up/i-1", &format!("llm {upstream} north ready"), 2),
-    ]);
+    let mut items = vec![item("cfg/0", "3", 1)];
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let value = format!("llm {upstream} north ready");
+        items.push(item(&format!("up/i-{}", i + 1), &value, i as u64 + 2));
+    }
+    let store = FakeStore(items);
     let log = LogBuffer::default();
     let logger = logging::open_to("edge-1", logging::parse_level("info").unwrap(), log.clone());
     let daemon = GatewayDaemon::bind(cfg, Arc::new(dialect), Arc::new(store), logger)
