--- a/crates/oriole_agent/src/main.rs
+++ b/crates/oriole_agent/src/main.rs
@@ -21,11 +21,10 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    let settings: AgentSettings = settings::read(&args.settings)?;
-    if args.check {
-        print!("{}", settings::render(&settings)?);
+    let start = settings::read_at_start::<AgentSettings>(Some(args.settings), args.check)?;
+    let Some((_, settings)) = start else {
         return Ok(());
-    }
+    };
     telemetry::open();
     let level = logging::parse_level(&settings.log_level).map_err(|e| eyre::eyre!(e))?;
     let log = logging::open(settings.name.as_str(), level);
--- a/crates/oriole_fleet/src/engine.rs
+++ b/crates/oriole_fleet/src/engine.rs
@@ -4,8 +4,8 @@
 use oriole_types::domain_type;
 
 domain_type! {
-    /// Shape of the groups of a service.
-    pub struct GroupShape {
+    /// Limits on the expert maps of a service's groups.
+    pub struct ExpertLimits {
         /// Layer sets that are placed separately.
         pub layer_sets: usize,
         /// Experts of a layer set.
--- a/crates/oriole_fleet/src/lib.rs
+++ b/crates/oriole_fleet/src/lib.rs
@@ -30,7 +30,7 @@
     pub use crate::declared::Declared;
     pub use crate::dialect::{Dialect, EndpointQuery, HeaderNames};
     pub use crate::engine::{
-        EngineError, EngineOrder, EngineReport, ExpertCounts, ExpertEngine, GroupShape, OrderEnd,
+        EngineError, EngineOrder, EngineReport, ExpertCounts, ExpertEngine, ExpertLimits, OrderEnd,
         RankMap,
     };
     pub use crate::fleet_store::{Change, FleetStore, Freshness, Item, Page, PutItem, WatchEnd};
--- a/crates/oriole_fleet/src/service.rs
+++ b/crates/oriole_fleet/src/service.rs
@@ -4,7 +4,7 @@
 
 use oriole_types::domain_type;
 
-use crate::engine::GroupShape;
+use crate::engine::ExpertLimits;
 
 domain_type! {
     /// A service of the configuration.
@@ -19,7 +19,7 @@
         pub cold_start: Duration,
         /// Requests a second that a cold upstream bears; zero if it bears its full load.
         pub cold_per_s: f64,
-        /// Shape of the expert groups that its upstreams form, if they do.
-        pub group: Option<GroupShape>,
+        /// Limits on the expert maps of the groups that its upstreams form, if they do.
+        pub group: Option<ExpertLimits>,
     }
 }
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -188,9 +188,11 @@
                 fallback = answer.or(fallback);
                 progress.tried.push(pick.instance);
             }
-            TryEnd::NotRun { reached, stale, .. } => {
+            TryEnd::NotRun {
+                reached, is_stale, ..
+            } => {
                 progress.runs -= 1;
-                if !stale {
+                if !is_stale {
                     progress.tried.push(pick.instance);
                 }
                 if let Err(ended) = may_offer_again(gateway, asked, progress, reached) {
--- a/crates/oriole_gateway/src/forward/upstream_try.rs
+++ b/crates/oriole_gateway/src/forward/upstream_try.rs
@@ -80,8 +80,8 @@
         reason: String,
         /// Whether it reached an upstream, which counts as a retry if it is sent again.
         reached: bool,
-        /// Whether only a kept connection was stale.
-        stale: bool,
+        /// Whether only a kept connection had ended.
+        is_stale: bool,
     },
     /// The request may have run.
     Unknown {
@@ -146,12 +146,7 @@
     let req = asked
         .outgoing
         .attempt(names, &pick.instance, left, last_event);
-    let answer = connection.send(req).await.map_err(|e| match e {
-        SendError::NotSent(reason) if connection.is_reused => {
-            SendError::NotSent(format!("stale: {reason}"))
-        }
-        e => e,
-    })?;
+    let answer = connection.send(req).await?;
     Ok((connection, answer))
 }
 
@@ -192,7 +187,7 @@
             TryEnd::NotRun {
                 reason: format!("{reason} ({status})"),
                 reached: true,
-                stale: false,
+                is_stale: false,
             }
         }
         Verdict::Unknown(reason) => {
@@ -207,15 +202,14 @@
 fn unanswered(gateway: &Gateway, pick: &Pick, e: SendError) -> TryEnd {
     let now = gateway.clock.now();
     match e {
-        SendError::NotSent(reason) => {
-            let stale = reason.starts_with("stale");
-            if !stale {
+        SendError::NotSent { reason, is_stale } => {
+            if !is_stale {
                 gateway.traffic().load_mut(&pick.instance).unreachable(now);
             }
             TryEnd::NotRun {
                 reason,
                 reached: false,
-                stale,
+                is_stale,
             }
         }
         SendError::NoAnswer(reason) => {
--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -16,7 +16,12 @@
 #[derive(Debug)]
 pub enum SendError {
     /// Nothing of it was written: it has not run.
-    NotSent(String),
+    NotSent {
+        /// Why.
+        reason: String,
+        /// Whether only a kept connection had ended, which tells nothing of the upstream.
+        is_stale: bool,
+    },
     /// It was written, at least in part: it may have run.
     NoAnswer(String),
 }
@@ -38,16 +43,19 @@
     ///
     /// [`SendError::NotSent`].
     pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let not_sent = |step: &str, e: &dyn std::fmt::Display| SendError::NotSent {
+            reason: format!("{step}: {e}"),
+            is_stale: false,
+        };
         let stream = SilenceLimits::default()
             .connect(address)
             .await
-            .map_err(|e| SendError::NotSent(format!("connect: {e}")))?;
-        sockets::reset_on_close(&stream)
-            .map_err(|e| SendError::NotSent(format!("reset on close: {e}")))?;
+            .map_err(|e| not_sent("connect", &e))?;
+        sockets::reset_on_close(&stream).map_err(|e| not_sent("reset on close", &e))?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|e| SendError::NotSent(format!("handshake: {e}")))?;
+            .map_err(|e| not_sent("handshake", &e))?;
         let task = tokio::spawn(async move {
             // The error reaches the request that waits; an idle connection has none to tell.
             let _ = connection.await;
@@ -80,10 +88,11 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        let is_stale = self.is_reused;
         self.sender.try_send_request(req).await.map_err(|mut e| {
             let reason = e.error().to_string();
             match e.take_message() {
-                Some(_) => SendError::NotSent(reason),
+                Some(_) => SendError::NotSent { reason, is_stale },
                 None => SendError::NoAnswer(reason),
             }
         })
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -136,7 +136,7 @@
 pub struct Leader {
     cfg: LeaderConfig,
     salt: u64,
-    shape: Option<GroupShape>,
+    shape: Option<ExpertLimits>,
     seats: Vec<Option<SeatView>>,
     own: EngineReport,
     demand: Demand,
@@ -175,7 +175,7 @@
     }
 
     /// Shape of the group, from the configuration.
-    pub fn set_shape(&mut self, shape: GroupShape) {
+    pub fn set_shape(&mut self, shape: ExpertLimits) {
         self.shape = Some(shape);
     }
 
@@ -457,14 +457,14 @@
 
     /// Time that a plan saves over the horizon, in seconds of an evenly spread pass: nothing until
     /// its experts are copied, and passes are slower meanwhile.
-    fn saved(&self, shape: &GroupShape, before: f64, after: f64, copies: usize) -> f64 {
+    fn saved(&self, shape: &ExpertLimits, before: f64, after: f64, copies: usize) -> f64 {
         let horizon = self.cfg.horizon.as_secs_f64();
         let copying = (copies as f64 * shape.copy_s).min(horizon);
         let gained = (before - after) * shape.expert_share * (horizon - copying);
         gained - COPY_SLOWDOWN * before * copying
     }
 
-    fn map_in_use(&self, shape: &GroupShape) -> Option<RankMap> {
+    fn map_in_use(&self, shape: &ExpertLimits) -> Option<RankMap> {
         let mut map = vec![Vec::with_capacity(self.seats.len()); shape.layer_sets];
         for status in self.statuses() {
             if status.placed.len() != shape.layer_sets {
--- a/crates/oriole_ranks/tests/group_fuzz.rs
+++ b/crates/oriole_ranks/tests/group_fuzz.rs
@@ -117,7 +117,7 @@
 
 fn new_leader(rng: &mut StdRng) -> Leader {
     let mut leader = Leader::new(LeaderConfig::default(), rng.random());
-    leader.set_shape(GroupShape {
+    leader.set_shape(ExpertLimits {
         layer_sets: SETS,
         experts: EXPERTS,
         places: EXPERTS / RANKS + 2,
