--- /dev/null
+++ b/crates/oriole_ranks/src/agent/mod.rs
@@ -0,0 +1,278 @@
+//! The agent's tasks.
+//!
+//! - `engine`: rounds of its engine's reports. `rescuer`: a look at all engines of a group that
+//!   stands still. `addresses`: where the group's engines are.
+//! - This module: datagrams of its peers, orders, and what the leader wants done.
+
+mod addresses;
+mod engine;
+mod rescuer;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use metrics::{counter, gauge};
+use oriole_fleet::prelude::*;
+use oriole_kernel::clock::Clock;
+use oriole_kernel::{metrics_port, sockets};
+use prost::Message as _;
+use slog::{Logger, info, warn};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use self::engine::EngineView;
+use crate::follower::next_order;
+use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
+use crate::message::{Datagram, Intent};
+use crate::settings::RankAgentSettings;
+
+/// Time for which an intent holds; the leader repeats it while it does.
+const INTENT_FOR: Duration = Duration::from_millis(400);
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 64 * 1024;
+
+/// What the agent is put together from.
+pub struct AgentParts {
+    /// The engine beside it.
+    pub engine: Arc<dyn ExpertEngine>,
+    /// Engines of other ranks, by address.
+    pub engine_at: Box<dyn Fn(SocketAddr) -> Arc<dyn ExpertEngine> + Send + Sync>,
+    /// The platform's names and formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// The platform's store.
+    pub store: Arc<dyn FleetStore>,
+}
+
+#[derive(Default)]
+struct Shared {
+    intent: Option<(Intent, Duration)>,
+    /// Engines of the group's ranks; the agents are on the same VMs.
+    ranks: HashMap<usize, SocketAddr>,
+    group: String,
+}
+
+struct Agent {
+    cfg: RankAgentSettings,
+    parts: AgentParts,
+    log: Logger,
+    clock: Clock,
+    udp: UdpSocket,
+    wake: Notify,
+    shared: Mutex<Shared>,
+    leader: Mutex<Leader>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A running agent.
+pub struct RankAgent {
+    stop: CancellationToken,
+    log: Logger,
+}
+
+impl RankAgent {
+    /// Listens for its peers and follows its engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is not the process's to use.
+    pub async fn bind(
+        cfg: RankAgentSettings,
+        parts: AgentParts,
+        log: Logger,
+    ) -> eyre::Result<Self> {
+        let udp = UdpSocket::bind(cfg.listen)
+            .await
+            .wrap_err("listen for agents")?;
+        let metrics = sockets::listen(cfg.metrics).wrap_err("listen for metrics")?;
+        let agent = Arc::new(Agent {
+            clock: Clock::start(),
+            log: log.clone(),
+            udp,
+            wake: Notify::new(),
+            shared: Mutex::new(Shared::default()),
+            leader: Mutex::new(Leader::new(LeaderConfig::default(), rand::random())),
+            cfg,
+            parts,
+        });
+        let stop = CancellationToken::new();
+        metrics_port::spawn(metrics, stop.clone());
+        info!(log, "started"; "engine" => agent.cfg.engine.to_string());
+        for task in [
+            tokio::spawn(engine::follow(agent.clone())),
+            tokio::spawn(receive(agent.clone())),
+            tokio::spawn(addresses::learn(agent)),
+        ] {
+            let stop = stop.clone();
+            tokio::spawn(async move {
+                stop.cancelled().await;
+                task.abort();
+            });
+        }
+        Ok(Self { stop, log })
+    }
+
+    /// Notes that the settings file was read again.
+    pub fn reloaded(&self, outcome: &str) {
+        info!(self.log, "reloaded"; "outcome" => outcome);
+    }
+
+    /// Ends the tasks. A change under way is gone on with by the next run.
+    pub fn shutdown(self) {
+        info!(self.log, "stopped");
+        self.stop.cancel();
+    }
+}
+
+async fn receive(agent: Arc<Agent>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (len, from) = match agent.udp.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                warn!(agent.log, "call failed"; "step" => "receive", "error" => e.to_string());
+                continue;
+            }
+        };
+        let datagram = match Datagram::decode(&buf[..len]) {
+            Ok(datagram) => datagram,
+            Err(e) => {
+                warn!(agent.log, "call failed"; "step" => "decode", "peer" => from.to_string(),
+                    "error" => e.to_string());
+                continue;
+            }
+        };
+        let now = agent.clock.now();
+        if let Some(intent) = datagram.intent {
+            lock(&agent.shared).intent = Some((intent, now));
+            agent.wake.notify_one();
+        }
+        if let Some(status) = datagram.status {
+            let mut leader = lock(&agent.leader);
+            leader.heard(now, status);
+            if *leader.phase() != Phase::Idle {
+                agent.wake.notify_one();
+            }
+        }
+    }
+}
+
+impl Agent {
+    async fn send(&self, rank: usize, datagram: &Datagram) {
+        let Some(engine) = lock(&self.shared).ranks.get(&rank).copied() else {
+            return;
+        };
+        let target = SocketAddr::new(engine.ip(), self.cfg.listen.port());
+        if let Err(e) = self.udp.send_to(&datagram.encode_to_vec(), target).await {
+            warn!(self.log, "call failed"; "step" => "send", "peer" => target.to_string(),
+                "error" => e.to_string());
+        }
+    }
+
+    async fn follow(&self, view: &mut EngineView, report: &EngineReport) -> bool {
+        let now = self.clock.now();
+        let intent = {
+            let shared = lock(&self.shared);
+            let fresh = shared.intent.as_ref();
+            fresh
+                .filter(|(_, at)| now < *at + INTENT_FOR)
+                .map(|(intent, _)| intent.clone())
+        };
+        let Some(intent) = intent else { return false };
+        if let Some(order) = next_order(now, report, &intent, &view.follower) {
+            let end = self.order(report.epoch, &order).await;
+            let now = self.clock.now();
+            view.follower.ended(now, report.epoch, &order, end);
+            // The leader waits to hear what came of it.
+            self.wake.notify_one();
+        }
+        true
+    }
+
+    async fn order(&self, epoch: u64, order: &EngineOrder) -> Option<OrderEnd> {
+        self.order_at(self.parts.engine.as_ref(), epoch, order)
+            .await
+    }
+
+    async fn order_at(
+        &self,
+        engine: &dyn ExpertEngine,
+        epoch: u64,
+        order: &EngineOrder,
+    ) -> Option<OrderEnd> {
+        let outcome = engine.order(epoch, order).await;
+        let kind = match order {
+            EngineOrder::Prepare { .. } => "prepare",
+            EngineOrder::Arm { .. } => "arm",
+            EngineOrder::Hold { .. } => "hold",
+            EngineOrder::Go { .. } => "go",
+        };
+        let (end, reason) = match &outcome {
+            Ok(OrderEnd::Accepted) => (Some(OrderEnd::Accepted), "accepted".to_owned()),
+            Ok(OrderEnd::Refused) => (Some(OrderEnd::Refused), "refused".to_owned()),
+            Err(e) => (None, e.to_string()),
+        };
+        counter!("oriole_engine_orders_total", "order" => kind).increment(1);
+        let number = match order {
+            EngineOrder::Prepare { version, .. } | EngineOrder::Arm { version, .. } => *version,
+            EngineOrder::Hold { pass } | EngineOrder::Go { pass } => *pass,
+        };
+        info!(self.log, "order"; "order" => kind, "epoch" => epoch, "number" => number,
+            "outcome" => reason);
+        end
+    }
+
+    async fn lead(&self, report: EngineReport) -> bool {
+        let epoch = report.epoch;
+        let actions = lock(&self.leader).tick(self.clock.now());
+        for action in actions {
+            match action {
+                LeaderAction::Order(order) => {
+                    if let Some(end) = self.order(epoch, &order).await {
+                        lock(&self.leader).ordered(&order, end);
+                    }
+                    // A held pass must not wait for the next report.
+                    self.wake.notify_one();
+                }
+                LeaderAction::Tell { intent, ranks } => self.tell_intent(intent, &ranks).await,
+                LeaderAction::Planned {
+                    version,
+                    before,
+                    after,
+                    copies,
+                    pass_time,
+                } => {
+                    counter!("oriole_map_changes_total").increment(1);
+                    gauge!("oriole_map_skew").set(before);
+                    info!(self.log, "planned"; "version" => version, "skew" => before,
+                        "skew_after" => after, "copies" => copies,
+                        "pass_ms" => pass_time.as_millis() as u64);
+                }
+                LeaderAction::Entered(phase) => {
+                    info!(self.log, "phase"; "phase" => format!("{phase:?}"));
+                }
+            }
+        }
+        *lock(&self.leader).phase() != Phase::Idle
+    }
+
+    async fn tell_intent(&self, intent: Intent, ranks: &[usize]) {
+        let datagram = Datagram {
+            status: None,
+            intent: Some(intent.clone()),
+        };
+        for rank in ranks.iter().filter(|r| **r != 0) {
+            self.send(*rank, &datagram).await;
+        }
+        if ranks.contains(&0) {
+            lock(&self.shared).intent = Some((intent, self.clock.now()));
+        }
+    }
+}
--- a/crates/oriole_ranks/tests/group_fuzz.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/model.rs
@@ -1,5 +1,4 @@
-//! A whole group under late orders, lost messages, restarted agents and new epochs, against the one
-//! rule that counts: no pass begins while two ranks differ in their maps.
+//! A group of engines with their agents, in one thread and under a clock of its own.
 
 use std::time::Duration;
 
@@ -9,26 +8,25 @@
 use oriole_ranks::rescue::next_step;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
-use rstest::rstest;
 
 const RANKS: usize = 4;
 const EXPERTS: usize = 16;
 const SETS: usize = 2;
 /// Pause between events of a stream that callers still take as on time.
-const LONGEST_PAUSE: Duration = Duration::from_millis(120);
-const TICK: Duration = Duration::from_millis(10);
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(120);
+pub const TICK: Duration = Duration::from_millis(10);
 const COPY: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Debug)]
-struct Engine {
-    version: u64,
-    map: RankMap,
-    highest: u64,
-    orders: u64,
-    copying: Option<(u64, RankMap, Duration)>,
-    prepared: Option<(u64, RankMap)>,
-    armed: Option<(u64, u64)>,
-    held: Option<u64>,
+pub struct Engine {
+    pub version: u64,
+    pub map: RankMap,
+    pub highest: u64,
+    pub orders: u64,
+    pub copying: Option<(u64, RankMap, Duration)>,
+    pub prepared: Option<(u64, RankMap)>,
+    pub armed: Option<(u64, u64)>,
+    pub held: Option<u64>,
 }
 
 fn map_zero() -> RankMap {
@@ -55,7 +53,7 @@
 
 /// How a variant of the leader is broken on purpose.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Broken {
+pub enum Broken {
     No,
     /// Lets the held pass go after some time, whether all ranks are armed or not.
     ReleasesByTime,
@@ -64,55 +62,55 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Faults {
-    late_order: f64,
-    lost_message: f64,
-    restart: f64,
-    new_epoch: f64,
+pub struct Faults {
+    pub late_order: f64,
+    pub lost_message: f64,
+    pub restart: f64,
+    pub new_epoch: f64,
 }
 
-const NONE: Faults = Faults {
+pub const NONE: Faults = Faults {
     late_order: 0.0,
     lost_message: 0.0,
     restart: 0.0,
     new_epoch: 0.0,
 };
 
-struct Late {
-    at: Duration,
-    rank: usize,
-    epoch: u64,
-    order: EngineOrder,
+pub struct Late {
+    pub at: Duration,
+    pub rank: usize,
+    pub epoch: u64,
+    pub order: EngineOrder,
 }
 
-struct Agent {
-    follower: Follower,
-    intent: Option<(Intent, Duration)>,
-    sleeps_until: Duration,
-    next: Duration,
-    still: StillWatch,
+pub struct Agent {
+    pub follower: Follower,
+    pub intent: Option<(Intent, Duration)>,
+    pub sleeps_until: Duration,
+    pub next: Duration,
+    pub still: StillWatch,
 }
 
-struct Group {
-    rng: StdRng,
-    now: Duration,
-    epoch: u64,
-    pass: u64,
-    pass_at: Duration,
-    engines: Vec<Engine>,
-    agents: Vec<Agent>,
-    leader: Leader,
-    late: Vec<Late>,
-    messages: Vec<(Duration, usize, Intent)>,
-    statuses: Vec<(Duration, Status)>,
-    hot: usize,
-    changes: usize,
-    stalled_for: Duration,
-    longest_stall: Duration,
-    broken: Broken,
-    arming_since: Option<(u64, Duration)>,
+pub struct Group {
+    pub rng: StdRng,
+    pub now: Duration,
+    pub epoch: u64,
+    pub pass: u64,
+    pub pass_at: Duration,
+    pub engines: Vec<Engine>,
+    pub agents: Vec<Agent>,
+    pub leader: Leader,
+    pub late: Vec<Late>,
+    pub messages: Vec<(Duration, usize, Intent)>,
+    pub statuses: Vec<(Duration, Status)>,
+    pub hot: usize,
+    pub changes: usize,
+    pub stalled_for: Duration,
+    pub longest_stall: Duration,
+    pub broken: Broken,
+    pub arming_since: Option<(u64, Duration)>,
     /// Pass that the leader is told to be held, though it is not.
-    pretended_hold: Option<u64>,
+    pub pretended_hold: Option<u64>,
 }
 
 fn new_leader(rng: &mut StdRng) -> Leader {
@@ -129,7 +127,7 @@
 }
 
 impl Group {
-    fn new(seed: u64, broken: Broken) -> Self {
+    pub fn new(seed: u64, broken: Broken) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let agents = (0..RANKS)
             .map(|_| Agent {
@@ -162,7 +160,7 @@
         }
     }
 
-    fn run(&mut self, time: Duration, faults: Faults) -> Result<(), String> {
+    pub fn run(&mut self, time: Duration, faults: Faults) -> Result<(), String> {
         let end = self.now + time;
         while self.now < end {
             self.now += TICK;
@@ -493,93 +491,3 @@
         Ok(())
     }
 }
-
-const ROUGH: Faults = Faults {
-    late_order: 0.3,
-    lost_message: 0.15,
-    restart: 0.01,
-    new_epoch: 0.0005,
-};
-
-fn run_rough(seed: u64, broken: Broken) -> Result<Group, String> {
-    let mut group = Group::new(seed, broken);
-    group.run(Duration::from_secs(20), ROUGH)?;
-    Ok(group)
-}
-
-#[test]
-fn group_calm_follows_demand() {
-    let mut group = Group::new(1, Broken::No);
-    group.run(Duration::from_secs(20), NONE).unwrap();
-    assert!(group.changes >= 3, "{} changes", group.changes);
-    assert!(group.engines[0].version > 0);
-    assert!(
-        group.longest_stall <= LONGEST_PAUSE,
-        "{:?}",
-        group.longest_stall
-    );
-}
-
-#[rstest]
-#[case::late_orders(Faults { late_order: 0.5, ..NONE })]
-#[case::lost_messages(Faults { lost_message: 0.4, ..NONE })]
-#[case::restarts(Faults { restart: 0.02, ..NONE })]
-#[case::all(ROUGH)]
-fn group_faults_one_map_each_pass(#[case] faults: Faults) {
-    for seed in 0..60 {
-        let mut group = Group::new(seed, Broken::No);
-        let run = group.run(Duration::from_secs(20), faults);
-        run.unwrap_or_else(|e| panic!("seed {seed}: {e}"));
-    }
-}
-
-/// Seen in an incident: the leader's agent froze for four seconds right after its hold was accepted,
-/// and the whole group stood still as long.
-#[test]
-fn group_leader_freezes_after_hold_others_go_on() {
-    for seed in 0..40 {
-        let mut group = Group::new(seed, Broken::No);
-        let mut is_frozen = false;
-        for _ in 0..2000 {
-            group.run(TICK, NONE).unwrap();
-            if !is_frozen && group.engines[0].held.is_some() {
-                is_frozen = true;
-                group.agents[0].sleeps_until = group.now + Duration::from_secs(4);
-            }
-        }
-        assert!(is_frozen, "seed {seed}");
-        // Callers give up after two seconds without an event.
-        assert!(
-            group.longest_stall < Duration::from_secs(1),
-            "{:?}",
-            group.longest_stall
-        );
-    }
-}
-
-/// Once faults cease and no late order is left, the group runs and follows demand again.
-#[test]
-fn group_after_faults_goes_on() {
-    for seed in 0..60 {
-        let mut group = run_rough(seed, Broken::No).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
-        group.late.clear();
-        for agent in &mut group.agents {
-            agent.sleeps_until = Duration::ZERO;
-        }
-        group.run(Duration::from_secs(2), NONE).unwrap();
-        let pass = group.pass;
-        group.longest_stall = Duration::ZERO;
-        group.run(Duration::from_secs(2), NONE).unwrap();
-        assert!(group.pass > pass, "seed {seed}: stalled at {pass}");
-        let stall = group.longest_stall;
-        assert!(stall <= LONGEST_PAUSE, "seed {seed}: stalled for {stall:?}");
-    }
-}
-
-#[rstest]
-#[case::release_by_time(Broken::ReleasesByTime)]
-#[case::no_hold(Broken::ArmsWithoutHold)]
-fn group_broken_variant_is_caught(#[case] broken: Broken) {
-    let caught = (0..60).any(|seed| run_rough(seed, broken).is_err());
-    assert!(caught, "{broken:?} was not caught");
-}
