Read the peers' addresses until it succeeds, and again every 30 s

Cause, found on reading: a daemon whose first listing of its peers failed only renewed its lease from then on, and addresses were forgotten after a minute of silence, so that daemons cut off for longer than that could not find each other. Before: peers::start_peers_of_the_store_hear_a_heartbeat, case refused_first, heard nothing for 5 s. After: it holds.

--- a/crates/oriole_gateway/src/registration.rs
+++ b/crates/oriole_gateway/src/registration.rs
@@ -19,6 +19,10 @@
 /// Time between renewals: several fit a lease.
 const RENEW: Duration = Duration::from_secs(6);
 
+/// Time between reads of the other daemons' addresses: shorter than these are kept, so that daemons
+/// that were cut off from all others for long find them again.
+const PEERS_EVERY: Duration = Duration::from_secs(30);
+
 /// Pauses after failed calls.
 const BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(300),
@@ -37,10 +41,10 @@
 }
 
 async fn run(gateway: &Gateway, store: &dyn FleetStore) {
-    let mut lease = None;
+    let mut registration = Registration::default();
     let mut failed_calls = 0;
     loop {
-        match register(gateway, store, &mut lease).await {
+        match registration.refresh(gateway, store).await {
             Ok(()) => {
                 failed_calls = 0;
                 tokio::time::sleep(RENEW).await;
@@ -53,7 +57,7 @@
                     revision: 0,
                 });
                 if e == StoreError::LeaseLapsed {
-                    lease = None;
+                    registration.lease = None;
                 }
                 failed_calls += 1;
                 let pause = BACKOFF.pause(failed_calls, &mut rand::rng());
@@ -63,11 +67,61 @@
     }
 }
 
-/// Reads where the other daemons are heard. One that starts knows all that started before, and
-/// they hear from it.
-async fn read_peers(gateway: &Gateway, store: &dyn FleetStore) -> Result<(), StoreError> {
+/// What has been done of the registration.
+#[derive(Default)]
+struct Registration {
+    lease: Option<LeaseId>,
+    peers_read_at: Option<Duration>,
+}
+
+impl Registration {
+    /// Takes the next steps that are due; goes on where an earlier try failed.
+    async fn refresh(
+        &mut self,
+        gateway: &Gateway,
+        store: &dyn FleetStore,
+    ) -> Result<(), StoreError> {
+        match self.lease {
+            Some(lease) => store.renew_lease(lease).await?,
+            None => self.lease = Some(register(gateway, store).await?),
+        }
+        let now = gateway.clock.now();
+        if self.peers_read_at.is_none_or(|at| now >= at + PEERS_EVERY) {
+            // A daemon that starts must know all that started before; later on some delay is fine.
+            let freshness = match self.peers_read_at {
+                None => Freshness::Latest,
+                Some(_) => Freshness::Stale,
+            };
+            read_peers(gateway, store, freshness).await?;
+            self.peers_read_at = Some(now);
+        }
+        Ok(())
+    }
+}
+
+/// Writes this daemon's address under a new lease.
+async fn register(gateway: &Gateway, store: &dyn FleetStore) -> Result<LeaseId, StoreError> {
+    let lease = store.grant_lease(LEASE).await?;
+    let (key, value) = gateway
+        .dialect
+        .encode_peer(&gateway.cfg.name, gateway.cfg.peers.listen);
+    let item = PutItem {
+        key: &key,
+        value,
+        lease,
+    };
+    store.put(item).await?;
+    Ok(lease)
+}
+
+/// Reads where the other daemons are heard; they hear from this one then.
+async fn read_peers(
+    gateway: &Gateway,
+    store: &dyn FleetStore,
+    freshness: Freshness,
+) -> Result<(), StoreError> {
     let prefix = gateway.dialect.peers_prefix();
-    let page = store.list(prefix, None, Freshness::Latest).await?;
+    let page = store.list(prefix, None, freshness).await?;
     let now = gateway.clock.now();
     for item in page.items {
         match gateway.dialect.decode(&item.key, &item.value) {
@@ -81,25 +135,3 @@
     }
     Ok(())
 }
-
-async fn register(
-    gateway: &Gateway,
-    store: &dyn FleetStore,
-    lease: &mut Option<LeaseId>,
-) -> Result<(), StoreError> {
-    if let Some(lease) = lease {
-        return store.renew_lease(*lease).await;
-    }
-    let granted = store.grant_lease(LEASE).await?;
-    let (key, value) = gateway
-        .dialect
-        .encode_peer(&gateway.cfg.name, gateway.cfg.peers.listen);
-    let item = PutItem {
-        key: &key,
-        value,
-        lease: granted,
-    };
-    store.put(item).await?;
-    *lease = Some(granted);
-    read_peers(gateway, store).await
-}
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -104,6 +104,15 @@
         if let Some(domain) = key.strip_prefix("cfg/out/") {
             return Declared::Evacuated(domain.to_owned());
         }
+        if let Some(name) = key.strip_prefix("peer/") {
+            return match text.parse() {
+                Ok(address) => Declared::Peer {
+                    name: name.to_owned(),
+                    address,
+                },
+                Err(_) => Declared::Unreadable("not an address".to_owned()),
+            };
+        }
         match key.strip_prefix("up/") {
             Some(instance) => match upstream(instance, &text) {
                 Some(upstream) => Declared::Upstream(Box::new(upstream)),
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod fake;
 mod members;
 mod overload;
+mod peers;
 mod scene;
 mod settings;
 mod shares;
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/peers.rs
@@ -0,0 +1,28 @@
+//! How a daemon that starts finds the others.
+
+use std::time::Duration;
+
+use oriole_fleet::prelude::RouteKind;
+use rstest::rstest;
+use tokio::net::UdpSocket;
+
+use crate::fake::item;
+use crate::scene::{open_before, route};
+
+/// Several tries to register, with their pauses.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// The store refuses to list the peers at first: the daemon asks again until it knows them.
+#[rstest]
+#[case::at_once(0)]
+#[case::refused_first(2)]
+#[tokio::test]
+async fn start_peers_of_the_store_hear_a_heartbeat(#[case] refusals: usize) {
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = peer.local_addr().unwrap().to_string();
+    let items = vec![item("peer/other", &address, 1)];
+    let _scene = open_before(route(RouteKind::Idempotent), items, refusals).await;
+    let mut buf = [0; 2048];
+    let heard = tokio::time::timeout(PATIENCE, peer.recv_from(&mut buf)).await;
+    assert!(heard.is_ok(), "no heartbeat");
+}
--- a/crates/oriole_gateway/tests/gateway/scene.rs
+++ b/crates/oriole_gateway/tests/gateway/scene.rs
@@ -21,7 +21,11 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// A store that holds some items for ever.
-struct FakeStore(Vec<Item>);
+struct FakeStore {
+    items: Vec<Item>,
+    /// Listings of peers that it still refuses.
+    peer_refusals: Mutex<usize>,
+}
 
 #[async_trait]
 impl FleetStore for FakeStore {
@@ -31,7 +35,14 @@
         _after: Option<&str>,
         _freshness: Freshness,
     ) -> Result<Page, StoreError> {
-        let items = self.0.iter().filter(|i| i.key.starts_with(prefix));
+        if prefix == "peer/" {
+            let mut refusals = self.peer_refusals.lock().unwrap();
+            if *refusals > 0 {
+                *refusals -= 1;
+                return Err(StoreError::Unavailable);
+            }
+        }
+        let items = self.items.iter().filter(|i| i.key.starts_with(prefix));
         Ok(Page {
             items: items.cloned().collect(),
             truncated: false,
@@ -204,6 +215,16 @@
 
 /// The daemon before some upstreams.
 pub async fn open_with(route: Route, upstreams: &[SocketAddr]) -> Scene {
+    let mut items = vec![item("cfg/0", "3", 1)];
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let value = format!("llm {upstream} north ready");
+        items.push(item(&format!("up/i-{}", i + 1), &value, i as u64 + 2));
+    }
+    open_before(route, items, 0).await
+}
+
+/// The daemon before a store that holds some items and refuses the first listings of peers.
+pub async fn open_before(route: Route, items: Vec<Item>, peer_refusals: usize) -> Scene {
     let cfg = settings();
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
@@ -213,12 +234,10 @@
         }),
         ..FakeDialect::default()
     };
-    let mut items = vec![item("cfg/0", "3", 1)];
-    for (i, upstream) in upstreams.iter().enumerate() {
-        let value = format!("llm {upstream} north ready");
-        items.push(item(&format!("up/i-{}", i + 1), &value, i as u64 + 2));
-    }
-    let store = FakeStore(items);
+    let store = FakeStore {
+        items,
+        peer_refusals: Mutex::new(peer_refusals),
+    };
     let log = LogBuffer::default();
     let logger = logging::open_to("edge-1", logging::parse_level("info").unwrap(), log.clone());
     let daemon = GatewayDaemon::bind(cfg, Arc::new(dialect), Arc::new(store), logger)
