--- a/crates/oriole_gateway/src/mesh/members.rs
+++ b/crates/oriole_gateway/src/mesh/members.rs
@@ -226,13 +226,6 @@
         (count, before)
     }
 
-    /// Number of members heard lately.
-    #[must_use]
-    pub fn live_count(&self, now: Duration) -> usize {
-        let live = |m: &&Member| now < m.heard_at + NAMED_FOR;
-        self.members.values().filter(live).count()
-    }
-
     /// Forgets members that were silent for long; tells which were lost or came back.
     pub fn tick(&mut self, now: Duration) -> Vec<MemberChange> {
         self.members.retain(|_, m| now < m.heard_at + KEPT_FOR);
--- a/crates/oriole_gateway/src/traffic/load.rs
+++ b/crates/oriole_gateway/src/traffic/load.rs
@@ -36,8 +36,6 @@
     pub head_s: Option<f64>,
     /// Requests sent while it is cold.
     pub cold: ColdShare,
-    /// Connections to it that are open.
-    pub connections: u32,
     suspect_until: Duration,
     failures_in_row: u32,
 }
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -181,8 +181,7 @@
         for instance in &known {
             self.load_mut(instance);
         }
-        self.loads
-            .retain(|k, l| known.contains(k) || l.own > 0 || l.connections > 0);
+        self.loads.retain(|k, l| known.contains(k) || l.own > 0);
     }
 
     /// Notes a caller's request for a service.
