See a shift of expert demand in one pass, plan from what was counted after it, tell maps as patches

The moving average mixed both demands for half a second, so that the first plan after a change rested on neither; telling a whole map took 130 ms on the leader's link; planning took 10 ms of a processor of which the VM has 0.15; the held pass lay two passes ahead.

Change: eight ranks of a group tell their counts once a pass with the pass they began at; a demand that differs by more than noise replaces the one before; the amount of copies is weighed against the time until the next change can follow; maps are told as what differs from the one in use, with a digest; the planner looks at the eight least loaded ranks; the next pass is held.

Ruled out: more samples (one rank's pass has a noise of 0.1 against 0.35).

The model of a group lets intents and statuses wake agents, as the real one does.

--- a/crates/oriole_fleet/src/engine.rs
+++ b/crates/oriole_fleet/src/engine.rs
@@ -60,6 +60,8 @@
 pub struct ExpertCounts {
     /// Run of the group.
     pub epoch: u64,
+    /// Last pass that is counted.
+    pub pass: u64,
     /// Counts by layer set and expert, one after the other.
     pub counts: Vec<u64>,
 }
--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -8,6 +8,9 @@
 /// equally loaded ranks counts as a gain.
 const NORM: i32 = 10;
 
+/// Least loaded ranks that are looked at for a copy: hotter ones would only be the next to be relieved.
+const LOOKED_AT: usize = 8;
+
 /// How much each copy that a rank makes already lowers the score of another one.
 const BUSY_WEIGHT: f64 = 0.2;
 
@@ -233,15 +236,18 @@
         let hot = self.hottest()?;
         let sum = self.power_sum();
         let mut best: Option<Step> = None;
+        let mut coolest: Vec<usize> = (0..self.ranks.len()).filter(|r| *r != hot).collect();
+        coolest.sort_unstable_by(|a, b| self.load[*a].total_cmp(&self.load[*b]));
+        let may_copy: Vec<bool> = (0..self.ranks.len())
+            .map(|r| self.may_copy(r, cfg, copied))
+            .collect();
         for expert in &self.ranks[hot] {
-            for rank in 0..self.ranks.len() {
-                if rank == hot || self.ranks[rank].contains(expert) {
-                    continue;
-                }
+            let takers = coolest.iter().copied().filter(|r| {
+                let holds = self.ranks[*r].contains(expert);
+                !holds && (may_copy[*r] || self.base[*r].contains(expert))
+            });
+            for rank in takers.take(LOOKED_AT) {
                 let is_copy = !self.base[rank].contains(expert);
-                if is_copy && !self.may_copy(rank, cfg, copied) {
-                    continue;
-                }
                 for evicted in self.rooms(rank, cfg.places) {
                     for given_up_by in [None, Some(hot as u16)] {
                         let mut step = Step {
--- a/crates/oriole_placement/tests/even_split.rs
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -141,3 +141,22 @@
         prop_assert!(plan.after <= plan.before + 1e-6, "{} to {}", plan.before, plan.after);
     }
 }
+
+/// After popular topics have changed, each rank has time for few copies before the next pass: the plan
+/// has to relieve the most loaded rank of every layer set with them.
+#[test]
+fn plan_shifted_demand_few_copies_relieve_all_sets() {
+    let (sets, ranks, experts) = (12, 32, 128);
+    let map = in_turn(sets, ranks, experts);
+    let demand: Vec<Vec<f64>> = (0..sets)
+        .map(|set| {
+            let popularity = |e: usize| 1.0 / (((e * 37 + set * 53) % experts) as f64 + 1.0);
+            (0..experts).map(popularity).collect()
+        })
+        .collect();
+    let limits = config(5, 2, 2);
+    let plan = plan(&map, &demand, &[1.0; 32], &limits, gained);
+    assert!(plan.copies_of_busiest <= 2, "{plan:?}");
+    let excess = (plan.after - 1.0) / (plan.before - 1.0);
+    assert!(excess < 0.5, "{} to {}", plan.before, plan.after);
+}
--- a/crates/oriole_ranks/src/agent/engine.rs
+++ b/crates/oriole_ranks/src/agent/engine.rs
@@ -15,13 +15,22 @@
 const REPORT_EVERY: Duration = Duration::from_millis(120);
 
 /// Time between reports while a change is under way.
-const REPORT_OFTEN: Duration = Duration::from_millis(30);
+const REPORT_OFTEN: Duration = Duration::from_millis(20);
 
-/// Time between reads of the counts.
-const COUNTS_EVERY: Duration = Duration::from_millis(150);
+/// Time between reports of a rank that tells its counts: shorter than a usual pass, so that the first
+/// pass after a change of demand is told by itself.
+const COUNTS_EVERY: Duration = Duration::from_millis(40);
 
-/// Time between reads of the counts for each rank of the group: the leader's link carries them all.
-const COUNTS_EVERY_RANK: Duration = Duration::from_millis(6);
+/// Ranks of a group that tell their counts: together they make enough choices in a pass, and the
+/// leader's link carries them all.
+const TELLING_RANKS: usize = 8;
+
+/// Whether a rank tells its counts.
+fn tells_counts(report: &EngineReport) -> bool {
+    report
+        .rank
+        .is_multiple_of((report.ranks / TELLING_RANKS).max(1))
+}
 
 /// What the agent keeps of its engine between reports.
 #[derive(Default)]
@@ -29,13 +38,21 @@
     pub(super) follower: Follower,
     epoch: u64,
     counts: Option<ExpertCounts>,
-    counts_at: Option<Duration>,
     placed: Option<(u64, u64, Vec<Experts>)>,
-    picks: Vec<u32>,
+    picks: Picks,
+    tells_counts: bool,
     still: StillWatch,
     is_lost: bool,
 }
 
+/// Choices that were counted and not told yet.
+#[derive(Default)]
+struct Picks {
+    parts: Vec<u32>,
+    total: u64,
+    from: u64,
+}
+
 impl EngineView {
     /// Number of layer sets, known once the map was read.
     fn sets(&self) -> usize {
@@ -61,7 +78,11 @@
                 false
             }
         };
-        let pause = if is_busy { REPORT_OFTEN } else { REPORT_EVERY };
+        let pause = match is_busy {
+            true => REPORT_OFTEN,
+            false if view.tells_counts => COUNTS_EVERY,
+            false => REPORT_EVERY,
+        };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = agent.wake.notified() => {}
@@ -92,24 +113,17 @@
         is_following || is_leading
     }
 
+    /// Reads the counts once a pass.
     async fn read_counts(&self, view: &mut EngineView, report: &EngineReport) {
-        let now = self.clock.now();
-        let pause = COUNTS_EVERY.max(COUNTS_EVERY_RANK * report.ranks as u32);
-        if view.counts_at.is_some_and(|at| now < at + pause) {
+        view.tells_counts = tells_counts(report);
+        let is_read = view.counts.as_ref().is_some_and(|c| c.pass >= report.pass);
+        if !view.tells_counts || is_read {
             return;
         }
-        view.counts_at = Some(now);
         match self.parts.engine.counts().await {
             Ok(counts) => {
-                if let Some(last) = &view.counts
-                    && last.counts.len() == counts.counts.len()
-                {
-                    let choices = counts.counts.iter().zip(&last.counts);
-                    let choices = choices.map(|(new, old)| new.saturating_sub(*old));
-                    let choices: Vec<u64> = choices.collect();
-                    if choices.iter().any(|c| *c > 0) {
-                        view.picks = pick_parts(&choices, view.sets());
-                    }
+                if let Some(last) = view.counts.take() {
+                    view.picks = new_picks(&last, &counts, view.sets());
                 }
                 view.counts = Some(counts);
             }
@@ -156,7 +170,10 @@
             open: report.open,
             pace: report.pace,
             preparing: view.follower.preparing(report.epoch),
-            picks: std::mem::take(&mut view.picks),
+            picks_total: view.picks.total,
+            picks_from: view.picks.from,
+            picks: std::mem::take(&mut view.picks).parts,
+            known: lock(&self.shared).maps.versions(report.epoch),
             placed: placed.map_or_else(Vec::new, |(_, _, sets)| sets.clone()),
         };
         if report.rank == 0 {
@@ -174,3 +191,21 @@
         self.send(0, &datagram).await;
     }
 }
+
+/// What was chosen between two reads.
+fn new_picks(last: &ExpertCounts, counts: &ExpertCounts, sets: usize) -> Picks {
+    if last.counts.len() != counts.counts.len() || sets == 0 {
+        return Picks::default();
+    }
+    let pairs = counts.counts.iter().zip(&last.counts);
+    let choices: Vec<u64> = pairs.map(|(new, old)| new.saturating_sub(*old)).collect();
+    let total = choices.iter().sum::<u64>() / sets as u64;
+    if total == 0 {
+        return Picks::default();
+    }
+    Picks {
+        parts: pick_parts(&choices, sets),
+        total,
+        from: last.pass,
+    }
+}
--- a/crates/oriole_ranks/src/agent/mod.rs
+++ b/crates/oriole_ranks/src/agent/mod.rs
@@ -27,6 +27,7 @@
 use self::engine::EngineView;
 use crate::follower::next_order;
 use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
+use crate::map_memory::MapMemory;
 use crate::message::{Datagram, Intent};
 use crate::settings::RankAgentSettings;
 
@@ -54,6 +55,7 @@
     /// Engines of the group's ranks; the agents are on the same VMs.
     ranks: HashMap<usize, SocketAddr>,
     group: String,
+    maps: MapMemory,
 }
 
 struct Agent {
@@ -151,13 +153,12 @@
         };
         let now = agent.clock.now();
         if let Some(intent) = datagram.intent {
-            lock(&agent.shared).intent = Some((intent, now));
-            agent.wake.notify_one();
+            agent.take_intent(now, intent);
         }
         if let Some(status) = datagram.status {
             let mut leader = lock(&agent.leader);
-            leader.heard(now, status);
-            if *leader.phase() != Phase::Idle {
+            let has_shifted = leader.heard(now, status);
+            if has_shifted || *leader.phase() != Phase::Idle {
                 agent.wake.notify_one();
             }
         }
@@ -165,6 +166,22 @@
 }
 
 impl Agent {
+    fn take_intent(&self, now: Duration, intent: Intent) {
+        let (version, base) = (intent.version, intent.base);
+        let mut shared = lock(&self.shared);
+        match shared.maps.complete(intent) {
+            Some(intent) => {
+                shared.intent = Some((intent, now));
+                self.wake.notify_one();
+            }
+            // The leader hears in the next status which maps are known here, and tells it whole.
+            None => {
+                counter!("oriole_map_patches_refused_total").increment(1);
+                warn!(self.log, "map patch refused"; "version" => version, "base" => base);
+            }
+        }
+    }
+
     async fn send(&self, rank: usize, datagram: &Datagram) {
         let Some(engine) = lock(&self.shared).ranks.get(&rank).copied() else {
             return;
@@ -272,7 +289,7 @@
             self.send(*rank, &datagram).await;
         }
         if ranks.contains(&0) {
-            lock(&self.shared).intent = Some((intent, self.clock.now()));
+            self.take_intent(self.clock.now(), intent);
         }
     }
 }
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -10,7 +10,8 @@
 use oriole_fleet::prelude::*;
 use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan};
 
-use crate::demand::Demand;
+use crate::demand::{Demand, Sample};
+use crate::map_memory::{self, difference, map_digest};
 use crate::message::{Intent, Status, layer_sets};
 
 /// Silence of a rank's agent after which the leader starts nothing new.
@@ -19,18 +20,20 @@
 /// Time that a preparation may take before another map is planned.
 const PREPARE_FOR: Duration = Duration::from_secs(8);
 
-/// Time between the end of a change and the next plan.
-const REST: Duration = Duration::from_millis(50);
+/// Time that a change takes besides copying: telling all ranks, hearing of them, holding and arming.
+const CHANGE_TIME: Duration = Duration::from_millis(250);
+
+/// Experts that the busiest rank copies, as a rule, until nothing is left to gain.
+const USUAL_COPIES: f64 = 6.0;
 
 /// Time between unchanged orders to the leader's own engine.
 const ORDER_AGAIN: Duration = Duration::from_millis(100);
 
-/// Time that arming all ranks takes as a rule; the held pass lies beyond it, so that the group
-/// does not stop.
-const ARMING_TIME: Duration = Duration::from_millis(130);
+/// Time that holding a pass and arming all ranks takes as a rule. A group waits for less than this, and
+/// less than a pass, at each change.
+const ARMING_TIME: Duration = Duration::from_millis(50);
 
-/// Bounds of the passes between the one that runs and the held one.
-const MIN_LEAD: u64 = 2;
+/// Most passes between the one that runs and the held one.
 const MAX_LEAD: u64 = 60;
 
 /// Passes take this much longer while experts are copied.
@@ -39,8 +42,8 @@
 /// Skew up to which no change is looked for: looking takes processor time.
 const GOOD_ENOUGH: f64 = 1.08;
 
-/// Time between two looks for a better map.
-const LOOK: Duration = Duration::from_millis(150);
+/// Time between two looks for a better map while neither map nor demand have changed.
+const LOOK: Duration = Duration::from_millis(500);
 
 /// Time between unchanged intents that carry a map, which is large.
 const MAP_AGAIN: Duration = Duration::from_millis(200);
@@ -143,8 +146,7 @@
     phase: Phase,
     version: u64,
     map: RankMap,
-    rested_since: Duration,
-    looked_at: Duration,
+    looked_at: Option<Duration>,
     ordered_at: Option<Duration>,
     told_at: Option<Duration>,
     pass_at: Option<(u64, Duration)>,
@@ -165,8 +167,7 @@
             phase: Phase::Idle,
             version: 0,
             map: Vec::new(),
-            rested_since: Duration::ZERO,
-            looked_at: Duration::ZERO,
+            looked_at: None,
             ordered_at: None,
             told_at: None,
             pass_at: None,
@@ -192,7 +193,8 @@
             // changed by it, so that the first map is planned from the demand of before.
             self.phase = Phase::Idle;
             self.seats.clear();
-            self.rested_since = now;
+            self.demand.restart_passes();
+            self.looked_at = None;
             self.pass_at = None;
         }
         if self.seats.len() != report.ranks {
@@ -214,12 +216,25 @@
         }
     }
 
-    /// Takes a status of a rank, the leader's own included.
-    pub fn heard(&mut self, now: Duration, status: Status) {
+    /// Takes a status of a rank, the leader's own included; whether it tells of another demand.
+    pub fn heard(&mut self, now: Duration, status: Status) -> bool {
         if status.group != self.own.group || status.epoch != self.own.epoch {
-            return;
+            return false;
+        }
+        let sample = Sample {
+            parts: &status.picks,
+            total: status.picks_total,
+            from: status.picks_from,
+        };
+        let sets = self.shape.as_ref().map_or(0, |s| s.layer_sets);
+        let has_shifted = self.demand.add(now, sets, &sample);
+        if has_shifted {
+            self.looked_at = None;
+            if matches!(self.phase, Phase::Preparing { .. }) && self.own.held.is_none() {
+                // Nothing is armed for it yet, and another map is wanted now.
+                self.phase = Phase::Idle;
+            }
         }
-        self.demand.add(now, &status.picks);
         let rank = status.rank as usize;
         if let Some(seat) = self.seats.get_mut(rank) {
             *seat = Some(SeatView {
@@ -227,6 +242,7 @@
                 heard_at: now,
             });
         }
+        has_shifted
     }
 
     /// Takes the end of an order to the leader's own engine.
@@ -278,7 +294,9 @@
             self.take_up(now, pass);
             return;
         }
-        if now < self.rested_since + REST || now < self.looked_at + LOOK {
+        let sets = self.shape.as_ref().map_or(0, |s| s.layer_sets);
+        let has_looked = self.looked_at.is_some_and(|at| now < at + LOOK);
+        if has_looked || !self.demand.is_settled(now, sets) {
             return;
         }
         let version = self.own.map_version;
@@ -287,10 +305,11 @@
         }) {
             return;
         }
-        self.looked_at = now;
+        self.looked_at = Some(now);
         let Some(plan) = self.plan() else { return };
         self.version = self.next_version();
         self.map = plan.map;
+        map_memory::sort(&mut self.map);
         self.phase = Phase::Preparing { since: now };
         actions.push(LeaderAction::Planned {
             version: self.version,
@@ -331,9 +350,8 @@
         let is_refused = self.statuses().any(|s| s.refused == Some(version));
         if is_refused || now >= since + PREPARE_FOR {
             self.phase = Phase::Idle;
-            self.rested_since = now;
         } else if self.all(now, |s| s.prepared == Some(version)) {
-            let pass = self.pass_ahead();
+            let pass = self.pass_ahead(now);
             self.phase = Phase::Holding { pass };
         }
     }
@@ -345,7 +363,7 @@
             self.phase = Phase::Arming { pass };
         } else if self.own.pass >= pass {
             // The hold came too late, and none of that pass can come any more.
-            let pass = self.pass_ahead();
+            let pass = self.pass_ahead(now);
             self.phase = Phase::Holding { pass };
         } else {
             self.order(now, EngineOrder::Hold { pass }, actions);
@@ -357,7 +375,7 @@
             self.order(now, EngineOrder::Go { pass }, actions);
         } else if self.statuses().all(|s| s.armed.is_none()) {
             self.phase = Phase::Idle;
-            self.rested_since = now;
+            self.looked_at = None;
             self.version = 0;
         }
     }
@@ -370,13 +388,13 @@
     }
 
     fn tell(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
-        let (map, arm_pass) = match self.phase {
-            Phase::Preparing { .. } => (layer_sets(&self.map), None),
-            Phase::Arming { pass } => (Vec::new(), Some(pass)),
+        let arm_pass = match self.phase {
+            Phase::Preparing { .. } => None,
+            Phase::Arming { pass } => Some(pass),
             Phase::Idle | Phase::Holding { .. } | Phase::Releasing { .. } => return,
         };
-        let is_again = !map.is_empty() && self.told_at.is_some_and(|at| now < at + MAP_AGAIN);
-        if is_again {
+        let has_map = arm_pass.is_none() && !self.map.is_empty();
+        if has_map && self.told_at.is_some_and(|at| now < at + MAP_AGAIN) {
             return;
         }
         self.told_at = Some(now);
@@ -384,14 +402,41 @@
             group: self.own.group.clone(),
             epoch: self.own.epoch,
             version: self.version,
-            map,
             arm_pass,
+            ..Intent::default()
         };
-        let ranks = (0..self.seats.len()).filter(|r| self.is_waited_for(*r));
-        actions.push(LeaderAction::Tell {
-            intent,
-            ranks: ranks.collect(),
+        let waited_for = (0..self.seats.len()).filter(|r| self.is_waited_for(*r));
+        if !has_map {
+            let ranks = waited_for.collect();
+            actions.push(LeaderAction::Tell { intent, ranks });
+            return;
+        }
+        let base = self.own.map_version;
+        let (patched, whole): (Vec<usize>, Vec<usize>) = waited_for.partition(|r| {
+            let seat = self.seats[*r].as_ref();
+            seat.is_some_and(|s| s.status.known.contains(&base))
         });
+        let in_use = self.shape.as_ref().and_then(|s| self.map_in_use(s));
+        if let Some(in_use) = in_use
+            && !patched.is_empty()
+        {
+            let intent = Intent {
+                base: Some(base),
+                patch: difference(&in_use, &self.map),
+                digest: map_digest(&self.map),
+                ..intent.clone()
+            };
+            let ranks = patched;
+            actions.push(LeaderAction::Tell { intent, ranks });
+        }
+        if !whole.is_empty() {
+            let intent = Intent {
+                map: layer_sets(&self.map),
+                ..intent
+            };
+            let ranks = whole;
+            actions.push(LeaderAction::Tell { intent, ranks });
+        }
     }
 
     /// Whether a rank has not done what the intent asks.
@@ -406,9 +451,15 @@
         !(is_bound_for(status, self.version) || is_done || (is_preparing && has_begun))
     }
 
-    fn pass_ahead(&self) -> u64 {
-        let passes = ARMING_TIME.as_secs_f64() / self.pass_time.as_secs_f64().max(0.001);
-        self.own.pass + (passes.ceil() as u64).clamp(MIN_LEAD, MAX_LEAD)
+    /// The first pass that begins no sooner than all ranks can be armed, or that little before.
+    fn pass_ahead(&self, now: Duration) -> u64 {
+        let runs_for = self
+            .pass_at
+            .map_or(Duration::ZERO, |(_, at)| now.saturating_sub(at));
+        let left = self.pass_time.saturating_sub(runs_for);
+        let late = ARMING_TIME.saturating_sub(left).as_secs_f64();
+        let passes = late / self.pass_time.as_secs_f64().max(0.001);
+        self.own.pass + 1 + (passes as u64).min(MAX_LEAD)
     }
 
     fn next_version(&self) -> u64 {
@@ -448,20 +499,20 @@
             copies_per_rank: self.cfg.copies_per_rank,
             ..EvenSplitConfig::default()
         };
-        let worth = |before: f64, after: f64, copies| self.saved(shape, before, after, copies);
+        let until_next = self.until_next(shape);
+        let worth = |before, after, copies| saved(shape, until_next, before, after, copies);
         let plan = even_split::plan(&map, &demand, &pace, &limits, worth);
-        let saved = worth(plan.before, plan.after, plan.copies_of_busiest);
+        let copies = plan.copies_of_busiest;
+        let saved = saved(shape, self.cfg.horizon, plan.before, plan.after, copies);
         let least = self.cfg.min_gain * plan.before * self.cfg.horizon.as_secs_f64();
         (saved >= least).then_some(plan)
     }
 
-    /// Time that a plan saves over the horizon, in seconds of an evenly spread pass: nothing until
-    /// its experts are copied, and passes are slower meanwhile.
-    fn saved(&self, shape: &ExpertLimits, before: f64, after: f64, copies: usize) -> f64 {
-        let horizon = self.cfg.horizon.as_secs_f64();
-        let copying = (copies as f64 * shape.copy_s).min(horizon);
-        let gained = (before - after) * shape.expert_share * (horizon - copying);
-        gained - COPY_SLOWDOWN * before * copying
+    /// Time until another change can be in force after the one that is planned. What is copied later
+    /// is in use later, but what is copied first is so sooner.
+    fn until_next(&self, shape: &ExpertLimits) -> Duration {
+        let copying = Duration::from_secs_f64(USUAL_COPIES * shape.copy_s.max(0.0));
+        (CHANGE_TIME + copying).min(self.cfg.horizon)
     }
 
     fn map_in_use(&self, shape: &ExpertLimits) -> Option<RankMap> {
@@ -474,10 +525,20 @@
                 set.push(experts.to_ids());
             }
         }
+        map_memory::sort(&mut map);
         Some(map)
     }
 }
 
+/// Time that a plan saves within some time, in seconds of an evenly spread pass: nothing until its
+/// experts are copied, and passes are slower meanwhile.
+fn saved(shape: &ExpertLimits, within: Duration, before: f64, after: f64, copies: usize) -> f64 {
+    let within = within.as_secs_f64();
+    let copying = (copies as f64 * shape.copy_s).min(within);
+    let gained = (before - after) * shape.expert_share * (within - copying);
+    gained - COPY_SLOWDOWN * before * copying
+}
+
 /// Whether a rank changes to a version by itself, or has done so.
 fn is_bound_for(status: &Status, version: u64) -> bool {
     status.armed == Some(version) || status.map_version == version
--- /dev/null
+++ b/crates/oriole_ranks/src/map_memory.rs
@@ -0,0 +1,121 @@
+//! Maps that an agent was told, so that the next one can be told as what differs.
+//!
+//! A whole map of a large group is some kilobytes for each rank, and the leader's link is slow; a change
+//! touches few of its lists.
+
+use oriole_fleet::prelude::RankMap;
+use oriole_types::digest::Digest;
+
+use crate::message::{Intent, layer_sets};
+
+/// Maps that are remembered: the one in use and the next.
+const REMEMBERED: usize = 2;
+
+#[derive(Clone, Debug)]
+struct KnownMap {
+    epoch: u64,
+    version: u64,
+    map: RankMap,
+}
+
+/// The newest maps that an agent was told.
+#[derive(Clone, Debug, Default)]
+pub struct MapMemory {
+    maps: Vec<KnownMap>,
+}
+
+impl MapMemory {
+    /// Versions whose maps are known, in a run of the group.
+    #[must_use]
+    pub fn versions(&self, epoch: u64) -> Vec<u64> {
+        let maps = self.maps.iter().filter(|m| m.epoch == epoch);
+        maps.map(|m| m.version).collect()
+    }
+
+    /// The intent with its map in full; `None` if the map that it builds on is not known here.
+    pub fn complete(&mut self, mut intent: Intent) -> Option<Intent> {
+        if let Some(base) = intent.base {
+            let base = self
+                .maps
+                .iter()
+                .find(|m| m.epoch == intent.epoch && m.version == base)?;
+            let map = patched(&base.map, &intent.patch)?;
+            if map_digest(&map) != intent.digest {
+                return None;
+            }
+            intent.map = layer_sets(&map);
+            intent.base = None;
+            intent.patch.clear();
+        }
+        if !intent.map.is_empty() {
+            self.remember(&intent);
+        }
+        Some(intent)
+    }
+
+    fn remember(&mut self, intent: &Intent) {
+        let is_same = |m: &KnownMap| m.epoch == intent.epoch && m.version == intent.version;
+        if self.maps.iter().any(is_same) {
+            return;
+        }
+        if self.maps.len() >= REMEMBERED {
+            self.maps.remove(0);
+        }
+        self.maps.push(KnownMap {
+            epoch: intent.epoch,
+            version: intent.version,
+            map: intent.rank_map(),
+        });
+    }
+}
+
+/// Sorts each rank's experts, so that equal maps are equal in bytes.
+pub fn sort(map: &mut RankMap) {
+    for experts in map.iter_mut().flatten() {
+        experts.sort_unstable();
+    }
+}
+
+/// Digest of a sorted map.
+#[must_use]
+pub fn map_digest(map: &RankMap) -> u64 {
+    let mut bytes = Vec::new();
+    for experts in map.iter().flatten() {
+        bytes.push(experts.len() as u8);
+        bytes.extend(experts.iter().flat_map(|e| e.to_be_bytes()));
+    }
+    Digest::of(&bytes).short()
+}
+
+/// Lists in which a map differs from another: for each its place (`layer set * ranks + rank`), its
+/// length and its experts.
+#[must_use]
+pub fn difference(base: &RankMap, next: &RankMap) -> Vec<u32> {
+    let mut patch = Vec::new();
+    let lists = base.iter().flatten().zip(next.iter().flatten());
+    for (place, (old, new)) in lists.enumerate() {
+        if old != new {
+            patch.extend([place as u32, new.len() as u32]);
+            patch.extend(new.iter().map(|e| u32::from(*e)));
+        }
+    }
+    patch
+}
+
+/// The map that differs from `base` as a patch says; `None` if the patch does not fit it.
+#[must_use]
+pub fn patched(base: &RankMap, patch: &[u32]) -> Option<RankMap> {
+    let mut map = base.clone();
+    let ranks = base.first().map_or(0, Vec::len);
+    let mut rest = patch;
+    while let [place, len, tail @ ..] = rest {
+        let (experts, tail) = tail.split_at_checked(*len as usize)?;
+        let place = *place as usize;
+        let list = map
+            .get_mut(place.checked_div(ranks)?)?
+            .get_mut(place % ranks)?;
+        *list = experts.iter().map(|e| *e as u16).collect();
+        rest = tail;
+    }
+    rest.is_empty().then_some(map)
+}
--- a/crates/oriole_ranks/src/message.rs
+++ b/crates/oriole_ranks/src/message.rs
@@ -48,13 +48,22 @@
     /// Version that the engine has begun to copy.
     #[prost(uint64, optional, tag = "14")]
     pub preparing: Option<u64>,
+    /// Choices in each layer set that `picks` stands for.
+    #[prost(uint64, tag = "15")]
+    pub picks_total: u64,
+    /// Pass up to which the choices before `picks` were counted.
+    #[prost(uint64, tag = "16")]
+    pub picks_from: u64,
+    /// Versions whose maps the agent knows whole.
+    #[prost(uint64, repeated, tag = "17")]
+    pub known: Vec<u64>,
 }
 
 /// Parts that the choices of a layer set are told in: as fine as few samples allow, and most experts
 /// take one byte.
 pub const PICK_PARTS: u64 = 4096;
 
-/// Choices as they are told: shares of the layer set.
+/// Choices as they are told: shares of their layer set.
 #[must_use]
 pub fn pick_parts(choices: &[u64], sets: usize) -> Vec<u32> {
     if sets == 0 || !choices.len().is_multiple_of(sets) {
@@ -111,12 +120,21 @@
     /// Version of the next map.
     #[prost(uint64, tag = "3")]
     pub version: u64,
-    /// The next map; empty if every rank has prepared it.
+    /// The next map; empty if it is told as a patch, or if every rank has prepared it.
     #[prost(message, repeated, tag = "4")]
     pub map: Vec<LayerSet>,
     /// Pass at which it comes into use; none before every rank has prepared it.
     #[prost(uint64, optional, tag = "5")]
     pub arm_pass: Option<u64>,
+    /// Version of the map that `patch` builds on.
+    #[prost(uint64, optional, tag = "6")]
+    pub base: Option<u64>,
+    /// Lists in which the next map differs, see [`crate::map_memory::difference`].
+    #[prost(uint32, repeated, tag = "7")]
+    pub patch: Vec<u32>,
+    /// Digest of the map that the patch leads to.
+    #[prost(uint64, tag = "8")]
+    pub digest: u64,
 }
 
 impl Intent {
--- a/crates/oriole_ranks/tests/group_fuzz/model.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/model.rs
@@ -85,6 +85,7 @@
 
 pub struct Agent {
     pub follower: Follower,
+    pub maps: MapMemory,
     pub intent: Option<(Intent, Duration)>,
     pub sleeps_until: Duration,
     pub next: Duration,
@@ -132,6 +133,7 @@
         let agents = (0..RANKS)
             .map(|_| Agent {
                 follower: Follower::default(),
+                maps: MapMemory::default(),
                 intent: None,
                 sleeps_until: Duration::ZERO,
                 next: Duration::ZERO,
@@ -187,6 +189,7 @@
             // A killed agent forgets; a frozen one goes on as it was.
             if self.rng.random_bool(0.5) {
                 self.agents[rank].follower = Follower::default();
+                self.agents[rank].maps = MapMemory::default();
                 self.agents[rank].intent = None;
                 if rank == 0 {
                     self.leader = new_leader(&mut self.rng);
@@ -325,7 +328,10 @@
             preparing: self.agents[rank].follower.preparing(self.epoch),
             open: true,
             pace: 1.0,
+            picks_total: u64::from(picks[..EXPERTS].iter().sum::<u32>()),
+            picks_from: self.pass.saturating_sub(1),
             picks,
+            known: self.agents[rank].maps.versions(self.epoch),
             placed: engine
                 .map
                 .iter()
@@ -346,12 +352,25 @@
             self.messages.drain(..).partition(|(at, ..)| *at <= now);
         self.messages = rest;
         for (_, rank, intent) in due {
-            self.agents[rank].intent = Some((intent, now));
+            self.take_intent(rank, now, intent);
         }
         let (due, rest): (Vec<_>, Vec<_>) = self.statuses.drain(..).partition(|(at, _)| *at <= now);
         self.statuses = rest;
         for (_, status) in due {
-            self.leader.heard(now, status);
+            let has_shifted = self.leader.heard(now, status);
+            if has_shifted || *self.leader.phase() != Phase::Idle {
+                // Both wake the leader's agent.
+                self.agents[0].next = self.agents[0].next.min(now);
+            }
+        }
+    }
+
+    fn take_intent(&mut self, rank: usize, now: Duration, intent: Intent) {
+        let agent = &mut self.agents[rank];
+        if let Some(intent) = agent.maps.complete(intent) {
+            agent.intent = Some((intent, now));
+            // An intent wakes the agent.
+            agent.next = agent.next.min(now);
         }
     }
 
@@ -443,7 +462,7 @@
     fn tell(&mut self, intent: &Intent, ranks: &[usize], faults: Faults) {
         for rank in ranks.iter().copied() {
             if rank == 0 {
-                self.agents[0].intent = Some((intent.clone(), self.now));
+                self.take_intent(0, self.now, intent.clone());
             } else if !self.rng.random_bool(faults.lost_message) {
                 let delay = self.delay(faults);
                 self.messages.push((self.now + delay, rank, intent.clone()));
