Let requests of the first quarter second wait for the first listings

Callers have one retry, and spend it on the restart itself.

Change: until 250 ms after its start a daemon lets requests wait until its first listings are in. After that it refuses at once, as before.

--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -78,6 +78,7 @@
 pub async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<AnswerBody> {
     let guard = CountGuard::new(&gateway, |g| &g.active_requests);
     let came = gateway.clock.now();
+    gateway.started().await;
     let mut answer = if is_closed_to_new(&gateway, came) {
         let id = attempt_id(&gateway, &req);
         turned_away(
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -1,12 +1,12 @@
 //! State that the daemon's tasks share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
 use oriole_kernel::clock::Clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::belief::{Belief, BeliefChange};
 use crate::decision_log::{DecisionLog, Event};
@@ -20,6 +20,10 @@
 /// as many as have been heard and this many more.
 const UNHEARD_DAEMONS: usize = 2;
 
+/// Time after the start for which requests wait for the first listings instead of being refused: those
+/// take a few calls of some milliseconds, and callers whose daemons all restarted come at once.
+const STARTING_FOR: Duration = Duration::from_millis(250);
+
 /// Everything that the tasks of one daemon share.
 pub struct Gateway {
     /// Settings.
@@ -44,7 +48,7 @@
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
     leaving_since: Mutex<Option<Duration>>,
-    was_ready: AtomicBool,
+    ready: watch::Sender<bool>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -72,7 +76,7 @@
             open_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
             leaving_since: Mutex::new(None),
-            was_ready: AtomicBool::new(false),
+            ready: watch::Sender::new(false),
             dialect,
             clock,
             cfg,
@@ -116,6 +120,14 @@
         self.mesh_wake.notify_one();
     }
 
+    /// Waits until the daemon has been ready once, or until it has had its time to start.
+    pub async fn started(&self) {
+        let left = STARTING_FOR.saturating_sub(self.clock.now());
+        let mut ready = self.ready.subscribe();
+        // A daemon that is still not ready then refuses at once.
+        let _ = tokio::time::timeout(left, ready.wait_for(|r| *r)).await;
+    }
+
     /// This daemon's place among all that may send.
     pub fn share(&self) -> Share {
         let (heard, ordinal) = self.members().place(self.clock.now());
@@ -155,7 +167,7 @@
             });
         }
         let is_ready = self.readiness() == Readiness::Ready;
-        if is_ready && !self.was_ready.swap(true, Ordering::Relaxed) {
+        if is_ready && !self.ready.send_replace(true) {
             self.log.event(&Event::Readiness { now: "ready" });
             self.mesh_wake.notify_one();
         }
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod members;
 mod overload;
 mod peers;
+mod restart;
 mod scene;
 mod settings;
 mod shares;
--- a/crates/oriole_gateway/tests/gateway/scene.rs
+++ b/crates/oriole_gateway/tests/gateway/scene.rs
@@ -25,6 +25,8 @@
     items: Vec<Item>,
     /// Listings of peers that it still refuses.
     peer_refusals: Mutex<usize>,
+    /// Time that a listing takes.
+    list_time: Duration,
 }
 
 #[async_trait]
@@ -35,6 +37,7 @@
         _after: Option<&str>,
         _freshness: Freshness,
     ) -> Result<Page, StoreError> {
+        tokio::time::sleep(self.list_time).await;
         if prefix == "peer/" {
             let mut refusals = self.peer_refusals.lock().unwrap();
             if *refusals > 0 {
@@ -225,6 +228,26 @@
 
 /// The daemon before a store that holds some items and refuses the first listings of peers.
 pub async fn open_before(route: Route, items: Vec<Item>, peer_refusals: usize) -> Scene {
+    let store = FakeStore {
+        items,
+        peer_refusals: Mutex::new(peer_refusals),
+        list_time: Duration::ZERO,
+    };
+    open_at(route, store).await
+}
+
+/// The daemon before one upstream, with a store whose listings take some time.
+pub async fn open_slowly(kind: RouteKind, upstream: SocketAddr, list_time: Duration) -> Scene {
+    let value = format!("llm {upstream} north ready");
+    let store = FakeStore {
+        items: vec![item("cfg/0", "3", 1), item("up/i-1", &value, 2)],
+        peer_refusals: Mutex::new(0),
+        list_time,
+    };
+    open_at(route(kind), store).await
+}
+
+async fn open_at(route: Route, store: FakeStore) -> Scene {
     let cfg = settings();
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
@@ -234,10 +257,6 @@
         }),
         ..FakeDialect::default()
     };
-    let store = FakeStore {
-        items,
-        peer_refusals: Mutex::new(peer_refusals),
-    };
     let log = LogBuffer::default();
     let logger = logging::open_to("edge-1", logging::parse_level("info").unwrap(), log.clone());
     let daemon = GatewayDaemon::bind(cfg, Arc::new(dialect), Arc::new(store), logger)
@@ -265,13 +284,7 @@
     pub async fn send(&self, req: &str) -> String {
         let began = tokio::time::Instant::now();
         loop {
-            let mut stream = TcpStream::connect(self.callers).await.unwrap();
-            // The daemon may close before all is written.
-            let _ = stream.write_all(req.as_bytes()).await;
-            let mut answer = Vec::new();
-            // A stream that broke off ends with an error or without its last chunk.
-            let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
-            let answer = String::from_utf8_lossy(&answer).into_owned();
+            let answer = self.send_once(req).await;
             if !answer.contains("not_ready") {
                 return answer;
             }
@@ -279,4 +292,15 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
+
+    /// Sends bytes once; returns all that came back.
+    pub async fn send_once(&self, req: &str) -> String {
+        let mut stream = TcpStream::connect(self.callers).await.unwrap();
+        // The daemon may close before all is written.
+        let _ = stream.write_all(req.as_bytes()).await;
+        let mut answer = Vec::new();
+        // A stream that broke off ends with an error or without its last chunk.
+        let _ = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
 }
