Weigh copies against what is left to copy, keep a preparation that still helps, count noise of both sides

Change: the planner tells how many copies the busiest rank makes until nothing is left to gain, and the time until the next change follows from it; a preparation is given up only if its map leaves 0.7 of the excess under the new demand; the noise of the demand known so far counts as well.

--- a/crates/oriole_placement/src/even_split.rs
+++ b/crates/oriole_placement/src/even_split.rs
@@ -56,6 +56,32 @@
     pub copies_of_busiest: usize,
 }
 
+/// What some copies gain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Gain {
+    /// Time of the most loaded ranks with the map in use, relative to an even spread.
+    pub before: f64,
+    /// The same after the copies.
+    pub after: f64,
+    /// Most of these copies that one rank makes.
+    pub copies: usize,
+    /// Most copies that one rank would make until nothing is left to gain.
+    pub copies_in_full: usize,
+}
+
+impl EvenSplitPlan {
+    /// What the plan gains, as if nothing were left to gain after it.
+    #[must_use]
+    pub fn gain(&self) -> Gain {
+        Gain {
+            before: self.before,
+            after: self.after,
+            copies: self.copies_of_busiest,
+            copies_in_full: self.copies_of_busiest,
+        }
+    }
+}
+
 /// Time of the most loaded ranks over all layer sets, relative to an even spread; one at best.
 ///
 /// `demand` has the share of each expert by layer set, `pace` how much longer each rank takes.
@@ -66,15 +92,14 @@
 
 /// Plans the next map from the one in use.
 ///
-/// Of the copies that shorten the pass, as many are made as leave `worth` highest; it is given the
-/// skew in use, the planned one, and how many experts the busiest rank copies.
+/// Of the copies that shorten the pass, as many are made as leave `worth` highest.
 #[must_use]
 pub fn plan(
     map: &[RankSets],
     demand: &[Vec<f64>],
     pace: &[f64],
     cfg: &EvenSplitConfig,
-    worth: impl Fn(f64, f64, usize) -> f64,
+    worth: impl Fn(&Gain) -> f64,
 ) -> EvenSplitPlan {
     let mut layers = layers_of(map, demand, pace);
     let ranks = map.first().map_or(0, Vec::len);
@@ -82,7 +107,7 @@
     let mut steps: Vec<Option<Step>> = layers.iter().map(|l| l.best_step(cfg, &copied)).collect();
     let before = mean_skew(&layers);
     let mut taken: Vec<(usize, Step)> = Vec::new();
-    let mut best = (0.0, 0);
+    let mut gains: Vec<Gain> = Vec::new();
     while let Some(i) = best_layer(&steps) {
         let Some(step) = steps[i].take() else { break };
         let is_full = copied[usize::from(step.rank)] >= cfg.copies_per_rank;
@@ -91,13 +116,24 @@
             copied[usize::from(step.rank)] += usize::from(step.is_copy);
             taken.push((i, step));
             let busiest = copied.iter().copied().max().unwrap_or(0);
-            let worth = worth(before, mean_skew(&layers), busiest);
-            if worth > best.0 {
-                best = (worth, taken.len());
-            }
+            gains.push(Gain {
+                before,
+                after: mean_skew(&layers),
+                copies: busiest,
+                copies_in_full: 0,
+            });
         }
         steps[i] = layers[i].best_step(cfg, &copied);
     }
+    let copies_in_full = copied.iter().copied().max().unwrap_or(0);
+    let mut best = (0.0, 0);
+    for (i, gain) in gains.iter_mut().enumerate() {
+        gain.copies_in_full = copies_in_full;
+        let worth = worth(gain);
+        if worth > best.0 {
+            best = (worth, i + 1);
+        }
+    }
     taken.truncate(best.1);
     made_of(map, demand, pace, &taken, before)
 }
--- a/crates/oriole_placement/tests/even_split.rs
+++ b/crates/oriole_placement/tests/even_split.rs
@@ -1,6 +1,6 @@
 //! Placement for ranks that share an expert's tokens evenly.
 
-use oriole_placement::even_split::{EvenSplitConfig, RankSets, plan, skew};
+use oriole_placement::even_split::{EvenSplitConfig, Gain, RankSets, plan, skew};
 use proptest::prelude::*;
 
 /// Map 0 of an engine: experts in turn.
@@ -21,8 +21,8 @@
 }
 
 /// Copies cost nothing.
-fn gained(before: f64, after: f64, _copies: usize) -> f64 {
-    before - after
+fn gained(gain: &Gain) -> f64 {
+    gain.before - gain.after
 }
 
 fn new_experts(before: &[u16], after: &[u16]) -> usize {
@@ -75,13 +75,9 @@
     let demand = vec![hot, mild];
     let limits = config(11, 4, 12);
     let free = plan(&map, &demand, &[1.0; 8], &limits, gained);
-    let dear = plan(
-        &map,
-        &demand,
-        &[1.0; 8],
-        &limits,
-        |before, after, copies| before - after - 0.2 * copies as f64,
-    );
+    let dear = plan(&map, &demand, &[1.0; 8], &limits, |gain| {
+        gain.before - gain.after - 0.2 * gain.copies as f64
+    });
     assert!(
         dear.copies < free.copies,
         "{} and {}",
--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -133,7 +133,8 @@
             self.start_from(now, newest);
             return true;
         }
-        let noise = NOISE_DISTANCE / newest.per_expert(sets).sqrt();
+        let noise = 1.0 / newest.per_expert(sets) + 1.0 / self.known.per_expert(sets);
+        let noise = NOISE_DISTANCE * noise.sqrt();
         if newest.distance(&self.known, sets) > noise + SHIFT_DISTANCE {
             self.start_from(now, newest);
             return true;
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
-use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan};
+use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan, Gain};
 
 use crate::demand::{Demand, Sample};
 use crate::map_memory::{self, difference, map_digest};
@@ -23,8 +23,9 @@
 /// Time that a change takes besides copying: telling all ranks, hearing of them, holding and arming.
 const CHANGE_TIME: Duration = Duration::from_millis(250);
 
-/// Experts that the busiest rank copies, as a rule, until nothing is left to gain.
-const USUAL_COPIES: f64 = 6.0;
+/// Share of the excess over an even spread that a map under preparation may leave when demand has
+/// changed; with more, another one is worth its copies.
+const OUTDATED: f64 = 0.7;
 
 /// Time between unchanged orders to the leader's own engine.
 const ORDER_AGAIN: Duration = Duration::from_millis(100);
@@ -230,10 +231,6 @@
         let has_shifted = self.demand.add(now, sets, &sample);
         if has_shifted {
             self.looked_at = None;
-            if matches!(self.phase, Phase::Preparing { .. }) && self.own.held.is_none() {
-                // Nothing is armed for it yet, and another map is wanted now.
-                self.phase = Phase::Idle;
-            }
         }
         let rank = status.rank as usize;
         if let Some(seat) = self.seats.get_mut(rank) {
@@ -348,7 +345,7 @@
     fn preparing(&mut self, now: Duration, since: Duration) {
         let version = self.version;
         let is_refused = self.statuses().any(|s| s.refused == Some(version));
-        if is_refused || now >= since + PREPARE_FOR {
+        if is_refused || now >= since + PREPARE_FOR || self.is_outdated(now) {
             self.phase = Phase::Idle;
         } else if self.all(now, |s| s.prepared == Some(version)) {
             let pass = self.pass_ahead(now);
@@ -356,6 +353,31 @@
         }
     }
 
+    /// Whether demand has changed so much that the map under preparation is little better than the one
+    /// in use. Nothing is armed for it yet, so that another may be prepared instead.
+    fn is_outdated(&mut self, now: Duration) -> bool {
+        let Some(shape) = &self.shape else {
+            return false;
+        };
+        let is_settled = self.demand.is_settled(now, shape.layer_sets);
+        if self.own.held.is_some() || self.looked_at.is_some() || !is_settled {
+            return false;
+        }
+        let in_use = self.map_in_use(shape);
+        let demand = self.demand.by_set(shape.layer_sets);
+        let (Some(in_use), Some(demand)) = (in_use, demand) else {
+            return false;
+        };
+        let pace: Vec<f64> = self.statuses().map(|s| s.pace.max(0.1)).collect();
+        let before = even_split::skew(&in_use, &demand, &pace) - 1.0;
+        let after = even_split::skew(&self.map, &demand, &pace) - 1.0;
+        let is_outdated = after > before * OUTDATED;
+        if !is_outdated {
+            self.looked_at = Some(now);
+        }
+        is_outdated
+    }
+
     fn holding(&mut self, now: Duration, pass: u64, actions: &mut Vec<LeaderAction>) {
         // A hold of an earlier order, carried out late, serves as well.
         let held = self.own.held.filter(|p| *p > self.own.pass);
@@ -499,20 +521,18 @@
             copies_per_rank: self.cfg.copies_per_rank,
             ..EvenSplitConfig::default()
         };
-        let until_next = self.until_next(shape);
-        let worth = |before, after, copies| saved(shape, until_next, before, after, copies);
+        let worth = |gain: &Gain| saved(shape, self.until_next(shape, gain), gain);
         let plan = even_split::plan(&map, &demand, &pace, &limits, worth);
-        let copies = plan.copies_of_busiest;
-        let saved = saved(shape, self.cfg.horizon, plan.before, plan.after, copies);
+        let saved = saved(shape, self.cfg.horizon, &plan.gain());
         let least = self.cfg.min_gain * plan.before * self.cfg.horizon.as_secs_f64();
         (saved >= least).then_some(plan)
     }
 
-    /// Time until another change can be in force after the one that is planned. What is copied later
-    /// is in use later, but what is copied first is so sooner.
-    fn until_next(&self, shape: &ExpertLimits) -> Duration {
-        let copying = Duration::from_secs_f64(USUAL_COPIES * shape.copy_s.max(0.0));
-        (CHANGE_TIME + copying).min(self.cfg.horizon)
+    /// Time until what is left to copy after a change can be in force as well. What is copied later is
+    /// in use later, but what is copied first is so sooner.
+    fn until_next(&self, shape: &ExpertLimits, gain: &Gain) -> Duration {
+        let copying = gain.copies_in_full as f64 * shape.copy_s.max(0.0);
+        (CHANGE_TIME + Duration::from_secs_f64(copying)).min(self.cfg.horizon)
     }
 
     fn map_in_use(&self, shape: &ExpertLimits) -> Option<RankMap> {
@@ -532,11 +552,11 @@
 
 /// Time that a plan saves within some time, in seconds of an evenly spread pass: nothing until its
 /// experts are copied, and passes are slower meanwhile.
-fn saved(shape: &ExpertLimits, within: Duration, before: f64, after: f64, copies: usize) -> f64 {
+fn saved(shape: &ExpertLimits, within: Duration, gain: &Gain) -> f64 {
     let within = within.as_secs_f64();
-    let copying = (copies as f64 * shape.copy_s).min(within);
-    let gained = (before - after) * shape.expert_share * (within - copying);
-    gained - COPY_SLOWDOWN * before * copying
+    let copying = (gain.copies as f64 * shape.copy_s).min(within);
+    let gained = (gain.before - gain.after) * shape.expert_share * (within - copying);
+    gained - COPY_SLOWDOWN * gain.before * copying
 }
 
 /// Whether a rank changes to a version by itself, or has done so.
