Let requests wait while all groups of their service are formed anew

Change: while the store tells of no running group of a service, one request in 0.4 s is offered to see whether that has changed; the others wait for up to 1.5 s since the outage was noticed, 128 at most a daemon. An answered probe counts as word of its group. An outage that lasts longer is answered at once.

--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -116,6 +116,15 @@
         /// Revision of the belief.
         version: u64,
     },
+    /// A request waits for an upstream.
+    Waits {
+        /// Request.
+        request: &'a str,
+        /// Why there is none now.
+        reason: &'static str,
+        /// Longest time that it waits.
+        longest: Duration,
+    },
     /// An attempt ended.
     Attempt {
         /// Request.
@@ -201,6 +210,7 @@
             Event::Pulled { .. } => "pulled",
             Event::CallFailed { .. } => "call_failed",
             Event::Picked { .. } => "picked",
+            Event::Waits { .. } => "waits",
             Event::Attempt { .. } => "attempt",
             Event::Resume { .. } => "resume",
             Event::Refused { .. } => "refused",
@@ -317,6 +327,14 @@
                     "capacity" => pick.capacity, "candidates" => pick.candidates,
                     "configuration" => configuration, "version" => version);
             }
+            Event::Waits {
+                request,
+                reason,
+                longest,
+            } => {
+                info!(log, "waits"; "request" => request, "reason" => reason,
+                    "longest_ms" => millis(*longest));
+            }
             Event::Attempt {
                 request,
                 attempt,
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod upstream_try;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +48,12 @@
 /// Time spent on leaving after which new requests are refused: what began before can still end.
 const LEAVING_ACCEPTS: Duration = Duration::from_millis(3500);
 
+/// Requests that one daemon lets wait for a group at the same time; its memory bounds them.
+const MAX_WAITING: usize = 128;
+
+/// Time between two looks of a waiting request.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
 /// An end that is not an upstream's answer.
 #[derive(Clone, Copy, Debug)]
 struct Ended {
@@ -63,6 +70,19 @@
     }
 }
 
+/// Why a request has no upstream.
+struct NoUpstream {
+    ended: Ended,
+    /// Time for which it makes sense to wait and look again, if it does.
+    wait: Option<Duration>,
+}
+
+impl From<NoUpstream> for Ended {
+    fn from(no: NoUpstream) -> Self {
+        no.ended
+    }
+}
+
 /// How far a request has come.
 #[derive(Debug, Default)]
 struct Progress {
@@ -152,12 +172,17 @@
     progress: &mut Progress,
 ) -> Result<Answer, Ended> {
     let mut fallback = None;
+    let mut waiting = None;
     loop {
         let patience = asked.route.objective.mul_f64(QUEUE_SHARE);
         let pick = match pick(gateway, asked, progress, patience) {
             Ok(pick) => pick,
+            Err(no) if no.wait.is_some() && may_wait(gateway, asked, &no, &mut waiting) => {
+                tokio::time::sleep(LOOK_AGAIN).await;
+                continue;
+            }
             // A failure that an upstream gave is a better answer than one of our own.
-            Err(ended) => return fallback.ok_or(ended),
+            Err(no) => return fallback.ok_or(no.ended),
         };
         progress.offers += 1;
         let timeout = head_timeout(asked, progress);
@@ -235,13 +260,14 @@
     asked: &Asked,
     progress: &Progress,
     patience: Duration,
-) -> Result<Pick, Ended> {
+) -> Result<Pick, NoUpstream> {
     let now = gateway.clock.now();
     let share = gateway.share();
     let ask = PickAsk {
         service: asked.cfg.services.get(&asked.service),
         patience,
         tried: &progress.tried,
+        may_probe: progress.offers == 0,
     };
     let belief = gateway.belief();
     let usable = belief.usable(now, &asked.service);
@@ -259,12 +285,41 @@
             });
             Ok(pick)
         }
-        Err(_) if progress.runs > 0 => Err(Refusal::UpstreamFailed.into()),
-        Err(no) => Err(Ended {
-            refusal: no.reason,
-            retry_after: Some(no.retry_after),
+        Err(_) if progress.runs > 0 => Err(NoUpstream {
+            ended: Refusal::UpstreamFailed.into(),
+            wait: None,
         }),
+        Err(no) => Err(NoUpstream {
+            ended: Ended {
+                refusal: no.reason,
+                retry_after: Some(no.retry_after),
+            },
+            wait: no.wait,
+        }),
+    }
+}
+
+/// Whether a request waits for a group of its service; counted and logged once.
+fn may_wait(
+    gateway: &Arc<Gateway>,
+    asked: &Asked,
+    no: &NoUpstream,
+    waiting: &mut Option<CountGuard>,
+) -> bool {
+    if waiting.is_some() {
+        return true;
+    }
+    if gateway.waiting_requests.load(Ordering::Relaxed) >= MAX_WAITING {
+        return false;
     }
+    *waiting = Some(CountGuard::new(gateway, |g| &g.waiting_requests));
+    counter!("oriole_waits_total", "reason" => no.ended.refusal.as_str()).increment(1);
+    gateway.log.event(&Event::Waits {
+        request: &asked.id,
+        reason: no.ended.refusal.as_str(),
+        longest: no.wait.unwrap_or_default(),
+    });
+    true
 }
 
 /// Whether a request that did not run may be offered to another upstream.
--- a/crates/oriole_gateway/src/forward/upstream_try.rs
+++ b/crates/oriole_gateway/src/forward/upstream_try.rs
@@ -113,7 +113,7 @@
                 connection,
                 _in_flight: guard,
             };
-            judged(gateway, asked, live)
+            judged(gateway, asked, pick, live)
         }
         Err(e) => unanswered(gateway, pick, e),
     };
@@ -154,7 +154,7 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn judged(gateway: &Arc<Gateway>, asked: &Asked, live: Live) -> TryEnd {
+fn judged(gateway: &Arc<Gateway>, asked: &Asked, pick: &Pick, live: Live) -> TryEnd {
     let names = gateway.dialect.headers();
     let headers = live.answer.headers();
     let facts = HeadFacts {
@@ -168,7 +168,11 @@
     let took = gateway.clock.now().saturating_sub(live.began);
     gateway.traffic().load_mut(&live.instance).answered(took);
     match judge(&asked.id, &facts) {
-        Verdict::Success => TryEnd::Success(Box::new(live)),
+        Verdict::Success => {
+            let now = gateway.clock.now();
+            gateway.traffic().answered(now, pick);
+            TryEnd::Success(Box::new(live))
+        }
         Verdict::Failure => {
             let is_own_fault = live.answer.status().is_server_error();
             if is_own_fault {
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -44,6 +44,8 @@
     pub open_connections: AtomicUsize,
     /// Requests that are not answered in full.
     pub active_requests: AtomicUsize,
+    /// Requests that wait for a group of their service to run again.
+    pub waiting_requests: AtomicUsize,
     belief: Mutex<Belief>,
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
@@ -75,6 +77,7 @@
             mesh_wake: Notify::new(),
             open_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
+            waiting_requests: AtomicUsize::new(0),
             leaving_since: Mutex::new(None),
             ready: watch::Sender::new(false),
             dialect,
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! The tour, state machines first:
 //!
 //! - [`belief`]: configuration, upstreams and evacuations as last heard, by revision.
-//! - [`traffic`]: loads, suspects, cold starts and the retry budget; picks an upstream.
+//! - [`traffic`]: loads, suspects, outages, cold starts and the retry budget; picks an upstream.
 //! - [`mesh`]: which entry daemons live, what they have in flight, and how far their belief is.
 //! - [`forward`]: the life of one request: its attempts, its answer, its events.
 //! - [`refusal`]: why a request is refused, and what the caller is told.
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 
 /// Time in which a group that lost a rank is usually formed anew, or a restarted upstream is back.
-const GROUP_RETURN: Duration = Duration::from_millis(1500);
+pub const GROUP_RETURN: Duration = Duration::from_millis(1500);
 
 /// An end of a request that is not an upstream's answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -24,6 +24,8 @@
     Leaving,
     /// No upstream of the service takes work.
     NoUpstream,
+    /// No group of the service runs.
+    GroupDown,
     /// Every upstream has as much work as it can finish in time.
     Busy,
     /// Upstreams refused it and no further offer is allowed.
@@ -54,6 +56,7 @@
             Self::NotReady
             | Self::Leaving
             | Self::NoUpstream
+            | Self::GroupDown
             | Self::Busy
             | Self::Rejected
             | Self::BudgetSpent
@@ -69,7 +72,9 @@
         match self {
             Self::Leaving => Some(Duration::ZERO),
             Self::NotReady => Some(Duration::from_millis(300)),
-            Self::NoUpstream | Self::Rejected | Self::BudgetSpent => Some(GROUP_RETURN),
+            Self::NoUpstream | Self::GroupDown | Self::Rejected | Self::BudgetSpent => {
+                Some(GROUP_RETURN)
+            }
             Self::Busy => Some(Duration::from_millis(200)),
             _ => None,
         }
@@ -86,6 +91,7 @@
             Self::NotReady => "not_ready",
             Self::Leaving => "leaving",
             Self::NoUpstream => "no_upstream",
+            Self::GroupDown => "group_down",
             Self::Busy => "busy",
             Self::Rejected => "rejected",
             Self::BudgetSpent => "budget_spent",
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod cold_share;
 pub mod load;
+pub mod outage;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,8 +15,9 @@
 use self::budget::{BudgetBounds, RetryShare};
 use self::cold_share::ColdBounds;
 use self::load::UpstreamLoad;
+use self::outage::{Outages, WhileDown};
 use crate::belief::KnownUpstream;
-use crate::refusal::Refusal;
+use crate::refusal::{GROUP_RETURN, Refusal};
 
 /// Time to the head of an answer before any has come.
 const DEFAULT_HEAD_S: f64 = 0.1;
@@ -73,6 +75,8 @@
     pub patience: Duration,
     /// Instances that were tried already.
     pub tried: &'a [String],
+    /// Whether the request may be offered to a group that is believed down.
+    pub may_probe: bool,
 }
 
 /// The upstream of an attempt and what it was picked by.
@@ -82,6 +86,8 @@
     pub instance: String,
     /// Address.
     pub address: std::net::SocketAddr,
+    /// Group that it belongs to, if it does.
+    pub group: Option<String>,
     /// Requests from all daemons that were there.
     pub in_flight: u32,
     /// Requests that it runs at once.
@@ -97,6 +103,8 @@
     pub reason: Refusal,
     /// Time after which a place should be free.
     pub retry_after: Duration,
+    /// Time for which it makes sense to wait and ask again, if it does.
+    pub wait: Option<Duration>,
 }
 
 struct Scored<'a> {
@@ -123,6 +131,7 @@
     loads: HashMap<String, UpstreamLoad>,
     budgets: HashMap<String, RetryShare>,
     rates: HashMap<String, PickRate>,
+    outages: Outages,
 }
 
 /// Picks a second for a service, averaged.
@@ -153,6 +162,7 @@
             loads: HashMap::new(),
             budgets: HashMap::new(),
             rates: HashMap::new(),
+            outages: Outages::default(),
         }
     }
 
@@ -221,6 +231,7 @@
             return Err(NoPick {
                 reason,
                 retry_after,
+                wait: None,
             });
         }
         for known in &usable {
@@ -236,8 +247,16 @@
         let sound: Vec<&KnownUpstream> = allowed
             .iter()
             .copied()
-            .filter(|k| k.is_open() && !self.loads[&k.upstream.instance].is_suspect(now))
+            .filter(|k| self.runs(now, k) && !self.loads[&k.upstream.instance].is_suspect(now))
             .collect();
+        if let Some(first) = usable.first() {
+            let service = &first.upstream.service;
+            if usable.iter().any(|k| self.runs(now, k)) {
+                self.outages.ended(service);
+            } else if let Some(no) = self.no_group_runs(now, service, ask.may_probe) {
+                return Err(no);
+            }
+        }
         let candidates = if sound.is_empty() { allowed } else { sound };
         let load_of = |k: &&KnownUpstream| &self.loads[&k.upstream.instance];
         let mean_head_s = mean_head_s(candidates.iter().map(load_of));
@@ -265,6 +284,7 @@
         let pick = Pick {
             instance: best.known.upstream.instance.clone(),
             address: best.known.upstream.address,
+            group: best.known.upstream.seat.as_ref().map(|s| s.group.clone()),
             in_flight: best.load.in_flight(),
             capacity: best.known.upstream.capacity,
             candidates: candidates.len(),
@@ -280,6 +300,33 @@
         Ok(pick)
     }
 
+    /// Notes that an upstream answered a request.
+    pub fn answered(&mut self, now: Duration, pick: &Pick) {
+        if let Some(group) = &pick.group {
+            self.outages.answered(now, group);
+        }
+    }
+
+    /// Whether an upstream's group runs, if it belongs to one.
+    fn runs(&self, now: Duration, known: &KnownUpstream) -> bool {
+        let seat = known.upstream.seat.as_ref();
+        known.is_open() || seat.is_some_and(|s| self.outages.is_proven(now, &s.group))
+    }
+
+    /// Why there is no pick for a service without a running group, unless one is to be probed.
+    fn no_group_runs(&mut self, now: Duration, service: &str, may_probe: bool) -> Option<NoPick> {
+        let wait = match self.outages.ask(now, service, may_probe) {
+            WhileDown::Probe => return None,
+            WhileDown::Wait(left) => Some(left),
+            WhileDown::Refuse => None,
+        };
+        Some(NoPick {
+            reason: Refusal::GroupDown,
+            retry_after: GROUP_RETURN,
+            wait,
+        })
+    }
+
     /// Whether an upstream bears another request: its cold rate and its connections.
     fn bears(
         &mut self,
@@ -313,6 +360,7 @@
     NoPick {
         reason: Refusal::Busy,
         retry_after,
+        wait: None,
     }
 }
 
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -1,4 +1,4 @@
-//! A dialect without a platform: `up/NAME` holds `service address domain state born`.
+//! A dialect without a platform: `up/NAME` holds `service address domain state born group phase`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,7 +51,11 @@
         },
         cold_for: Duration::ZERO,
         born_ms: words.next().and_then(|w| w.parse().ok()),
-        seat: None,
+        seat: words.next().map(|group| Seat {
+            group: group.to_owned(),
+            rank: 0,
+            open: words.next() == Some("open"),
+        }),
     })
 }
 
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod fake;
 mod members;
+mod outage;
 mod overload;
 mod peers;
 mod restart;
--- a/crates/oriole_gateway/tests/gateway/overload.rs
+++ b/crates/oriole_gateway/tests/gateway/overload.rs
@@ -18,7 +18,7 @@
 const UPSTREAMS: usize = 16;
 const CAPACITY: u32 = 12;
 
-const BOUNDS: TrafficBounds = TrafficBounds {
+pub const BOUNDS: TrafficBounds = TrafficBounds {
     budget: BudgetBounds {
         ratio: 0.2,
         allowance: 196.0,
@@ -41,6 +41,7 @@
     service: None,
     patience: Duration::from_millis((400.0 * QUEUE_SHARE) as u64),
     tried: &[],
+    may_probe: true,
 };
 
 struct Fleet {
