--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -51,6 +51,10 @@
 /// Requests that one daemon lets wait for a group at the same time; its memory bounds them.
 const MAX_WAITING: usize = 128;
 
+/// Time after its arrival at which a request that waited for a group is refused if it has not begun: with
+/// the time that it takes then, callers are still there.
+const LATEST_BEGIN: Duration = Duration::from_secs(3);
+
 /// Time between two looks of a waiting request.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 
@@ -174,10 +178,14 @@
     let mut fallback = None;
     let mut waiting = None;
     loop {
-        let patience = asked.route.objective.mul_f64(QUEUE_SHARE);
+        let patience = if waiting.is_some() {
+            Patience::Late
+        } else {
+            Patience::Queue(asked.route.objective.mul_f64(QUEUE_SHARE))
+        };
         let pick = match pick(gateway, asked, progress, patience) {
             Ok(pick) => pick,
-            Err(no) if no.wait.is_some() && may_wait(gateway, asked, &no, &mut waiting) => {
+            Err(no) if may_wait(gateway, asked, &no, &mut waiting) => {
                 tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
@@ -254,20 +262,33 @@
     .min(asked.route.timeout)
 }
 
-/// Picks the upstream of the next attempt, if one is free within `patience`.
+/// What a request waits for.
+#[derive(Clone, Copy, Debug)]
+enum Patience {
+    /// A place that is free within some time.
+    Queue(Duration),
+    /// A place that nobody needs who can still be answered in time.
+    Late,
+}
+
+/// Picks the upstream of the next attempt, if one is free as the request needs it.
 fn pick(
     gateway: &Gateway,
     asked: &Asked,
     progress: &Progress,
-    patience: Duration,
+    patience: Patience,
 ) -> Result<Pick, NoUpstream> {
     let now = gateway.clock.now();
     let share = gateway.share();
     let ask = PickAsk {
         service: asked.cfg.services.get(&asked.service),
-        patience,
+        patience: match patience {
+            Patience::Queue(longest) => longest,
+            Patience::Late => Duration::ZERO,
+        },
         tried: &progress.tried,
         may_probe: progress.offers == 0,
+        is_late: matches!(patience, Patience::Late),
     };
     let belief = gateway.belief();
     let usable = belief.usable(now, &asked.service);
@@ -307,7 +328,11 @@
     waiting: &mut Option<CountGuard>,
 ) -> bool {
     if waiting.is_some() {
-        return true;
+        let is_worth_it = no.wait.is_some() || matches!(no.ended.refusal, Refusal::Busy);
+        return is_worth_it && gateway.clock.now() < asked.came + LATEST_BEGIN;
+    }
+    if no.wait.is_none() {
+        return false;
     }
     if gateway.waiting_requests.load(Ordering::Relaxed) >= MAX_WAITING {
         return false;
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -14,7 +14,7 @@
 use super::events::EventSplitter;
 use super::request::Asked;
 use super::upstream_try::{self, Live, TryEnd};
-use super::{MAX_OFFERS, Progress, account_name, head, pick, try_retry};
+use super::{MAX_OFFERS, Patience, Progress, account_name, head, pick, try_retry};
 use crate::decision_log::Event;
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
@@ -229,7 +229,8 @@
         if !try_retry(&self.gateway, &self.asked, "resume") {
             return ResumeEnd::GivenUp("budget spent");
         }
-        let Ok(pick) = pick(&self.gateway, &self.asked, progress, RESUME_PATIENCE) else {
+        let patience = Patience::Queue(RESUME_PATIENCE);
+        let Ok(pick) = pick(&self.gateway, &self.asked, progress, patience) else {
             return ResumeEnd::GivenUp("no upstream");
         };
         progress.offers += 1;
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -48,6 +48,10 @@
 /// end an upstream has not noticed yet.
 const CONNECTION_SHARE: f64 = 0.8;
 
+/// Share of a service's places that requests without a chance of meeting their objective may fill, over
+/// all daemons: the rest covers a usual load, and passes with fewer requests are shorter.
+const LATE_SHARE: f64 = 0.6;
+
 /// Bounds that hold over all daemons together.
 #[derive(Clone, Copy, Debug)]
 pub struct TrafficBounds {
@@ -77,6 +81,8 @@
     pub tried: &'a [String],
     /// Whether the request may be offered to a group that is believed down.
     pub may_probe: bool,
+    /// Whether it has missed its objective: it takes what those that can still meet theirs leave.
+    pub is_late: bool,
 }
 
 /// The upstream of an attempt and what it was picked by.
@@ -258,6 +264,9 @@
             }
         }
         let candidates = if sound.is_empty() { allowed } else { sound };
+        if ask.is_late && !self.has_place_left(share, &candidates) {
+            return Err(busy(Refusal::Busy.retry_after().unwrap_or_default()));
+        }
         let load_of = |k: &&KnownUpstream| &self.loads[&k.upstream.instance];
         let mean_head_s = mean_head_s(candidates.iter().map(load_of));
         let compared = candidates.sample(rng, COMPARED);
@@ -300,6 +309,16 @@
         Ok(pick)
     }
 
+    /// Whether this daemon's share of the places for late requests has one left.
+    fn has_place_left(&self, share: Share, candidates: &[&KnownUpstream]) -> bool {
+        let places = candidates.iter().map(|k| f64::from(k.upstream.capacity));
+        let places = places.sum::<f64>() * LATE_SHARE / share.daemons as f64;
+        let own = candidates
+            .iter()
+            .map(|k| self.loads[&k.upstream.instance].own);
+        f64::from(own.sum::<u32>()) < places.max(1.0)
+    }
+
     /// Notes that an upstream answered a request.
     pub fn answered(&mut self, now: Duration, pick: &Pick) {
         if let Some(group) = &pick.group {
--- a/crates/oriole_gateway/tests/gateway/outage.rs
+++ b/crates/oriole_gateway/tests/gateway/outage.rs
@@ -27,6 +27,7 @@
     patience: Duration::from_millis(200),
     tried: &[],
     may_probe: true,
+    is_late: false,
 };
 
 /// Two groups of four ranks.
@@ -114,6 +115,31 @@
     }
 }
 
+/// All daemons let their waiting requests go at the moment at which the groups are back: together they
+/// leave places for callers that can still be answered in time.
+#[test]
+fn pick_groups_back_late_requests_leave_places() {
+    let up = upstreams(true);
+    let late = PickAsk {
+        is_late: true,
+        patience: Duration::ZERO,
+        ..ASK
+    };
+    let places: usize = up.iter().map(|u| u.upstream.capacity as usize).sum();
+    let mut begun = 0;
+    for seed in 0..SHARE.daemons {
+        let mut daemon = Daemon::new();
+        daemon.rng = StdRng::seed_from_u64(seed as u64);
+        // No daemon has heard what the others begin at the same time.
+        begun += (0..20)
+            .filter(|_| daemon.pick(0.0, &late, &up).is_ok())
+            .count();
+        assert!(daemon.pick(0.0, &ASK, &up).is_ok(), "in time");
+    }
+    assert!(begun >= SHARE.daemons, "{begun} of {places}");
+    assert!(begun < places, "{begun} of {places}");
+}
+
 /// An outage that lasts is no reason to hold callers any longer.
 #[test]
 fn ask_outage_lasts_refuses_at_once() {
--- a/crates/oriole_gateway/tests/gateway/overload.rs
+++ b/crates/oriole_gateway/tests/gateway/overload.rs
@@ -42,6 +42,7 @@
     patience: Duration::from_millis((400.0 * QUEUE_SHARE) as u64),
     tried: &[],
     may_probe: true,
+    is_late: false,
 };
 
 struct Fleet {
