--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -51,9 +51,10 @@
 /// Requests that one daemon lets wait for a group at the same time; its memory bounds them.
 const MAX_WAITING: usize = 128;
 
-/// Time after its arrival at which a request that waited for a group is refused if it has not begun: with
-/// the time that it takes then, callers are still there.
-const LATEST_BEGIN: Duration = Duration::from_secs(3);
+/// Time after its arrival at which a request that waited for a group is refused if it has not begun:
+/// callers leave after about two seconds without an event, and the first one takes some hundred
+/// milliseconds.
+const LATEST_BEGIN: Duration = Duration::from_millis(1500);
 
 /// Time between two looks of a waiting request.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
