--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -50,7 +50,7 @@
 
 /// Share of a service's places that requests without a chance of meeting their objective may fill, over
 /// all daemons: the rest covers a usual load, and passes with fewer requests are shorter.
-const LATE_SHARE: f64 = 0.8;
+const LATE_SHARE: f64 = 0.6;
 
 /// Bounds that hold over all daemons together.
 #[derive(Clone, Copy, Debug)]
