--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -265,7 +265,8 @@
         }
         let candidates = if sound.is_empty() { allowed } else { sound };
         if ask.is_late && !self.has_place_left(share, &candidates) {
-            return Err(busy(Refusal::Busy.retry_after().unwrap_or_default()));
+            // What has gathered takes about as long again to be worked off.
+            return Err(busy(GROUP_RETURN));
         }
         let load_of = |k: &&KnownUpstream| &self.loads[&k.upstream.instance];
         let mean_head_s = mean_head_s(candidates.iter().map(load_of));
