--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -82,12 +82,6 @@
     wait: Option<Duration>,
 }
 
-impl From<NoUpstream> for Ended {
-    fn from(no: NoUpstream) -> Self {
-        no.ended
-    }
-}
-
 /// How far a request has come.
 #[derive(Debug, Default)]
 struct Progress {
--- a/crates/oriole_ranks/src/agent/engine.rs
+++ b/crates/oriole_ranks/src/agent/engine.rs
@@ -78,10 +78,12 @@
                 false
             }
         };
-        let pause = match is_busy {
-            true => REPORT_OFTEN,
-            false if view.tells_counts => COUNTS_EVERY,
-            false => REPORT_EVERY,
+        let pause = if is_busy {
+            REPORT_OFTEN
+        } else if view.tells_counts {
+            COUNTS_EVERY
+        } else {
+            REPORT_EVERY
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
