Confirm the gateway's view by shared listings and cut watches that died in silence

Cause: a watch is one call with a wait of up to 29 s, and its answer fell into the silence. Nothing but the call's own timeout ended it, although other calls of the same process failed and then succeeded. All daemons were in the same state, so peers had nothing newer. The gateway's harness and the soak ran watches of 1 s and 5 s, which hid it.

The view is now confirmed by listings, about one a second and prefix in the whole fleet: heartbeats carry a digest of the items held and the age of their confirmation, and a daemon that holds the same items takes it over. A confirmation travels under the id of its listing, since ages alone would grow younger with each hop. A watch is cut when a call beside it stayed unanswered and the store answers again, or when a listing or a peer brings a change that it should have reported. Every call feeds one view of the store's health. Refusals log the age of the configuration they rest on.

--- a/crates/oriole_gateway/src/daemon.rs
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -13,6 +13,7 @@
 use crate::decision_log::LogEvent;
 use crate::gateway::Gateway;
 use crate::mesh::{self, MeshSockets};
+use crate::observed_store::ObservedStore;
 use crate::settings::GatewaySettings;
 use crate::{ingress, registration, service_port, watcher};
 
@@ -60,6 +61,7 @@
         }
         metrics_port::spawn(metrics, stop.clone());
         mesh::spawn(&gateway, peers, &stop);
+        let store: Arc<dyn FleetStore> = Arc::new(ObservedStore::new(&gateway, store));
         watcher::spawn(&gateway, &store, &stop);
         registration::spawn(&gateway, &store, &stop);
         spawn_pool_tick(&gateway, &stop);
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -170,6 +170,8 @@
         attempts: u32,
         /// Version of the configuration.
         configuration: u64,
+        /// Time since that version was known to be the newest; `None` if it never was.
+        configuration_age: Option<Duration>,
     },
     /// A complete response was produced.
     Answered {
@@ -366,12 +368,14 @@
                 held,
                 attempts,
                 configuration,
+                configuration_age,
             } => {
                 info!(log, "refused"; "request" => request, "account" => account,
                     "route" => route, "reason" => refusal.as_str(),
                     "status" => refusal.status().as_u16(),
                     "retry_after_ms" => retry_after.map(millis), "held_ms" => millis(*held),
-                    "attempts" => attempts, "configuration" => configuration);
+                    "attempts" => attempts, "configuration" => configuration,
+                    "configuration_age_ms" => configuration_age.map(millis));
             }
             LogEvent::Answered {
                 request,
--- a/crates/oriole_gateway/src/fleet_view/mod.rs
+++ b/crates/oriole_gateway/src/fleet_view/mod.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use oriole_fleet::prelude::*;
+use oriole_types::digest::Digest;
 
 pub use self::known_upstream::KnownUpstream;
 
@@ -53,6 +54,16 @@
     }
 }
 
+/// Digest of the items held under each watched prefix: equal for daemons that hold the same items in
+/// the same revisions. Removed items do not count, as daemons may learn of a removal under different
+/// revisions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PrefixDigests(pub Vec<u64>);
+
+fn item_digest(key: &str, revision: u64) -> u64 {
+    Digest::of_fields(&[key.as_bytes(), &revision.to_be_bytes()]).prefix_u64()
+}
+
 /// A store item as it is cached and sent to peers.
 #[derive(Clone, Debug)]
 pub struct CachedItem {
@@ -105,6 +116,7 @@
     dialect: Arc<dyn Dialect>,
     items: HashMap<String, CachedItem>,
     revisions: PrefixRevisions,
+    digests: PrefixDigests,
     configuration: Option<Arc<Configuration>>,
     upstreams: HashMap<String, KnownUpstream>,
     evacuated_domains: HashMap<String, String>,
@@ -124,6 +136,7 @@
             dialect,
             items: HashMap::new(),
             revisions: PrefixRevisions(vec![0; prefixes]),
+            digests: PrefixDigests(vec![0; prefixes]),
             configuration: None,
             upstreams: HashMap::new(),
             evacuated_domains: HashMap::new(),
@@ -146,6 +159,12 @@
         &self.revisions
     }
 
+    /// Digest of the items held under each prefix; peers compare them.
+    #[must_use]
+    pub fn digests(&self) -> &PrefixDigests {
+        &self.digests
+    }
+
     /// The configuration in force.
     #[must_use]
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
@@ -216,7 +235,9 @@
             .collect()
     }
 
-    fn prefix_index(&self, key: &str) -> Option<usize> {
+    /// Index of the watched prefix that a key belongs to.
+    #[must_use]
+    pub fn prefix_index(&self, key: &str) -> Option<usize> {
         let prefixes = self.dialect.watched_prefixes();
         prefixes.iter().position(|p| key.starts_with(p))
     }
@@ -273,6 +294,24 @@
         is_newer
     }
 
+    /// Replaces the held item of a key.
+    fn hold(&mut self, key: &str, item: CachedItem) {
+        let Some(prefix) = self.prefix_index(key) else {
+            return;
+        };
+        // The digests are combined by exclusive or, so that an item can be taken out again.
+        let mut delta = 0;
+        if item.value.is_some() {
+            delta ^= item_digest(key, item.revision);
+        }
+        if let Some(replaced) = self.items.insert(key.to_owned(), item)
+            && replaced.value.is_some()
+        {
+            delta ^= item_digest(key, replaced.revision);
+        }
+        self.digests.0[prefix] ^= delta;
+    }
+
     fn put(&mut self, now: Duration, item: Item) -> Vec<FleetChange> {
         if !self.advance_revision(&item.key, item.revision) {
             return Vec::new();
@@ -282,7 +321,7 @@
             revision: item.revision,
             value: Some(item.value),
         };
-        self.items.insert(item.key.clone(), held);
+        self.hold(&item.key, held);
         match declared {
             DecodedItem::Configuration(cfg) => self.put_configuration(*cfg),
             DecodedItem::Upstream(upstream) => self.put_upstream(now, &item.key, *upstream),
@@ -363,7 +402,7 @@
             revision,
             value: None,
         };
-        self.items.insert(key.to_owned(), held);
+        self.hold(key, held);
         if let Some(domain) = self.evacuated_domains.remove(key) {
             self.on_domain_return(now, &domain);
             return vec![FleetChange::Evacuated { domain, out: false }];
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -475,6 +475,7 @@
         held: gateway.clock.now().saturating_sub(request.received_at),
         attempts: progress.attempts,
         configuration: request.cfg.version,
+        configuration_age: gateway.configuration_age(),
     });
     refusal_response(gateway, &request.id, failure)
 }
@@ -498,6 +499,7 @@
         held: gateway.clock.now().saturating_sub(received_at),
         attempts: 0,
         configuration,
+        configuration_age: gateway.configuration_age(),
     });
     refusal_response(gateway, &rejected.id, failure)
 }
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! State shared by the daemon's tasks.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 
 use crate::decision_log::{DecisionLog, LogEvent};
 use crate::fleet_view::{FleetChange, FleetView};
+use crate::freshness::{Confirmation, ConfirmationId, FreshnessTracker, Place};
 use crate::mesh::members::Members;
 use crate::mesh::message::Readiness;
 use crate::settings::GatewaySettings;
@@ -41,6 +42,8 @@
     pub pool: ConnectionPool,
     /// Triggers a heartbeat at once, for example when readiness changes.
     pub mesh_wake: Notify,
+    /// Notifies the tasks that keep the fleet view fresh, by watched prefix.
+    pub freshness_wake: Vec<Notify>,
     /// Number of open connections from callers.
     pub open_connections: AtomicUsize,
     /// Number of requests whose response is not complete.
@@ -48,6 +51,9 @@
     /// Number of requests that wait for a group of their service to run again.
     pub waiting_requests: AtomicUsize,
     fleet_view: Mutex<FleetView>,
+    freshness: Mutex<FreshnessTracker>,
+    /// Number of listings applied.
+    listings: AtomicU64,
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
     leaving_since: Mutex<Option<Duration>>,
@@ -68,7 +74,11 @@
             let address = (seed.ip(), cfg.peers.listen.port()).into();
             members.add_contact(clock.now(), address);
         }
+        let prefixes = dialect.watched_prefixes().len();
         Self {
+            freshness: Mutex::new(FreshnessTracker::new(prefixes)),
+            listings: AtomicU64::new(0),
+            freshness_wake: (0..prefixes).map(|_| Notify::new()).collect(),
             fleet_view: Mutex::new(FleetView::new(dialect.clone(), cfg.lapse_grace())),
             members: Mutex::new(members),
             traffic: Mutex::new(Traffic::new(cfg.traffic_bounds())),
@@ -92,6 +102,19 @@
         lock(&self.fleet_view)
     }
 
+    /// How recently the store confirmed the cached view.
+    pub fn freshness(&self) -> MutexGuard<'_, FreshnessTracker> {
+        lock(&self.freshness)
+    }
+
+    /// Time since the configuration in force was known to be the newest; `None` if it never was.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let key = self.dialect.configuration_key();
+        let prefix = self.fleet_view().prefix_index(key)?;
+        let confirmed_at = self.freshness().confirmed_at(prefix)?;
+        Some(self.clock.now().saturating_sub(confirmed_at))
+    }
+
     /// The other entry daemons.
     pub fn members(&self) -> MutexGuard<'_, Members> {
         lock(&self.members)
@@ -141,6 +164,12 @@
         }
     }
 
+    /// This daemon's place among all daemons.
+    pub fn place(&self) -> Place {
+        let (daemons, ordinal) = self.members().sender_position(self.clock.now());
+        Place { ordinal, daemons }
+    }
+
     /// Applies a change to the fleet view and logs the effects.
     pub fn apply(&self, change: Change, source: &str) {
         let now = self.clock.now();
@@ -151,15 +180,77 @@
         self.log_changes(&changes, source, version);
     }
 
-    /// Applies a complete listing of a prefix to the fleet view and logs the effects.
-    pub fn apply_listing(&self, prefix: &str, items: Vec<Item>, store_revision: u64) {
+    /// Applies changes from a peer. Those that are news should have been reported by the watch.
+    pub fn apply_from_peer(&self, changes: Vec<Change>) {
+        let before = self.fleet_view().digests().clone();
+        for change in changes {
+            self.apply(change, "peer");
+        }
+        let after = self.fleet_view().digests().clone();
+        for prefix in 0..after.0.len() {
+            if before.0[prefix] != after.0[prefix] {
+                self.on_missed_change(prefix);
+            }
+        }
+    }
+
+    /// Applies a complete listing of a prefix, sent at `sent_at`, to the fleet view and logs the
+    /// effects.
+    pub fn apply_listing(&self, listing: Listing) {
         let now = self.clock.now();
-        let (changes, version) = {
+        let prefix = listing.prefix;
+        let name = self.dialect.watched_prefixes()[prefix];
+        let (changes, version, is_news) = {
             let mut view = self.fleet_view();
-            let changes = view.apply_listing(now, prefix, items, store_revision);
-            (changes, view.max_revision())
+            let before = view.digests().0[prefix];
+            let changes = view.apply_listing(now, name, listing.items, listing.store_revision);
+            (
+                changes,
+                view.max_revision(),
+                view.digests().0[prefix] != before,
+            )
         };
         self.log_changes(&changes, "store", version);
+        if is_news {
+            self.on_missed_change(prefix);
+        }
+        let id = ConfirmationId {
+            incarnation: self.incarnation,
+            number: self.listings.fetch_add(1, Ordering::Relaxed),
+        };
+        let as_of = listing.sent_at;
+        self.confirm(prefix, Confirmation { id, as_of });
+    }
+
+    /// Records a confirmation of the cached items of a prefix.
+    pub fn confirm(&self, prefix: usize, confirmation: Confirmation) {
+        let now = self.clock.now();
+        let age = self.freshness().on_confirmed(now, prefix, confirmation);
+        if let Some(age) = age {
+            let name = self.dialect.watched_prefixes()[prefix];
+            metrics::histogram!("oriole_belief_age_seconds", "prefix" => name)
+                .record(age.as_secs_f64());
+        }
+    }
+
+    fn on_missed_change(&self, prefix: usize) {
+        let (now, place) = (self.clock.now(), self.place());
+        self.freshness().on_missed_change(now, prefix, place);
+        self.freshness_wake[prefix].notify_one();
+    }
+
+    /// Records the outcome of a call to the store that was sent at `sent_at`.
+    pub fn on_store_call(&self, sent_at: Duration, is_answered: bool) {
+        let (now, place) = (self.clock.now(), self.place());
+        if !is_answered {
+            self.freshness().on_no_answer(sent_at);
+        } else if !self.freshness().on_answer(now, place) {
+            return;
+        }
+        self.fleet_view().record_store_trouble(now);
+        for wake in &self.freshness_wake {
+            wake.notify_one();
+        }
     }
 
     fn log_changes(&self, changes: &[FleetChange], source: &str, version: u64) {
@@ -178,6 +269,19 @@
     }
 }
 
+/// A complete listing of a watched prefix.
+#[derive(Debug)]
+pub struct Listing {
+    /// Index of the watched prefix.
+    pub prefix: usize,
+    /// Time at which its first call was sent.
+    pub sent_at: Duration,
+    /// All items under the prefix.
+    pub items: Vec<Item>,
+    /// Revision of the store at the time of the listing.
+    pub store_revision: u64,
+}
+
 /// Increments a counter of [`Gateway`] until dropped.
 pub struct CountGuard {
     gateway: Arc<Gateway>,
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! Modules that make decisions:
 //!
 //! - [`fleet_view`]: cached configuration, upstreams and evacuations, by revision.
+//! - [`freshness`]: confirmation of the cached view by the store, and which watches are trusted.
 //! - [`traffic`]: loads, backoff, outages, cold starts and the retry budget; picks an upstream.
 //! - [`mesh`]: liveness of the other entry daemons, their requests in flight and the revisions that
 //!   they hold.
@@ -13,7 +14,8 @@
 //!
 //! Tasks that run them:
 //!
-//! - [`watcher`]: watches the store. [`registration`]: keeps this daemon's address in the store.
+//! - [`watcher`]: watches the store. [`observed_store`]: records which calls are answered.
+//!   [`registration`]: keeps this daemon's address in the store.
 //! - [`ingress`]: connections from callers. [`service_port`]: readiness and endpoint queries.
 //! - [`daemon`]: starts and stops all tasks. [`settings`]: settings read at the start.
 //! - [`decision_log`]: one log line per decision, with limits per second.
@@ -24,9 +26,11 @@
 pub mod endpoints;
 pub mod fleet_view;
 pub mod forward;
+pub mod freshness;
 pub mod gateway;
 pub mod ingress;
 pub mod mesh;
+pub mod observed_store;
 pub mod refusal;
 pub mod registration;
 pub mod service_port;
--- a/crates/oriole_gateway/src/mesh/message.rs
+++ b/crates/oriole_gateway/src/mesh/message.rs
@@ -64,6 +64,26 @@
     /// Relayed records of other members.
     #[prost(message, repeated, tag = "4")]
     pub relayed: Vec<MemberRecord>,
+    /// How recently the store confirmed the sender's fleet view, by watched prefix.
+    #[prost(message, repeated, tag = "5")]
+    pub confirmations: Vec<ConfirmationRecord>,
+}
+
+/// A confirmation by the store that a daemon holds all items of a prefix.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfirmationRecord {
+    /// Digest of the items.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Time since the confirmation in milliseconds; missing if there was none.
+    #[prost(uint32, optional, tag = "2")]
+    pub age_ms: Option<u32>,
+    /// Run of the daemon whose listing confirmed the items.
+    #[prost(fixed64, tag = "3")]
+    pub incarnation: u64,
+    /// Number of that listing.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
 }
 
 /// Requests the items that changed after the given revisions.
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod members;
 pub mod message;
-mod pull;
+pub mod pull;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,12 +13,13 @@
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
-use self::message::{Heartbeat, InFlight, MemberRecord};
+use self::message::{ConfirmationRecord, Heartbeat, InFlight, MemberRecord};
 use crate::decision_log::LogEvent;
+use crate::freshness::{Confirmation, ConfirmationId};
 use crate::gateway::Gateway;
 
 /// Time between heartbeats, and thus the maximum age of other daemons' loads if none is lost.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Heartbeats between two updates of members, loads and removed upstreams.
 const HOUSEKEEPING_HEARTBEATS: u64 = 3;
@@ -94,13 +95,7 @@
             }
         };
         match Heartbeat::decode(&buf[..len]) {
-            Ok(heartbeat) => {
-                let revisions = gateway.fleet_view().revisions().clone();
-                let now = gateway.clock.now();
-                gateway.members().on_heartbeat(now, heartbeat, &revisions);
-                let in_flight = gateway.members().in_flight(now);
-                gateway.traffic().set_peer_loads(&in_flight);
-            }
+            Ok(heartbeat) => on_heartbeat(&gateway, heartbeat),
             Err(e) => gateway.log.event(&LogEvent::CallFailed {
                 step: "decode",
                 peer: Some(from),
@@ -110,6 +105,52 @@
     }
 }
 
+/// Processes a heartbeat of a peer.
+pub fn on_heartbeat(gateway: &Gateway, heartbeat: Heartbeat) {
+    take_over_confirmations(gateway, &heartbeat.confirmations);
+    let revisions = gateway.fleet_view().revisions().clone();
+    let now = gateway.clock.now();
+    gateway.members().on_heartbeat(now, heartbeat, &revisions);
+    let in_flight = gateway.members().in_flight(now);
+    gateway.traffic().set_peer_loads(&in_flight);
+}
+
+/// A confirmation of a peer also holds for this daemon if both hold the same items.
+fn take_over_confirmations(gateway: &Gateway, records: &[ConfirmationRecord]) {
+    let now = gateway.clock.now();
+    let digests = gateway.fleet_view().digests().clone();
+    for (prefix, digest) in digests.0.into_iter().enumerate() {
+        let Some(record) = records.get(prefix).filter(|c| c.digest == digest) else {
+            continue;
+        };
+        let age = record.age_ms.map(|ms| Duration::from_millis(ms.into()));
+        if let Some(as_of) = age.and_then(|age| now.checked_sub(age)) {
+            let id = ConfirmationId {
+                incarnation: record.incarnation,
+                number: record.number,
+            };
+            gateway.confirm(prefix, Confirmation { id, as_of });
+        }
+    }
+}
+
+fn own_confirmations(gateway: &Gateway) -> Vec<ConfirmationRecord> {
+    let now = gateway.clock.now();
+    let digests = gateway.fleet_view().digests().clone();
+    let freshness = gateway.freshness();
+    let records = digests.0.into_iter().enumerate().map(|(prefix, digest)| {
+        let confirmation = freshness.confirmation(prefix);
+        let age = confirmation.map(|c| now.saturating_sub(c.as_of).as_millis());
+        ConfirmationRecord {
+            digest,
+            age_ms: age.and_then(|ms| ms.try_into().ok()),
+            incarnation: confirmation.map_or(0, |c| c.id.incarnation),
+            number: confirmation.map_or(0, |c| c.id.number),
+        }
+    });
+    records.collect()
+}
+
 async fn send_heartbeats(gateway: Arc<Gateway>, udp: Arc<UdpSocket>, stop: CancellationToken) {
     let mut number = 0;
     loop {
@@ -150,7 +191,8 @@
     traffic.set_peer_loads(&in_flight);
 }
 
-fn peer_ahead(gateway: &Gateway) -> Option<SocketAddr> {
+/// Peer address of a daemon that holds newer items than this one for some time.
+pub fn peer_ahead(gateway: &Gateway) -> Option<SocketAddr> {
     let revisions = gateway.fleet_view().revisions().clone();
     let now = gateway.clock.now();
     let members = gateway.members();
@@ -158,9 +200,10 @@
     Some(member.peer_address)
 }
 
-async fn send_heartbeat(gateway: &Gateway, udp: &UdpSocket, number: u64) {
+/// The addresses that the next heartbeat is sent to, and the heartbeat.
+pub fn next_heartbeat(gateway: &Gateway, number: u64) -> (Vec<SocketAddr>, Heartbeat) {
     let now = gateway.clock.now();
-    let (targets, relayed) = {
+    let (mut targets, relayed) = {
         let mut rng = rand::rng();
         let members = gateway.members();
         let relayed = if number.is_multiple_of(RELAY_HEARTBEATS) {
@@ -170,17 +213,22 @@
         };
         (members.heartbeat_targets(now, &mut rng), relayed)
     };
+    let view_revisions = gateway.fleet_view().revisions().0.clone();
     let heartbeat = Heartbeat {
         from: Some(own_record(gateway, number)),
-        view_revisions: gateway.fleet_view().revisions().0.clone(),
+        view_revisions,
         in_flight: own_in_flight(gateway),
         relayed,
+        confirmations: own_confirmations(gateway),
     };
+    targets.retain(|target| *target != gateway.cfg.peers.listen);
+    (targets, heartbeat)
+}
+
+async fn send_heartbeat(gateway: &Gateway, udp: &UdpSocket, number: u64) {
+    let (targets, heartbeat) = next_heartbeat(gateway, number);
     let datagram = heartbeat.encode_to_vec();
     for target in targets {
-        if target == gateway.cfg.peers.listen {
-            continue;
-        }
         if let Err(e) = udp.send_to(&datagram, target).await {
             gateway.log.event(&LogEvent::CallFailed {
                 step: "send",
--- a/crates/oriole_gateway/src/mesh/pull.rs
+++ b/crates/oriole_gateway/src/mesh/pull.rs
@@ -58,9 +58,7 @@
                 since: &since.0,
                 items: reply.items.len(),
             });
-            for item in reply.items {
-                gateway.apply(to_change(item), "peer");
-            }
+            apply_reply(gateway, reply);
         }
         Err(e) => gateway.log.event(&LogEvent::CallFailed {
             step: "pull",
@@ -70,6 +68,27 @@
     }
 }
 
+/// Applies the items that a peer sent.
+pub fn apply_reply(gateway: &Gateway, reply: PullReply) {
+    let changes = reply.items.into_iter().map(to_change);
+    gateway.apply_from_peer(changes.collect());
+}
+
+/// The items that a peer lacks.
+#[must_use]
+pub fn reply_to(gateway: &Gateway, req: PullRequest) -> PullReply {
+    let view = gateway.fleet_view();
+    let items = view.items_since(&PrefixRevisions(req.since));
+    let items = items.into_iter().map(|(key, held)| PulledItem {
+        key: key.to_owned(),
+        revision: held.revision,
+        value: held.value.clone(),
+    });
+    PullReply {
+        items: items.collect(),
+    }
+}
+
 fn to_change(item: PulledItem) -> Change {
     match item.value {
         Some(value) => Change::Put(Item {
@@ -121,7 +140,7 @@
         };
         let gateway = gateway.clone();
         tokio::spawn(async move {
-            let outcome = tokio::time::timeout(EXCHANGE_TIMEOUT, reply_to(&gateway, stream)).await;
+            let outcome = tokio::time::timeout(EXCHANGE_TIMEOUT, answer(&gateway, stream)).await;
             if let Err(e) = outcome.unwrap_or(Err(PullError::Timeout)) {
                 gateway.log.event(&LogEvent::CallFailed {
                     step: "answer pull",
@@ -134,22 +153,11 @@
     }
 }
 
-async fn reply_to(gateway: &Gateway, stream: TcpStream) -> Result<(), PullError> {
+async fn answer(gateway: &Gateway, stream: TcpStream) -> Result<(), PullError> {
     let mut frames = framed(stream);
     let frame = frames.next().await.ok_or(PullError::Closed)??;
     let req = PullRequest::decode(frame)?;
-    let reply = {
-        let view = gateway.fleet_view();
-        let items = view.items_since(&PrefixRevisions(req.since));
-        let items = items.into_iter().map(|(key, held)| PulledItem {
-            key: key.to_owned(),
-            revision: held.revision,
-            value: held.value.clone(),
-        });
-        PullReply {
-            items: items.collect(),
-        }
-    };
+    let reply = reply_to(gateway, req);
     frames.send(Bytes::from(reply.encode_to_vec())).await?;
     Ok(())
 }
--- a/crates/oriole_gateway/src/settings.rs
+++ b/crates/oriole_gateway/src/settings.rs
@@ -52,6 +52,18 @@
     pub watch_ms: u64,
 }
 
+impl StoreSettings {
+    /// Settings of a store at an address, with default times.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            timeout_ms: default_store_timeout_ms(),
+            watch_ms: default_watch_ms(),
+        }
+    }
+}
+
 /// Bounds that hold over all daemons together, as agreed between the operator and the platform.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -1,5 +1,5 @@
-//! Keeps the fleet view up to date from the store: lists each prefix, then watches from the
-//! revision of the listing.
+//! Keeps the fleet view up to date from the store: lists each prefix, watches from the revision of
+//! the listing, and confirms the cached items with further listings as [`crate::freshness`] decides.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,10 +7,12 @@
 use oriole_fleet::prelude::*;
 use oriole_store::backoff::Backoff;
 use oriole_store::error::StoreError;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::decision_log::LogEvent;
-use crate::gateway::Gateway;
+use crate::freshness::FreshnessAction;
+use crate::gateway::{Gateway, Listing};
 
 /// Pauses after failed calls. The longest is short compared with the agreed time for changes to
 /// take effect.
@@ -23,15 +25,23 @@
 /// compared with the agreed time for changes to take effect.
 const CHANGE_BATCH_PAUSE: Duration = Duration::from_millis(300);
 
-/// Starts a task for each watched prefix of the dialect, which runs until `stop` is cancelled.
+/// Starts the tasks for each watched prefix of the dialect, which run until `stop` is cancelled.
 pub fn spawn(gateway: &Arc<Gateway>, store: &Arc<dyn FleetStore>, stop: &CancellationToken) {
-    for prefix in gateway.dialect.watched_prefixes() {
-        let watcher = PrefixWatcher {
+    for (index, name) in gateway.dialect.watched_prefixes().iter().enumerate() {
+        let prefix = WatchedPrefix {
             gateway: gateway.clone(),
             store: store.clone(),
-            prefix,
+            index,
+            name,
+            cut: Arc::new(Notify::new()),
+        };
+        let watcher = PrefixWatcher {
+            prefix: prefix.clone(),
             revision: None,
-            last_response_at: gateway.clock.now(),
+            failed_calls: 0,
+        };
+        let confirmer = PrefixConfirmer {
+            prefix,
             failed_calls: 0,
         };
         let stop = stop.clone();
@@ -39,19 +49,74 @@
             tokio::select! {
                 () = stop.cancelled() => {}
                 () = watcher.run() => {}
+                () = confirmer.run() => {}
             }
         });
     }
 }
 
-struct PrefixWatcher {
+/// A prefix of the store, as both of its tasks use it.
+#[derive(Clone)]
+struct WatchedPrefix {
     gateway: Arc<Gateway>,
     store: Arc<dyn FleetStore>,
-    prefix: &'static str,
+    /// Index among the dialect's prefixes.
+    index: usize,
+    name: &'static str,
+    /// Ends the watch that is open.
+    cut: Arc<Notify>,
+}
+
+impl WatchedPrefix {
+    /// Lists the prefix and applies the listing; returns the store's revision.
+    async fn list(&self) -> Result<u64, StoreError> {
+        let sent_at = self.gateway.clock.now();
+        let mut items = Vec::new();
+        let mut store_revision = None;
+        loop {
+            let after = items.last().map(|i: &Item| i.key.clone());
+            let page = self
+                .store
+                .list(self.name, after.as_deref(), Freshness::Latest)
+                .await?;
+            // Pages are not a snapshot: the watch delivers what changed since the first page.
+            store_revision.get_or_insert(page.store_revision);
+            items.extend(page.items);
+            if !page.truncated {
+                break;
+            }
+        }
+        let store_revision = store_revision.unwrap_or(0);
+        self.gateway.apply_listing(Listing {
+            prefix: self.index,
+            sent_at,
+            items,
+            store_revision,
+        });
+        Ok(store_revision)
+    }
+
+    fn record_failure(&self) {
+        let now = self.gateway.clock.now();
+        self.gateway.fleet_view().record_store_trouble(now);
+        metrics::counter!("oriole_store_failures_total", "prefix" => self.name).increment(1);
+    }
+
+    fn log_state(&self, now: &str, reason: &str, revision: Option<u64>) {
+        self.gateway.log.event(&LogEvent::Store {
+            now,
+            prefix: self.name,
+            reason,
+            revision: revision.unwrap_or(0),
+        });
+    }
+}
+
+/// Watches a prefix and reports its changes.
+struct PrefixWatcher {
+    prefix: WatchedPrefix,
     /// Revision up to which changes are known; `None` if a listing is needed.
     revision: Option<u64>,
-    /// Time of the store's last response.
-    last_response_at: Duration,
     failed_calls: u32,
 }
 
@@ -70,38 +135,36 @@
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
-        let mut items = Vec::new();
-        let mut store_revision = None;
-        loop {
-            let after = items.last().map(|i: &Item| i.key.clone());
-            let page = self
-                .store
-                .list(self.prefix, after.as_deref(), Freshness::Latest)
-                .await?;
-            // Pages are not a snapshot: the watch delivers what changed since the first page.
-            store_revision.get_or_insert(page.store_revision);
-            items.extend(page.items);
-            if !page.truncated {
-                break;
-            }
-        }
-        let store_revision = store_revision.unwrap_or(0);
-        self.gateway
-            .apply_listing(self.prefix, items, store_revision);
-        self.revision = Some(store_revision);
+        self.revision = Some(self.prefix.list().await?);
         Ok(())
     }
 
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
-        let wait = Duration::from_millis(self.gateway.cfg.store.watch_ms);
-        match self.store.watch(self.prefix, revision, wait).await? {
+        let gateway = &self.prefix.gateway;
+        let wait = Duration::from_millis(gateway.cfg.store.watch_ms);
+        let (index, now) = (self.prefix.index, gateway.clock.now());
+        gateway.freshness().on_watch_opened(now, index);
+        let outcome = tokio::select! {
+            outcome = self.prefix.store.watch(self.prefix.name, revision, wait) => Some(outcome),
+            () = self.prefix.cut.notified() => None,
+        };
+        gateway.freshness().on_watch_ended(index);
+        let Some(outcome) = outcome else {
+            self.prefix
+                .log_state("watch cut", "its answer may be lost", self.revision);
+            metrics::counter!("oriole_watches_cut_total", "prefix" => self.prefix.name)
+                .increment(1);
+            self.revision = None;
+            return Ok(());
+        };
+        match outcome? {
             WatchOutcome::Changes {
                 changes,
                 resume_revision,
             } => {
                 let has_changes = !changes.is_empty();
                 for change in changes {
-                    self.gateway.apply(change, "store");
+                    gateway.apply(change, "store");
                 }
                 self.revision = Some(resume_revision.max(revision));
                 if has_changes {
@@ -109,7 +172,8 @@
                 }
             }
             WatchOutcome::HistoryGone => {
-                self.log_state("history gone", "the store dropped its history");
+                let reason = "the store dropped its history";
+                self.prefix.log_state("history gone", reason, self.revision);
                 self.revision = None;
             }
         }
@@ -117,40 +181,82 @@
     }
 
     fn on_success(&mut self) {
-        let now = self.gateway.clock.now();
-        let age = now.saturating_sub(self.last_response_at);
-        metrics::histogram!("oriole_belief_age_seconds", "prefix" => self.prefix)
-            .record(age.as_secs_f64());
-        self.last_response_at = now;
         if self.failed_calls > 0 {
-            self.gateway
+            let gateway = &self.prefix.gateway;
+            gateway
                 .fleet_view()
-                .record_store_trouble(self.gateway.clock.now());
-            self.log_state("regained", "");
+                .record_store_trouble(gateway.clock.now());
+            self.prefix.log_state("regained", "", self.revision);
         }
         self.failed_calls = 0;
     }
 
     async fn on_failure(&mut self, e: &StoreError) {
-        let now = self.gateway.clock.now();
-        self.gateway.fleet_view().record_store_trouble(now);
+        self.prefix.record_failure();
         if self.failed_calls == 0 {
-            self.log_state("lost", &e.to_string());
+            self.prefix.log_state("lost", &e.to_string(), self.revision);
         }
-        metrics::counter!("oriole_store_failures_total", "prefix" => self.prefix).increment(1);
         self.failed_calls += 1;
         // A watch resumed after a failure may omit changes made meanwhile, so list again.
         self.revision = None;
         let pause = BACKOFF.pause(self.failed_calls, &mut rand::rng());
         tokio::time::sleep(pause).await;
     }
+}
 
-    fn log_state(&self, now: &str, reason: &str) {
-        self.gateway.log.event(&LogEvent::Store {
-            now,
-            prefix: self.prefix,
-            reason,
-            revision: self.revision.unwrap_or(0),
-        });
+/// Confirms the cached items of a prefix when they are due, and cuts watches that are no longer
+/// trusted.
+struct PrefixConfirmer {
+    prefix: WatchedPrefix,
+    failed_calls: u32,
+}
+
+impl PrefixConfirmer {
+    async fn run(mut self) {
+        let gateway = self.prefix.gateway.clone();
+        let wake = &gateway.freshness_wake[self.prefix.index];
+        loop {
+            let (now, place) = (gateway.clock.now(), gateway.place());
+            let action = gateway
+                .freshness()
+                .next_action(now, self.prefix.index, place);
+            match action {
+                FreshnessAction::Confirm => self.confirm().await,
+                FreshnessAction::CutWatch => {
+                    gateway.freshness().on_watch_ended(self.prefix.index);
+                    self.prefix.cut.notify_one();
+                }
+                FreshnessAction::WaitUntil(at) => tokio::select! {
+                    () = tokio::time::sleep(at.saturating_sub(now)) => {}
+                    () = wake.notified() => {}
+                },
+            }
+        }
+    }
+
+    async fn confirm(&mut self) {
+        let gateway = &self.prefix.gateway;
+        match self.prefix.list().await {
+            Ok(revision) => {
+                if self.failed_calls > 0 {
+                    self.prefix.log_state("confirmed", "", Some(revision));
+                }
+                self.failed_calls = 0;
+                // Peers take over the confirmation and need no read of their own.
+                gateway.mesh_wake.notify_one();
+            }
+            Err(e) => {
+                self.prefix.record_failure();
+                if self.failed_calls == 0 {
+                    self.prefix.log_state("unconfirmed", &e.to_string(), None);
+                }
+                self.failed_calls += 1;
+                let pause = BACKOFF.pause(self.failed_calls, &mut rand::rng());
+                let now = gateway.clock.now();
+                gateway
+                    .freshness()
+                    .on_confirm_failed(now, self.prefix.index, pause);
+            }
+        }
     }
 }
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -177,7 +177,8 @@
     listener.local_addr().unwrap()
 }
 
-fn settings() -> GatewaySettings {
+/// Settings of a daemon with the product's default times.
+pub fn settings() -> GatewaySettings {
     GatewaySettings {
         name: "edge-1".to_owned(),
         domain: "north".to_owned(),
@@ -194,11 +195,7 @@
             listen: free_address(),
             seeds: Vec::new(),
         },
-        store: StoreSettings {
-            address: free_address(),
-            timeout_ms: 500,
-            watch_ms: 1000,
-        },
+        store: StoreSettings::new(free_address()),
         bounds: BoundSettings {
             retry_ratio: 0.2,
             retry_window_s: 10.0,
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -3,12 +3,14 @@
 
 mod abandoned;
 mod bad_input;
+mod belief_age;
 mod endpoints;
 mod events;
 mod fake;
 mod final_response;
 mod fleet_bounds;
 mod fleet_view;
+mod freshness;
 mod harness;
 mod head_outcome;
 mod log_walkthrough;
