Hold back requests with a prompt part that crashes upstreams

Callers lost half of all requests while requests with one deadly part of a prompt kept coming: each crashed another upstream, and with it the group that it belongs to.

Cause: the gateway had no notion of content that crashes upstreams, and resumed a stream that had just crashed one at the next. The ledger of crashes knew whole contents only, and no two of these requests are alike.

A stream that breaks before its upstream is past the point at which it begins to write, with an upstream that accepts no connection any more, now makes the shared parts of its prompt suspect (not the last one, which is the request's own). A part that passes anywhere after the crash is excused, a part that explains several rounds of crashes clears those that were only there, and what remains is tried by one request in the whole fleet at a time, in the group that crashed last, less and less often. Heartbeats carry crashes and claims to try. PartScreen decides on the crash ledger that the project's own path uses; the ledger learned to excuse by time, to attribute, and to make room in a full record.

--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -28,6 +28,26 @@
 const MAX_PROVEN: usize = 4096;
 /// Maximum number of records in one message.
 const MAX_RECORDS_PER_MESSAGE: usize = 64;
+/// Fewest rounds of a content that explain its crashes for what ran beside it.
+const MIN_EXPLAINING_ROUNDS: usize = 2;
+/// Length of a round of crashes; shorter than the first delay of a trial, which starts another.
+const ROUND_LENGTH: Duration = Duration::from_secs(3);
+/// Index in [`TRIAL_DELAYS`] of the first delay of content that never passed.
+const NEW_CONTENT_STEP: usize = 2;
+/// Time between two crashes within which they probably have the same cause.
+const SAME_CAUSE_WINDOW: Duration = Duration::from_secs(1);
+/// Times after a crash from which its suspect may be tried again, by the number of rounds in which
+/// it leads; content that never passed starts at [`NEW_CONTENT_STEP`]. The first is about the time
+/// that a crashed upstream needs to return, so that a second crash hits the group that had the first
+/// one.
+const TRIAL_DELAYS: [Duration; 6] = [
+    Duration::from_secs(4),
+    Duration::from_secs(8),
+    Duration::from_secs(30),
+    Duration::from_secs(120),
+    Duration::from_secs(480),
+    Duration::from_secs(3600),
+];
 
 value_type! {
     /// What is known about a content, and therefore where it may run.
@@ -53,6 +73,34 @@
     Only(Vec<&'a VmName>),
 }
 
+/// What the crashes of a content say about it. Only those count that are not excused and that no
+/// other content explains. Crashes in quick succession form one round, since what caused the first
+/// may have been under way at several upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Number of rounds in which no other content is suspected of as many.
+    pub leading_rounds: usize,
+    /// Time of the newest crash.
+    pub newest_at: Duration,
+    /// Upstream that had the newest crash.
+    pub newest_vm: VmName,
+    /// Whether other upstreams crashed at about the same time without the content, which points to
+    /// another cause.
+    pub is_among_others: bool,
+}
+
+impl Suspicion {
+    /// Time after the newest crash from which the content may be tried again. `has_passed` tells
+    /// whether upstreams are known to have lived with it earlier.
+    #[must_use]
+    pub fn trial_delay(&self, has_passed: bool) -> Duration {
+        let is_new = !has_passed && !self.is_among_others;
+        let first = if is_new { NEW_CONTENT_STEP } else { 0 };
+        let step = first + self.leading_rounds.max(1) - 1;
+        TRIAL_DELAYS[step.min(TRIAL_DELAYS.len() - 1)]
+    }
+}
+
 /// Crashes by content. Ledgers merge by union, in any order and any number of times.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonLedger {
@@ -134,7 +182,7 @@
     /// Records that a content completed. If it was a suspect that ran alone, its crashes are excused.
     pub fn record_completion(&mut self, content: &Digest, solo: bool) {
         if solo {
-            self.excuse_crashes(content);
+            self.excuse_crashes(content, Duration::MAX);
         }
         let not_suspected = !matches!(
             self.status(content),
@@ -149,6 +197,53 @@
         }
     }
 
+    /// Records that an upstream got past the point at which `content` would have crashed it, in a
+    /// run that reached that point at `passed_at`. Earlier crashes are excused. Returns whether any
+    /// was.
+    pub fn record_passed(&mut self, content: &Digest, passed_at: Duration) -> bool {
+        self.excuse_crashes(content, passed_at)
+    }
+
+    /// What the crashes of a content say about it; `None` if it has none that count.
+    ///
+    /// Content that ran in several rounds of crashes explains them: what ran beside it in fewer is
+    /// not suspected of those.
+    #[must_use]
+    pub fn suspicion(&self, content: &Digest) -> Option<Suspicion> {
+        let record = self.records.get(content)?;
+        let own = record.rounds();
+        let unexplained = record.counted().filter_map(|(id, crash)| {
+            let beside = self.most_rounds_beside(content, id);
+            let is_explained = beside > own && beside >= MIN_EXPLAINING_ROUNDS;
+            (!is_explained).then_some((id, crash.at, beside < own))
+        });
+        let unexplained: Vec<(&CrashId, Duration, bool)> = unexplained.collect();
+        let (newest, newest_at, _) = *unexplained.iter().max_by_key(|(_, at, _)| *at)?;
+        let leading = unexplained.iter().filter(|(_, _, is_leading)| *is_leading);
+        Some(Suspicion {
+            leading_rounds: count_rounds(leading.map(|(_, at, _)| *at)),
+            newest_at,
+            newest_vm: newest.vm.clone(),
+            is_among_others: self.has_crash_without(record, newest_at),
+        })
+    }
+
+    /// Whether an upstream crashed at about this time without the content of `record`.
+    fn has_crash_without(&self, record: &Record, at: Duration) -> bool {
+        let mut crashes = self.records.values().flat_map(|other| &other.crashes);
+        crashes.any(|(id, crash)| {
+            crash.at.abs_diff(at) < SAME_CAUSE_WINDOW && !record.crashes.contains_key(id)
+        })
+    }
+
+    /// Most rounds of any other content that ran in this crash.
+    fn most_rounds_beside(&self, content: &Digest, id: &CrashId) -> usize {
+        let beside = self.records.iter().filter(|(other, record)| {
+            *other != content && record.crashes.get(id).is_some_and(|c| !c.excused)
+        });
+        beside.map(|(_, record)| record.rounds()).max().unwrap_or(0)
+    }
+
     /// Sets the contents that operators released from quarantine: they may run again, but only alone.
     pub fn set_released<'a>(&mut self, released: impl IntoIterator<Item = &'a Digest>) {
         self.released = released.into_iter().copied().collect();
@@ -195,6 +290,25 @@
         (PoisonDigest { records }, up_to)
     }
 
+    /// Records for a message without a fixed receiver: those that changed last, and some of the
+    /// others in turn, so that every receiver gets all of them in the end. `turn` counts messages.
+    #[must_use]
+    pub fn digest_in_turn(&self, now: Duration, turn: u64, limit: usize) -> PoisonDigest {
+        let mut records: Vec<_> = self.records.iter().collect();
+        records.sort_by_key(|(_, r)| std::cmp::Reverse(r.changed_in));
+        let recent = records.len().min(limit.div_ceil(2));
+        let others = records.split_off(recent);
+        let start = (turn as usize * (limit - recent)) % others.len().max(1);
+        let in_turn = others.iter().cycle().skip(start);
+        records.extend(in_turn.take(others.len().min(limit - recent)));
+        let records = records
+            .into_iter()
+            .map(|(content, r)| r.to_message(*content, now));
+        PoisonDigest {
+            records: records.collect(),
+        }
+    }
+
     /// Contents in quarantine.
     pub fn quarantined(&self) -> impl Iterator<Item = &Digest> {
         let is_quarantined = |d: &&Digest| self.status(d) == ContentStatus::Quarantined;
@@ -243,16 +357,24 @@
         }
     }
 
-    fn excuse_crashes(&mut self, content: &Digest) {
+    /// Excuses the crashes of a content before a time; returns whether any was.
+    fn excuse_crashes(&mut self, content: &Digest, before: Duration) -> bool {
         let next_version = self.version + 1;
         let Some(record) = self.records.get_mut(content) else {
-            return;
+            return false;
         };
+        let mut is_changed = false;
         for crash in record.crashes.values_mut() {
-            crash.excused = true;
+            if crash.at < before && !crash.excused {
+                crash.excused = true;
+                is_changed = true;
+            }
         }
-        record.changed_in = next_version;
-        self.version = next_version;
+        if is_changed {
+            record.changed_in = next_version;
+            self.version = next_version;
+        }
+        is_changed
     }
 
     /// Removes records beyond the maximum, those with the oldest last crash first.
@@ -267,11 +389,35 @@
     }
 }
 
+/// Number of rounds that crashes at these times form.
+fn count_rounds(times: impl Iterator<Item = Duration>) -> usize {
+    let mut times: Vec<Duration> = times.collect();
+    times.sort_unstable();
+    let mut rounds = 0;
+    let mut round_ends_at = Duration::ZERO;
+    for at in times {
+        if at >= round_ends_at {
+            rounds += 1;
+            round_ends_at = at + ROUND_LENGTH;
+        }
+    }
+    rounds
+}
+
 impl Record {
+    /// Crashes that are not excused.
+    fn counted(&self) -> impl Iterator<Item = (&CrashId, &Crash)> {
+        self.crashes.iter().filter(|(_, c)| !c.excused)
+    }
+
+    /// Number of rounds of crashes.
+    fn rounds(&self) -> usize {
+        count_rounds(self.counted().map(|(_, c)| c.at))
+    }
+
     fn status(&self) -> ContentStatus {
-        let counted = || self.crashes.values().filter(|c| !c.excused);
-        let crashes = counted().count();
-        let any_solo = counted().any(|c| c.solo);
+        let crashes = self.counted().count();
+        let any_solo = self.counted().any(|(_, c)| c.solo);
         let quarantined =
             crashes >= QUARANTINE_CRASHES || (crashes >= SOLO_QUARANTINE_CRASHES && any_solo);
         match crashes {
@@ -283,18 +429,27 @@
 
     /// Inserts or merges a crash; returns whether anything changed.
     fn insert(&mut self, id: CrashId, crash: Crash) -> bool {
-        let full = self.crashes.len() >= MAX_CRASHES_PER_RECORD;
-        match self.crashes.get_mut(&id) {
-            Some(known) => {
-                let excused = known.excused || crash.excused;
-                std::mem::replace(&mut known.excused, excused) != excused
-            }
-            None if full => false,
-            None => {
-                self.crashes.insert(id, crash);
-                true
-            }
+        if let Some(known) = self.crashes.get_mut(&id) {
+            let excused = known.excused || crash.excused;
+            return std::mem::replace(&mut known.excused, excused) != excused;
+        }
+        if self.crashes.len() >= MAX_CRASHES_PER_RECORD && !self.make_room_for(&crash) {
+            return false;
         }
+        self.crashes.insert(id, crash);
+        true
+    }
+
+    /// Drops a crash that says less than a new one: an excused one, else the oldest. Returns whether
+    /// there is one.
+    fn make_room_for(&mut self, crash: &Crash) -> bool {
+        let least = self.crashes.iter().min_by_key(|(_, c)| (!c.excused, c.at));
+        let Some((id, _)) = least.filter(|(_, c)| c.excused || c.at < crash.at) else {
+            return false;
+        };
+        let id = id.clone();
+        self.crashes.remove(&id);
+        true
     }
 
     fn newest_crash_at(&self) -> Option<Duration> {
--- a/crates/oriole_admission/src/poison/mod.rs
+++ b/crates/oriole_admission/src/poison/mod.rs
@@ -10,13 +10,18 @@
 //! The choice of upstreams bounds the number of crashes. Content that never completed runs at two
 //! homes at most, so at most two upstreams crash before the first crash is known. The third crash
 //! is that of the suspect alone, and quarantines it.
+//!
+//! Where a process neither runs content nor may run it alone, [`PartScreen`] decides on the same
+//! ledger: it holds back what is suspected and tries it once in a while.
 
 mod home;
 mod ledger;
 mod outbox;
 mod record;
+mod screen;
 
 pub use self::home::{HOMES_PER_CONTENT, home_of_suspect, homes};
-pub use self::ledger::{AllowedUpstreams, ContentStatus, PoisonLedger};
+pub use self::ledger::{AllowedUpstreams, ContentStatus, PoisonLedger, Suspicion};
 pub use self::outbox::PoisonOutbox;
 pub use self::record::{CrashId, CrashReport, PoisonDigest, PoisonRecord};
+pub use self::screen::{Claim, PartScreen, Verdict};
--- a/crates/oriole_fleet/src/dialect.rs
+++ b/crates/oriole_fleet/src/dialect.rs
@@ -46,6 +46,10 @@
     /// Reads the account key from a caller's request headers.
     fn account_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
+    /// Ids of the parts of a request's prompt that other requests may share, in order. The part that
+    /// belongs to the request itself is left out.
+    fn shared_prompt_parts<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str>;
+
     /// Whether a request is a readiness probe.
     fn is_readiness_query(&self, uri: &Uri) -> bool;
 
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -152,6 +152,17 @@
         /// Why the stream broke.
         reason: &'a str,
     },
+    /// The prompt parts of a request became suspect, are being tried, or were excused.
+    PromptParts {
+        /// Attempt id given by the caller.
+        request: &'a str,
+        /// New state of the parts: `suspected`, `trial` or `excused`.
+        now: &'a str,
+        /// Short digests of the parts.
+        parts: &'a str,
+        /// Upstream that crashed or lived.
+        upstream: &'a str,
+    },
     /// A request was refused or failed.
     Refused {
         /// Attempt id given by the caller.
@@ -216,6 +227,7 @@
             LogEvent::Waits { .. } => "waits",
             LogEvent::Attempt { .. } => "attempt",
             LogEvent::Resume { .. } => "resume",
+            LogEvent::PromptParts { .. } => "prompt parts",
             LogEvent::Refused { .. } => "refused",
             LogEvent::Answered { .. } => "answered",
             LogEvent::Broken { .. } => "broken",
@@ -359,6 +371,15 @@
                 info!(log, "resume"; "request" => request, "after" => after, "outcome" => outcome,
                     "reason" => reason);
             }
+            LogEvent::PromptParts {
+                request,
+                now,
+                parts,
+                upstream,
+            } => {
+                info!(log, "prompt parts"; "request" => request, "now" => now, "parts" => parts,
+                    "upstream" => upstream);
+            }
             LogEvent::Refused {
                 request,
                 account,
--- a/crates/oriole_gateway/src/fleet_view/known_upstream.rs
+++ b/crates/oriole_gateway/src/fleet_view/known_upstream.rs
@@ -42,6 +42,13 @@
             && !self.is_superseded
     }
 
+    /// Name of its group, if it belongs to one.
+    #[must_use]
+    pub fn group(&self) -> Option<&str> {
+        let membership = self.upstream.group_membership.as_ref();
+        membership.map(|m| m.group.as_str())
+    }
+
     /// Whether its group runs according to the store. True for an upstream without a group.
     #[must_use]
     pub fn group_reported_running(&self) -> bool {
--- a/crates/oriole_gateway/src/fleet_view/mod.rs
+++ b/crates/oriole_gateway/src/fleet_view/mod.rs
@@ -258,6 +258,21 @@
         })
     }
 
+    /// Group of an upstream, if one of its members takes new requests now.
+    #[must_use]
+    pub fn running_group_of(&self, now: Duration, instance: &str) -> Option<&str> {
+        let mut upstreams = self.upstreams.values();
+        let group = upstreams
+            .find(|known| known.upstream.instance == instance)?
+            .group()?;
+        let is_running = self.upstreams.values().any(|known| {
+            known.group() == Some(group)
+                && known.accepts_work(now)
+                && known.group_reported_running()
+        });
+        is_running.then_some(group)
+    }
+
     /// All known upstreams, including those removed recently.
     pub fn upstreams(&self) -> impl Iterator<Item = &KnownUpstream> {
         self.upstreams.values()
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -6,6 +6,7 @@
 pub mod headers;
 pub mod request;
 mod stream;
+mod suspects;
 mod upstream_attempt;
 
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 
 use self::body::{ResponseBody, full};
 use self::request::{CheckedRequest, RejectedRequest};
+use self::suspects::Trial;
 use self::upstream_attempt::{AttemptEnd, LiveResponse};
 use crate::decision_log::LogEvent;
 use crate::gateway::{CountGuard, Gateway};
@@ -182,13 +184,23 @@
 ) -> Result<UpstreamResponse, RequestFailure> {
     let mut fallback = None;
     let mut waiting = None;
+    let mut trial = None;
     loop {
+        if trial.is_none() {
+            trial = match suspects::admit(gateway, request).await {
+                Ok(trial) => trial,
+                Err(_) if progress.possible_runs > 0 => {
+                    return fallback.ok_or(Refusal::UpstreamFailed.into());
+                }
+                Err(failure) => return Err(failure),
+            };
+        }
         let policy = if waiting.is_some() {
             WaitPolicy::Late
         } else {
             WaitPolicy::Queue(request.route.latency_objective.mul_f64(QUEUE_WAIT_SHARE))
         };
-        let pick = match pick(gateway, request, progress, policy) {
+        let pick = match pick(gateway, request, progress, policy, trial.as_ref()) {
             Ok(pick) => pick,
             Err(e) if should_wait(gateway, request, &e, &mut waiting) => {
                 tokio::time::sleep(WAIT_POLL_INTERVAL).await;
@@ -218,10 +230,15 @@
             AttemptEnd::Success(live) if is_event_stream(request, &live) => {
                 return Ok(UpstreamResponse::Stream(live));
             }
-            AttemptEnd::Success(live) => match read_full(gateway, *live).await {
-                Some(response) => return Ok(response),
-                None => progress.tried.push(pick.instance),
-            },
+            AttemptEnd::Success(live) => {
+                let began_at = live.started_at;
+                if let Some(response) = read_full(gateway, *live).await {
+                    suspects::on_passed(gateway, request, &pick.instance, began_at);
+                    return Ok(response);
+                }
+                suspects::on_disconnect(gateway, request, &pick.instance).await;
+                progress.tried.push(pick.instance);
+            }
             AttemptEnd::Failure(live) => {
                 let is_retryable = live.response.status().is_server_error();
                 let response = read_full(gateway, *live).await;
@@ -245,8 +262,14 @@
                 }
                 continue;
             }
-            AttemptEnd::Unknown { .. } => progress.tried.push(pick.instance),
+            AttemptEnd::Unknown { is_disconnect, .. } => {
+                if is_disconnect {
+                    suspects::on_disconnect(gateway, request, &pick.instance).await;
+                }
+                progress.tried.push(pick.instance);
+            }
         }
+        trial = None;
         if let Err(failure) = check_rerun(gateway, request, progress) {
             return fallback.ok_or(failure);
         }
@@ -285,12 +308,14 @@
     Late,
 }
 
-/// Picks the upstream of the next attempt.
+/// Picks the upstream of the next attempt. A trial goes to the group that had the last crash, as long
+/// as it runs.
 fn pick(
     gateway: &Gateway,
     request: &CheckedRequest,
     progress: &Progress,
     policy: WaitPolicy,
+    trial: Option<&Trial>,
 ) -> Result<Pick, PickFailure> {
     let now = gateway.clock.now();
     let share = gateway.share();
@@ -305,7 +330,9 @@
         is_late: matches!(policy, WaitPolicy::Late),
     };
     let view = gateway.fleet_view();
+    let group = trial.and_then(|trial| view.running_group_of(now, trial.crashed.as_str()));
     let usable = view.usable_upstreams(now, &request.service);
+    let usable = usable.filter(|known| group.is_none() || known.group() == group);
     let picked = gateway
         .traffic()
         .pick(now, share, &req, usable, &mut rand::rng());
--- a/crates/oriole_gateway/src/forward/request.rs
+++ b/crates/oriole_gateway/src/forward/request.rs
@@ -8,12 +8,16 @@
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
 use oriole_fleet::prelude::*;
+use oriole_types::digest::Digest;
 use rand::RngExt as _;
 
 use super::headers::OutgoingRequest;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
 
+/// Most shared parts of one prompt that are looked at; bounds the work on a request.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// A valid request with everything needed to send it to upstreams.
 pub struct CheckedRequest {
     /// Attempt id given by the caller.
@@ -35,6 +39,8 @@
     pub respond_by: Duration,
     /// Id of the last event that the caller has, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Digests of the parts of its prompt that other requests may share.
+    pub shared_parts: Vec<Digest>,
     /// The request as it is sent to upstreams.
     pub outgoing: OutgoingRequest,
 }
@@ -93,6 +99,7 @@
     let caller_deadline = caller_timeout.map(|w| received_at + w);
     let respond_by = (received_at + route.timeout).min(caller_deadline.unwrap_or(Duration::MAX));
     let last_event_id = header_text(&names.last_event_id).and_then(|v| v.trim().parse().ok());
+    let shared_parts = shared_part_digests(gateway, &req);
     let (parts, body) = req.into_parts();
     let body = read_body(body, cfg.limits.max_body_bytes, route.timeout)
         .await
@@ -113,11 +120,18 @@
         caller_deadline,
         respond_by,
         last_event_id,
+        shared_parts,
         outgoing,
         route,
     })
 }
 
+fn shared_part_digests(gateway: &Gateway, req: &Request<Incoming>) -> Vec<Digest> {
+    let parts = gateway.dialect.shared_prompt_parts(req.headers());
+    let parts = parts.into_iter().take(MAX_SHARED_PARTS);
+    parts.map(|id| Digest::of(id.as_bytes())).collect()
+}
+
 async fn read_body(body: Incoming, limit: u64, timeout: Duration) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -14,7 +14,9 @@
 use super::events::EventSplitter;
 use super::request::CheckedRequest;
 use super::upstream_attempt::{self, AttemptEnd, LiveResponse};
-use super::{MAX_ATTEMPTS, Progress, WaitPolicy, account_name, headers, pick, try_spend_retry};
+use super::{
+    MAX_ATTEMPTS, Progress, WaitPolicy, account_name, headers, pick, suspects, try_spend_retry,
+};
 use crate::decision_log::LogEvent;
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
@@ -30,6 +32,12 @@
 /// caller already has, and the caller stays for about a second after the silence was detected.
 const RESUME_MAX_WAIT: Duration = Duration::from_millis(600);
 
+/// Reason of a stream whose connection broke.
+const CONNECTION_BROKE: &str = "connection broke";
+
+/// Reason of a stream that ended properly, but within an event.
+const ENDED_WITHIN_EVENT: &str = "ended within an event";
+
 /// Builds the response whose body relays the stream.
 pub(super) fn respond(
     gateway: Arc<Gateway>,
@@ -44,6 +52,8 @@
         status: live.response.status().as_u16(),
         live: Some(live),
         last_events_at: None,
+        began_at: None,
+        has_passed: false,
         is_finished: false,
         gateway,
         request,
@@ -94,6 +104,10 @@
     status: u16,
     /// Time at which the caller last received events.
     last_events_at: Option<Duration>,
+    /// Time of the first events from the present upstream.
+    began_at: Option<Duration>,
+    /// Whether the present upstream is past the point at which a prompt part can crash it.
+    has_passed: bool,
     is_finished: bool,
     _guard: CountGuard,
 }
@@ -113,6 +127,7 @@
                     return None;
                 }
                 RelayStep::Broken(reason) => {
+                    self.record_disconnect(reason).await;
                     if !self.resume(reason).await {
                         return Some(Err(self.break_off(reason)));
                     }
@@ -137,16 +152,41 @@
                 Ok(data) => RelayStep::Events(self.splitter.push(&data)),
                 Err(_trailers) => RelayStep::Events(Bytes::new()),
             },
-            Ok(Some(Err(_))) => RelayStep::Broken("connection broke"),
-            Ok(None) if self.splitter.has_partial() => RelayStep::Broken("ended within an event"),
+            Ok(Some(Err(_))) => RelayStep::Broken(CONNECTION_BROKE),
+            Ok(None) if self.splitter.has_partial() => RelayStep::Broken(ENDED_WITHIN_EVENT),
             Ok(None) => RelayStep::End,
             Err(_) if remaining <= SILENCE_TIMEOUT => RelayStep::Expired,
             Err(_) => RelayStep::Broken("silence"),
         }
     }
 
+    /// Suspects the prompt parts if the upstream broke off before it was past the point at which
+    /// they can crash it.
+    async fn record_disconnect(&mut self, reason: &'static str) {
+        let is_disconnect = matches!(reason, CONNECTION_BROKE | ENDED_WITHIN_EVENT);
+        if let Some(live) = &self.live
+            && is_disconnect
+            && !self.has_passed
+        {
+            suspects::on_disconnect(&self.gateway, &self.request, &live.instance).await;
+        }
+    }
+
+    fn record_passed(&mut self, now: Duration) {
+        let began_at = *self.began_at.get_or_insert(now);
+        if !self.has_passed
+            && let Some(live) = &self.live
+        {
+            self.has_passed = true;
+            suspects::on_passed(&self.gateway, &self.request, &live.instance, began_at);
+        }
+    }
+
     fn record_event_timing(&mut self) {
         let now = self.gateway.clock.now();
+        if now >= *self.began_at.get_or_insert(now) + suspects::PASSED_AFTER {
+            self.record_passed(now);
+        }
         match self.last_events_at.replace(now) {
             None => {
                 let took = now.saturating_sub(self.request.received_at);
@@ -161,6 +201,9 @@
 
     fn finish(&mut self) {
         self.is_finished = true;
+        if self.began_at.is_some() {
+            self.record_passed(self.gateway.clock.now());
+        }
         if let Some(live) = self.live.take() {
             let took = self.gateway.clock.now().saturating_sub(live.started_at);
             let mut traffic = self.gateway.traffic();
@@ -234,6 +277,9 @@
 
     /// Makes one attempt to resume the stream.
     async fn try_resume(&mut self) -> ResumeResult {
+        let Ok(trial) = suspects::admit(&self.gateway, &self.request).await else {
+            return ResumeResult::GivenUp("suspect part");
+        };
         let remaining = self.remaining();
         if remaining.is_zero() {
             return ResumeResult::GivenUp("time is up");
@@ -248,7 +294,14 @@
             return ResumeResult::GivenUp("budget spent");
         }
         let policy = WaitPolicy::Queue(RESUME_MAX_WAIT);
-        let Ok(pick) = pick(&self.gateway, &self.request, progress, policy) else {
+        let picked = pick(
+            &self.gateway,
+            &self.request,
+            progress,
+            policy,
+            trial.as_ref(),
+        );
+        let Ok(pick) = picked else {
             return ResumeResult::GivenUp("no upstream");
         };
         progress.attempts += 1;
@@ -265,10 +318,17 @@
             AttemptEnd::Success(live) => {
                 progress.possible_runs += 1;
                 self.live = Some(*live);
+                (self.began_at, self.has_passed) = (None, false);
                 return ResumeResult::Resumed;
             }
             AttemptEnd::NotRun { .. } => {}
-            AttemptEnd::Failure(_) | AttemptEnd::Unknown { .. } => progress.possible_runs += 1,
+            AttemptEnd::Unknown { is_disconnect, .. } => {
+                progress.possible_runs += 1;
+                if is_disconnect {
+                    suspects::on_disconnect(&self.gateway, &self.request, &pick.instance).await;
+                }
+            }
+            AttemptEnd::Failure(_) => progress.possible_runs += 1,
         }
         progress.tried.push(pick.instance);
         ResumeResult::NextUpstream
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -88,6 +88,8 @@
     Unknown {
         /// Why the outcome is unknown.
         reason: String,
+        /// Whether the connection broke before the head of a response.
+        is_disconnect: bool,
     },
 }
 
@@ -104,7 +106,7 @@
     let guard = InFlightGuard::new(gateway, &pick.instance);
     let sent = tokio::time::timeout(head_timeout, send(gateway, request, pick, last_event_id))
         .await
-        .unwrap_or_else(|_| Err(SendError::NoResponse("no answer in time".to_owned())));
+        .unwrap_or(Err(SendError::TimedOut));
     let result = match sent {
         Ok((connection, response)) => {
             let live = LiveResponse {
@@ -211,6 +213,7 @@
             gateway.traffic().load_mut(&live.instance).record_failure();
             AttemptEnd::Unknown {
                 reason: reason.to_owned(),
+                is_disconnect: false,
             }
         }
     }
@@ -235,13 +238,20 @@
                 is_stale_connection,
             }
         }
-        SendError::NoResponse(reason) => {
-            gateway
-                .traffic()
-                .load_mut(&pick.instance)
-                .record_unreachable(now);
-            AttemptEnd::Unknown { reason }
-        }
+        SendError::NoResponse(reason) => unanswered(gateway, pick, reason, true),
+        SendError::TimedOut => unanswered(gateway, pick, "no answer in time".to_owned(), false),
+    }
+}
+
+fn unanswered(gateway: &Gateway, pick: &Pick, reason: String, is_disconnect: bool) -> AttemptEnd {
+    let now = gateway.clock.now();
+    gateway
+        .traffic()
+        .load_mut(&pick.instance)
+        .record_unreachable(now);
+    AttemptEnd::Unknown {
+        reason,
+        is_disconnect,
     }
 }
 
@@ -261,7 +271,7 @@
             (AttemptOutcome::Answered, status.as_str())
         }
         AttemptEnd::NotRun { reason, .. } => (AttemptOutcome::NotRun, reason.as_str()),
-        AttemptEnd::Unknown { reason } => (AttemptOutcome::Unknown, reason.as_str()),
+        AttemptEnd::Unknown { reason, .. } => (AttemptOutcome::Unknown, reason.as_str()),
     };
     gateway.log.event(&LogEvent::Attempt {
         request: &request.id,
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use oriole_admission::poison::PartScreen;
 use oriole_fleet::prelude::*;
 use oriole_kernel::clock::Clock;
 use tokio::sync::{Notify, watch};
@@ -56,6 +57,7 @@
     listings: AtomicU64,
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
+    part_screen: Mutex<PartScreen>,
     leaving_since: Mutex<Option<Duration>>,
     ready: watch::Sender<bool>,
 }
@@ -82,6 +84,7 @@
             fleet_view: Mutex::new(FleetView::new(dialect.clone(), cfg.lapse_grace())),
             members: Mutex::new(members),
             traffic: Mutex::new(Traffic::new(cfg.traffic_bounds())),
+            part_screen: Mutex::default(),
             pool: ConnectionPool::default(),
             log: DecisionLog::new(log, clock),
             incarnation: rand::random(),
@@ -125,6 +128,11 @@
         lock(&self.traffic)
     }
 
+    /// Prompt parts that are suspected of crashing upstreams.
+    pub fn part_screen(&self) -> MutexGuard<'_, PartScreen> {
+        lock(&self.part_screen)
+    }
+
     /// Whether callers may use this daemon.
     pub fn readiness(&self) -> Readiness {
         if self.leaving_since().is_some() {
--- a/crates/oriole_gateway/src/mesh/message.rs
+++ b/crates/oriole_gateway/src/mesh/message.rs
@@ -67,6 +67,46 @@
     /// How recently the store confirmed the sender's fleet view, by watched prefix.
     #[prost(message, repeated, tag = "5")]
     pub confirmations: Vec<ConfirmationRecord>,
+    /// Crashes of upstreams and the prompt parts that may have caused them.
+    #[prost(message, repeated, tag = "6")]
+    pub suspects: Vec<SuspectRecord>,
+    /// Claims to try suspected parts.
+    #[prost(message, repeated, tag = "7")]
+    pub claims: Vec<ClaimRecord>,
+}
+
+/// A crash of an upstream during which a prompt part was about to be answered.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SuspectRecord {
+    /// Digest of the part.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub part: bytes::Bytes,
+    /// Instance of the upstream.
+    #[prost(string, tag = "2")]
+    pub instance: String,
+    /// Start of the upstream's run in Unix milliseconds; zero if it is not known.
+    #[prost(uint64, tag = "3")]
+    pub run: u64,
+    /// Whether the part has passed at another upstream since.
+    #[prost(bool, tag = "4")]
+    pub is_excused: bool,
+    /// Time since the crash in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+}
+
+/// A daemon's claim to try a suspected part.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ClaimRecord {
+    /// Digest of the part.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub part: bytes::Bytes,
+    /// Random number of the claim; the lowest wins.
+    #[prost(fixed64, tag = "2")]
+    pub number: u64,
+    /// Time since the claim in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// A confirmation by the store that a daemon holds all items of a prefix.
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 pub mod members;
 pub mod message;
 pub mod pull;
+mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -108,6 +109,7 @@
 /// Processes a heartbeat of a peer.
 pub fn on_heartbeat(gateway: &Gateway, heartbeat: Heartbeat) {
     take_over_confirmations(gateway, &heartbeat.confirmations);
+    suspects::merge(gateway, &heartbeat);
     let revisions = gateway.fleet_view().revisions().clone();
     let now = gateway.clock.now();
     gateway.members().on_heartbeat(now, heartbeat, &revisions);
@@ -180,6 +182,7 @@
         });
     }
     gateway.fleet_view().tick(now);
+    gateway.part_screen().tick(now);
     let in_flight = gateway.members().in_flight(now);
     let known: Vec<String> = {
         let view = gateway.fleet_view();
@@ -214,13 +217,16 @@
         (members.heartbeat_targets(now, &mut rng), relayed)
     };
     let view_revisions = gateway.fleet_view().revisions().0.clone();
-    let heartbeat = Heartbeat {
+    let mut heartbeat = Heartbeat {
         from: Some(own_record(gateway, number)),
         view_revisions,
         in_flight: own_in_flight(gateway),
         relayed,
         confirmations: own_confirmations(gateway),
+        suspects: Vec::new(),
+        claims: Vec::new(),
     };
+    suspects::fill(gateway, number, &mut heartbeat);
     targets.retain(|target| *target != gateway.cfg.peers.listen);
     (targets, heartbeat)
 }
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     Rejected,
     /// The retry budget was spent before the request ran.
     BudgetSpent,
+    /// A part of its prompt is suspected of crashing upstreams.
+    SuspectPart,
     /// The caller did not send its body in time.
     BodyTimeout,
     /// The time limit passed before the request ran.
@@ -60,6 +62,7 @@
             | Self::Busy
             | Self::Rejected
             | Self::BudgetSpent
+            | Self::SuspectPart
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
@@ -96,6 +99,7 @@
             Self::Busy => "busy",
             Self::Rejected => "rejected",
             Self::BudgetSpent => "budget_spent",
+            Self::SuspectPart => "suspect_part",
             Self::BodyTimeout => "body_timeout",
             Self::ExpiredUnrun => "expired_unrun",
             Self::Expired => "expired",
--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -23,8 +23,11 @@
         /// about the upstream's health.
         is_stale_connection: bool,
     },
-    /// The request was written at least in part, so it may have run. Holds the reason.
+    /// The request was written at least in part, so it may have run, and the connection broke. Holds
+    /// the reason.
     NoResponse(String),
+    /// No response arrived in time.
+    TimedOut,
 }
 
 /// A connection that carries one request at a time. Dropping it resets the TCP connection, so that
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -69,6 +69,11 @@
         headers.get("key")?.to_str().ok()
     }
 
+    fn shared_prompt_parts<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a str> {
+        let value = headers.get("parts").and_then(|v| v.to_str().ok());
+        value.map_or_else(Vec::new, |v| v.split(',').collect())
+    }
+
     fn is_readiness_query(&self, uri: &Uri) -> bool {
         uri.path() == "/ready"
     }
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -20,3 +20,4 @@
 mod peers;
 mod restart;
 mod settings;
+mod suspect_parts;
--- a/crates/oriole_gateway/tests/gateway/members.rs
+++ b/crates/oriole_gateway/tests/gateway/members.rs
@@ -31,6 +31,8 @@
             .collect(),
         relayed: Vec::new(),
         confirmations: Vec::new(),
+        suspects: Vec::new(),
+        claims: Vec::new(),
     }
 }
 
