Bound event streams whose upstream sends no events, and empty ones without framing

An upstream that sends bytes without the end of an event kept the caller waiting until the route's timeout, and the daemon kept all of these bytes. A stream with neither a length nor chunks that ended before its first event was passed on as a complete, empty one.

The incomplete event is now limited to 64 KiB, bytes that complete no event no longer extend the time that counts as silence, and an unframed stream without any event has broken off. Endless heads, interim heads and bodies were bounded already; tests cover them too.

Before: 3 of the 12 tests fail (stream_without_event, trickle_without_event_counts_as_silence, unframed_stream_ends_with_connection::no_event). After: all pass.

--- a/crates/oriole_gateway/src/forward/events.rs
+++ b/crates/oriole_gateway/src/forward/events.rs
@@ -50,6 +50,12 @@
         !self.partial.is_empty()
     }
 
+    /// Bytes of the incomplete event.
+    #[must_use]
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the incomplete event of a stream that broke.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -25,6 +25,10 @@
 /// two seconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1300);
 
+/// Largest event that is buffered until its end arrives. An upstream that sends more without an end of
+/// an event sends no events.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
 /// Time that a resume attempt waits for the head of a response.
 const RESUME_HEAD_TIMEOUT: Duration = Duration::from_millis(1300);
 
@@ -38,6 +42,12 @@
 /// Reason of a stream that ended properly, but within an event.
 const ENDED_WITHIN_EVENT: &str = "ended within an event";
 
+/// Reason of a stream whose upstream sends bytes that are no events.
+const EVENT_TOO_LARGE: &str = "event too large";
+
+/// Reason of a stream that ended with its connection before any event.
+const ENDED_WITHOUT_EVENT: &str = "ended without an event";
+
 /// Builds the response whose body relays the stream.
 pub(super) fn respond(
     gateway: Arc<Gateway>,
@@ -52,6 +62,7 @@
         status: live.response.status().as_u16(),
         live: Some(live),
         last_events_at: None,
+        resumed_at: Duration::ZERO,
         began_at: None,
         has_passed: false,
         is_finished: false,
@@ -104,6 +115,8 @@
     status: u16,
     /// Time at which the caller last received events.
     last_events_at: Option<Duration>,
+    /// Time at which the present upstream took over; zero for the first one.
+    resumed_at: Duration,
     /// Time of the first events from the present upstream.
     began_at: Option<Duration>,
     /// Whether the present upstream is past the point at which a prompt part can crash it.
@@ -115,8 +128,9 @@
 impl StreamRelay {
     /// Returns the next whole events for the caller; `None` after the end.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseInterrupted>> {
+        let waiting_since = self.gateway.clock.now();
         while !self.is_finished {
-            match self.next_step().await {
+            match self.next_step(waiting_since).await {
                 RelayStep::Events(events) if events.is_empty() => {}
                 RelayStep::Events(events) => {
                     self.record_event_timing();
@@ -138,7 +152,9 @@
         None
     }
 
-    async fn next_step(&mut self) -> RelayStep {
+    /// Reads from the upstream. Bytes without the end of an event do not extend the time since
+    /// `waiting_since` that counts as silence.
+    async fn next_step(&mut self, waiting_since: Duration) -> RelayStep {
         let remaining = self.remaining();
         if remaining.is_zero() {
             return RelayStep::Expired;
@@ -146,16 +162,29 @@
         let Some(live) = &mut self.live else {
             return RelayStep::Broken("no upstream");
         };
+        let waited_from = waiting_since.max(self.resumed_at);
+        let silence_ends_at = waited_from + SILENCE_TIMEOUT;
+        let silence = silence_ends_at.saturating_sub(self.gateway.clock.now());
+        let has_length = live.has_length();
         let frame = live.response.body_mut().frame();
-        match tokio::time::timeout(SILENCE_TIMEOUT.min(remaining), frame).await {
+        match tokio::time::timeout(silence.min(remaining), frame).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => RelayStep::Events(self.splitter.push(&data)),
+                Ok(data) => {
+                    let events = self.splitter.push(&data);
+                    if self.splitter.partial_len() > MAX_EVENT_BYTES {
+                        return RelayStep::Broken(EVENT_TOO_LARGE);
+                    }
+                    RelayStep::Events(events)
+                }
                 Err(_trailers) => RelayStep::Events(Bytes::new()),
             },
             Ok(Some(Err(_))) => RelayStep::Broken(CONNECTION_BROKE),
             Ok(None) if self.splitter.has_partial() => RelayStep::Broken(ENDED_WITHIN_EVENT),
+            Ok(None) if !has_length && self.splitter.last_id().is_none() => {
+                RelayStep::Broken(ENDED_WITHOUT_EVENT)
+            }
             Ok(None) => RelayStep::End,
-            Err(_) if remaining <= SILENCE_TIMEOUT => RelayStep::Expired,
+            Err(_) if remaining <= silence => RelayStep::Expired,
             Err(_) => RelayStep::Broken("silence"),
         }
     }
@@ -163,7 +192,10 @@
     /// Suspects the prompt parts if the upstream broke off before it was past the point at which
     /// they can crash it.
     async fn record_disconnect(&mut self, reason: &'static str) {
-        let is_disconnect = matches!(reason, CONNECTION_BROKE | ENDED_WITHIN_EVENT);
+        let is_disconnect = matches!(
+            reason,
+            CONNECTION_BROKE | ENDED_WITHIN_EVENT | ENDED_WITHOUT_EVENT
+        );
         if let Some(live) = &self.live
             && is_disconnect
             && !self.has_passed
@@ -318,6 +350,7 @@
             AttemptEnd::Success(live) => {
                 progress.possible_runs += 1;
                 self.live = Some(*live);
+                self.resumed_at = self.gateway.clock.now();
                 (self.began_at, self.has_passed) = (None, false);
                 return ResumeResult::Resumed;
             }
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -51,6 +51,14 @@
 }
 
 impl LiveResponse {
+    /// Whether the end of the body is marked by a length or a last chunk. Otherwise it ends with the
+    /// connection.
+    pub fn has_length(&self) -> bool {
+        let headers = self.response.headers();
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Returns the connection to the pool after the body was read in full, unless the upstream
     /// closes it.
     pub fn finish(self, gateway: &Arc<Gateway>) {
--- /dev/null
+++ b/crates/oriole_gateway/tests/gateway/endless.rs
@@ -0,0 +1,164 @@
+//! Upstreams that send bytes without end, or responses that end with their connection: memory and
+//! time stay bounded, and the log tells why the attempt ended.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use oriole_fleet::prelude::*;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use crate::harness::{start, upstream};
+
+/// Most bytes that an upstream may get rid of: what the daemon buffers of a response, and what
+/// sockets hold.
+const MAX_TAKEN_BYTES: usize = 16 * 1024 * 1024;
+
+/// The route's timeout, after which every request has ended.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Starts an upstream that answers with `start` and then repeats `chunk`, with a pause in between,
+/// until the daemon closes the connection. Also returns the number of bytes that it sent.
+async fn endless_upstream(
+    start: &'static str,
+    chunk: &'static [u8],
+    pause: Duration,
+) -> (SocketAddr, Arc<Mutex<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = Arc::new(Mutex::new(0));
+    let count = sent.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let mut buf = vec![0; 4096];
+                let _ = stream.read(&mut buf).await;
+                let mut bytes = start.as_bytes();
+                while stream.write_all(bytes).await.is_ok() {
+                    *count.lock().unwrap() += bytes.len();
+                    bytes = chunk;
+                    tokio::time::sleep(pause).await;
+                }
+            });
+        }
+    });
+    (address, sent)
+}
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nattempt: r-1\r\nsignature: s\r\n\
+                           Content-Type: text/event-stream\r\n\r\n";
+const BODY_HEAD: &str = "HTTP/1.1 200 OK\r\nattempt: r-1\r\nsignature: s\r\n\r\n";
+const NO_EVENT: &[u8] = &[b'x'; 8192];
+const EVENT: &[u8] = b"data: without an id\n\n";
+
+#[rstest]
+#[case::head_of_no_protocol("", NO_EVENT, RouteKind::Idempotent, "refused", "upstream_failed")]
+#[case::head_line(
+    "HTTP/1.1 200 OK\r\nname: ",
+    NO_EVENT,
+    RouteKind::Idempotent,
+    "refused",
+    "upstream_failed"
+)]
+#[case::head_fields(
+    "HTTP/1.1 200 OK\r\n",
+    b"name: value\r\n",
+    RouteKind::Idempotent,
+    "refused",
+    "upstream_failed"
+)]
+#[case::interim_heads(
+    "",
+    b"HTTP/1.1 103 Early Hints\r\n\r\n",
+    RouteKind::AtMostOnce,
+    "refused",
+    "expired|upstream_failed"
+)]
+#[case::body(
+    BODY_HEAD,
+    NO_EVENT,
+    RouteKind::Idempotent,
+    "refused",
+    "upstream_failed"
+)]
+#[case::stream_without_event(STREAM_HEAD, NO_EVENT, RouteKind::Stream, "broken", "event too large")]
+#[case::stream_of_events(STREAM_HEAD, EVENT, RouteKind::Stream, "broken", "time is up")]
+#[tokio::test]
+async fn endless_answer_ends_with_reason(
+    #[case] start_bytes: &'static str,
+    #[case] chunk: &'static [u8],
+    #[case] kind: RouteKind,
+    #[case] last: &str,
+    #[case] reason: &str,
+) {
+    let pause = if chunk.len() < 1000 {
+        Duration::from_micros(200)
+    } else {
+        Duration::ZERO
+    };
+    let (address, sent) = endless_upstream(start_bytes, chunk, pause).await;
+    let harness = start(kind, address).await;
+    let began_at = Instant::now();
+    let response = harness.post("r-1").await;
+    let took = began_at.elapsed();
+    assert!(took < ROUTE_TIMEOUT + Duration::from_secs(2), "{took:?}");
+    let is_complete = response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n");
+    assert!(!is_complete, "{}", &response[..response.len().min(500)]);
+    let lines = harness.log.lines("r-1", last).await;
+    let (_, line) = lines.iter().find(|(kind, _)| kind == last).unwrap();
+    // Two timers end at the same moment in some cases.
+    assert!(reason.split('|').any(|r| line.contains(r)), "{line}");
+    let sent = *sent.lock().unwrap();
+    assert!(sent < MAX_TAKEN_BYTES, "{sent} bytes");
+}
+
+/// A trickle of bytes must not keep a caller waiting longer than silence would.
+#[tokio::test]
+async fn trickle_without_event_counts_as_silence() {
+    let pause = Duration::from_millis(200);
+    let (address, _) = endless_upstream(STREAM_HEAD, b"x", pause).await;
+    let harness = start(RouteKind::Stream, address).await;
+    let began_at = Instant::now();
+    harness.post("r-1").await;
+    let took = began_at.elapsed();
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    let lines = harness.log.lines("r-1", "broken").await;
+    assert!(
+        lines.iter().any(|(_, line)| line.contains("silence")),
+        "{lines:?}"
+    );
+}
+
+/// A stream that ends with its connection is complete if it ends with a whole event.
+#[rstest]
+#[case::whole_event("id: 1\ndata: a\n\n", "answered")]
+#[case::within_event("id: 1\ndata: a\n\nid: 2\nda", "broken")]
+#[case::no_event("", "broken")]
+#[tokio::test]
+async fn unframed_stream_ends_with_connection(#[case] body: &str, #[case] last: &str) {
+    let response: &'static str = Box::leak(format!("{STREAM_HEAD}{body}").into_boxed_str());
+    let (address, _) = upstream(response).await;
+    let harness = start(RouteKind::Stream, address).await;
+    let response = harness.post("r-1").await;
+    let is_complete = response.ends_with("0\r\n\r\n");
+    assert_eq!(is_complete, last == "answered", "{response}");
+    harness.log.lines("r-1", last).await;
+}
+
+/// A response that ends with its connection is passed on whole, with a proper end.
+#[tokio::test]
+async fn unframed_response_is_complete() {
+    let response: &'static str = Box::leak(format!("{BODY_HEAD}whole").into_boxed_str());
+    let (address, _) = upstream(response).await;
+    let harness = start(RouteKind::Idempotent, address).await;
+    let response = harness.post("r-1").await;
+    assert!(response.ends_with("whole"), "{response}");
+    assert!(
+        response.to_lowercase().contains("content-length: 5"),
+        "{response}"
+    );
+}
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod abandoned;
 mod bad_input;
 mod belief_age;
+mod endless;
 mod endpoints;
 mod events;
 mod fake;
