Log the content of failed attempts and what became of an upstream that disconnected

The logs could not tell whether the requests that crash upstreams are the same one: attempt ids are new each time. attempt lines carry a digest of method, host, target, account and body, and each broken connection is examined and logged, also for requests without prompt parts.

--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -10,6 +10,7 @@
 
 use metrics::counter;
 use oriole_kernel::clock::Clock;
+use oriole_types::digest::Digest;
 use slog::{Logger, info, warn};
 
 use crate::fleet_view::FleetChange;
@@ -30,6 +31,17 @@
     Unknown,
 }
 
+/// What became of an upstream whose connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DisconnectOutcome {
+    /// It accepts no connection.
+    Crashed,
+    /// It accepts connections.
+    Running,
+    /// The fleet view does not list it any more.
+    Unlisted,
+}
+
 /// An event that is logged as one line.
 #[derive(Debug)]
 pub enum LogEvent<'a> {
@@ -132,6 +144,8 @@
         request: &'a str,
         /// Number of the attempt, from one.
         attempt: u32,
+        /// Digest of the request's content.
+        content: &'a Digest,
         /// Instance of the upstream.
         instance: &'a str,
         /// Outcome of the attempt.
@@ -141,6 +155,17 @@
         /// Duration of the attempt.
         took: Duration,
     },
+    /// A connection broke before the response, and its upstream was examined.
+    Disconnected {
+        /// Attempt id given by the caller.
+        request: &'a str,
+        /// Digest of the request's content.
+        content: &'a Digest,
+        /// Instance of the upstream.
+        upstream: &'a str,
+        /// What was found.
+        outcome: DisconnectOutcome,
+    },
     /// A broken stream was resumed at another upstream, or could not be.
     Resume {
         /// Attempt id given by the caller.
@@ -226,6 +251,7 @@
             LogEvent::Picked { .. } => "picked",
             LogEvent::Waits { .. } => "waits",
             LogEvent::Attempt { .. } => "attempt",
+            LogEvent::Disconnected { .. } => "disconnected",
             LogEvent::Resume { .. } => "resume",
             LogEvent::PromptParts { .. } => "prompt parts",
             LogEvent::Refused { .. } => "refused",
@@ -353,15 +379,25 @@
             LogEvent::Attempt {
                 request,
                 attempt,
+                content,
                 instance,
                 outcome,
                 reason,
                 took,
             } => {
                 info!(log, "attempt"; "request" => request, "attempt" => attempt,
-                    "upstream" => instance, "outcome" => format!("{outcome:?}"),
+                    "content" => short_digest(content), "upstream" => instance, "outcome" => format!("{outcome:?}"),
                     "reason" => reason, "took_ms" => millis(*took));
             }
+            LogEvent::Disconnected {
+                request,
+                content,
+                upstream,
+                outcome,
+            } => {
+                info!(log, "disconnected"; "request" => request, "content" => short_digest(content),
+                    "upstream" => upstream, "outcome" => format!("{outcome:?}"));
+            }
             LogEvent::Resume {
                 request,
                 after,
@@ -422,6 +458,11 @@
     }
 }
 
+/// The first eight bytes of a digest in hexadecimal.
+pub fn short_digest(digest: &Digest) -> String {
+    format!("{:016x}", digest.prefix_u64())
+}
+
 fn millis(d: Duration) -> u64 {
     d.as_millis() as u64
 }
--- a/crates/oriole_gateway/src/forward/request.rs
+++ b/crates/oriole_gateway/src/forward/request.rs
@@ -39,6 +39,9 @@
     pub respond_by: Duration,
     /// Id of the last event that the caller has, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Digest of method, host, target, client account and body; the same when the caller sends the
+    /// request again under another attempt id.
+    pub content: Digest,
     /// Digests of the parts of its prompt that other requests may share.
     pub shared_parts: Vec<Digest>,
     /// The request as it is sent to upstreams.
@@ -109,6 +112,7 @@
         .and_then(|a| a.priority)
         .unwrap_or(route.priority);
     let account_name = account.as_ref().map(|a| a.name.as_str());
+    let content = content_digest(&parts, &host, account_name, &body);
     let outgoing = OutgoingRequest::new(parts, body, names, account_name, priority);
     let service = route.pick_service(rand::rng().random()).to_owned();
     Ok(CheckedRequest {
@@ -120,6 +124,7 @@
         caller_deadline,
         respond_by,
         last_event_id,
+        content,
         shared_parts,
         outgoing,
         route,
@@ -132,6 +137,22 @@
     parts.map(|id| Digest::of(id.as_bytes())).collect()
 }
 
+fn content_digest(
+    parts: &http::request::Parts,
+    host: &str,
+    account: Option<&str>,
+    body: &[u8],
+) -> Digest {
+    let target = parts.uri.path_and_query().map_or("", |t| t.as_str());
+    Digest::of_fields(&[
+        parts.method.as_str().as_bytes(),
+        host.as_bytes(),
+        target.as_bytes(),
+        account.unwrap_or_default().as_bytes(),
+        body,
+    ])
+}
+
 async fn read_body(body: Incoming, limit: u64, timeout: Duration) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/oriole_gateway/src/forward/suspects.rs
+++ b/crates/oriole_gateway/src/forward/suspects.rs
@@ -13,7 +13,7 @@
 
 use super::request::CheckedRequest;
 use super::{MAX_WAITING_REQUESTS, RequestFailure, WAIT_POLL_INTERVAL};
-use crate::decision_log::LogEvent;
+use crate::decision_log::{DisconnectOutcome, LogEvent, short_digest};
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
 
@@ -85,9 +85,27 @@
 /// Handles a connection that broke before the upstream was past the point at which a part can crash
 /// it. If the upstream is gone, the request's parts become suspect.
 pub async fn on_disconnect(gateway: &Gateway, request: &CheckedRequest, instance: &str) {
-    if request.shared_parts.is_empty() {
+    let (outcome, id) = examine(gateway, instance).await;
+    gateway.log.event(&LogEvent::Disconnected {
+        request: &request.id,
+        content: &request.content,
+        upstream: instance,
+        outcome,
+    });
+    let Some(id) = id.filter(|_| !request.shared_parts.is_empty()) else {
         return;
+    };
+    let parts: BTreeSet<_> = request.shared_parts.iter().copied().collect();
+    let now = gateway.clock.now();
+    if gateway.part_screen().record_crash(now, &id, &parts) {
+        counter!("oriole_suspect_crashes_total").increment(1);
+        log(gateway, request, "suspected", instance);
+        gateway.mesh_wake.notify_one();
     }
+}
+
+/// Finds out whether an upstream has crashed, and the identity of the crash if so.
+async fn examine(gateway: &Gateway, instance: &str) -> (DisconnectOutcome, Option<CrashId>) {
     let upstream = {
         let view = gateway.fleet_view();
         let mut upstreams = view.upstreams().map(|known| &known.upstream);
@@ -96,23 +114,17 @@
             .map(|upstream| (upstream.address, upstream.started_at_ms))
     };
     let Some((address, started_at_ms)) = upstream else {
-        return;
+        return (DisconnectOutcome::Unlisted, None);
     };
     // Connections also break while the upstream runs; only a crashed one accepts no other.
     if TcpTimeouts::default().connect(address).await.is_ok() {
-        return;
+        return (DisconnectOutcome::Running, None);
     }
     let id = CrashId {
         vm: VmName::new(instance),
         number: started_at_ms.unwrap_or_default(),
     };
-    let parts: BTreeSet<_> = request.shared_parts.iter().copied().collect();
-    let now = gateway.clock.now();
-    if gateway.part_screen().record_crash(now, &id, &parts) {
-        counter!("oriole_suspect_crashes_total").increment(1);
-        log(gateway, request, "suspected", instance);
-        gateway.mesh_wake.notify_one();
-    }
+    (DisconnectOutcome::Crashed, Some(id))
 }
 
 /// Records that an upstream began to answer at `began_at` and is past the point at which a part can
@@ -127,7 +139,7 @@
 
 fn log(gateway: &Gateway, request: &CheckedRequest, now: &str, upstream: &str) {
     let parts = request.shared_parts.iter();
-    let parts: Vec<String> = parts.map(|p| format!("{:016x}", p.prefix_u64())).collect();
+    let parts: Vec<String> = parts.map(short_digest).collect();
     gateway.log.event(&LogEvent::PromptParts {
         request: &request.id,
         now,
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -284,6 +284,7 @@
     gateway.log.event(&LogEvent::Attempt {
         request: &request.id,
         attempt,
+        content: &request.content,
         instance: &pick.instance,
         outcome,
         reason,
