Reproduce plain requests that crash one upstream after another

Callers of a service get 502 and 503 while one request, sent again by its caller, crashes each of its upstreams. The test sends such a request eight times to a daemon with eight upstreams: all eight crash, where three may.

--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -21,4 +21,5 @@
 mod peers;
 mod restart;
 mod settings;
+mod suspect_content;
 mod suspect_parts;
