--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! daemon with simulated upstreams and store.
 
 mod abandoned;
+mod announced_limit;
 mod bad_input;
 mod belief_age;
 mod endless;
