--- a/crates/oriole_bench/src/experiments/mod.rs
+++ b/crates/oriole_bench/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 use crate::experiment::Experiment;
 
+mod announced_limit;
 mod claims;
 mod claims_baseline;
 mod claims_fleet;
@@ -27,6 +28,7 @@
 #[must_use]
 pub fn all() -> Vec<Box<dyn Experiment>> {
     vec![
+        Box::new(announced_limit::AnnouncedLimit),
         Box::new(claims::Claims),
         Box::new(cold_start::ColdStart),
         Box::new(config_spread::ConfigSpread),
