Keep announced limits on the project's own path

An agent is the only sender of its upstream, so it keeps the limit alone: load reports may name one, the gate takes a slot of it for each request that it admits or queues, and refuses others with upstream_limit and the time of the next slot. Entries avoid the upstream for that time and turn to another one at once; the limit ends with the upstream's process. The stand-in of a service can announce a limit.

--- a/crates/oriole_agent/src/gate.rs
+++ b/crates/oriole_agent/src/gate.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use metrics::counter;
 use oriole_admission::confirmation::Confirmation;
+use oriole_admission::fleet_limit::{FleetLimits, LimitNotice, SenderPosition};
 use oriole_admission::gate::{
     Action, Decision, FinishKind, Gate, GateConfig, Offer, Refusal, UpstreamReport, WorkId,
 };
@@ -16,6 +18,15 @@
 /// Largest rounding error of a report's age, which is sent in whole milliseconds.
 const MAX_AGE_ROUNDING: Duration = Duration::from_millis(1);
 
+/// Position of the agent among the senders of its upstream: the only one.
+const ONLY_SENDER: SenderPosition = SenderPosition {
+    daemons: 1,
+    ordinal: 0,
+};
+
+/// Key of the upstream among the limits: an agent has one.
+const UPSTREAM: u64 = 0;
+
 /// A handle to the admission gate behind one lock; clones share the gate.
 #[derive(Clone)]
 pub struct GateHandle {
@@ -25,6 +36,8 @@
 
 struct Inner {
     gate: Gate,
+    /// Limit that the upstream announces.
+    limits: FleetLimits,
     /// Channels to the tasks of queued work.
     waiting: HashMap<WorkId, oneshot::Sender<Result<(), Refusal>>>,
     next_id: WorkId,
@@ -63,6 +76,7 @@
         let gate = Gate::new(cfg, clock.now());
         let inner = Inner {
             gate,
+            limits: FleetLimits::default(),
             waiting: HashMap::new(),
             next_id: WorkId(1),
             poison_outbox: PoisonOutbox::default(),
@@ -151,12 +165,31 @@
         self.update(|gate, now| gate.upstream_report(now, report));
     }
 
+    /// Applies the limit that the upstream announces; `None` if it names none. A value that is no
+    /// limit is ignored.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        if per_s.is_some_and(|per_s| !FleetLimits::is_valid(per_s)) {
+            counter!("oriole_limits_ignored_total").increment(1);
+            return;
+        }
+        let now = self.clock.now();
+        let notice = LimitNotice {
+            upstream: UPSTREAM,
+            per_s,
+            at: now,
+        };
+        if self.lock().limits.merge(now, notice).is_some() {
+            counter!("oriole_limit_changes_total").increment(1);
+        }
+    }
+
     /// Records that the upstream's process was lost with all its work.
     pub fn upstream_lost(&self) {
         let now = self.clock.now();
         let mut inner = self.lock();
         inner.loss_count += 1;
         inner.last_lost_at = now;
+        inner.limits = FleetLimits::default();
         let actions = inner.gate.upstream_lost(now);
         inner.apply(actions);
     }
@@ -206,7 +239,13 @@
         flags: OfferFlags,
     ) -> Result<(AdmittedWork, Option<DecisionReceiver>), Refusal> {
         let now = self.clock.now();
+        let is_urgent = priority != Priority::Low;
         let mut inner = self.lock();
+        let checked = inner.limits.check(now, UPSTREAM, ONLY_SENDER, is_urgent);
+        checked.map_err(|reached| Refusal {
+            reason: RefusalReason::UpstreamLimit,
+            retry_after: Some(reached.next_slot),
+        })?;
         let id = inner.next_id;
         inner.next_id = id.next();
         // A loss refuses all queued work, so the count is the same when the work starts.
@@ -218,7 +257,13 @@
         let mut offer = Offer::new(id, content, deadline).with_priority(priority);
         offer.proven = flags.proven;
         offer.pinned = flags.pinned;
-        match inner.gate.offer(now, offer) {
+        let decision = inner.gate.offer(now, offer);
+        if !matches!(decision, Decision::Refuse(_)) {
+            inner
+                .limits
+                .record_sent(now, UPSTREAM, ONLY_SENDER, is_urgent);
+        }
+        match decision {
             Decision::Admit => Ok((work, None)),
             Decision::Queue => {
                 let (tx, rx) = oneshot::channel();
--- a/crates/oriole_agent/src/upstream/mod.rs
+++ b/crates/oriole_agent/src/upstream/mod.rs
@@ -58,7 +58,7 @@
 }
 
 /// An upstream's report of its load, which may be delayed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize)]
 pub struct UpstreamLoad {
     /// Requests in flight.
     pub in_flight: u32,
@@ -67,6 +67,9 @@
     /// Age of the report, in milliseconds.
     #[serde(default)]
     pub age_ms: u32,
+    /// Requests per second that it takes; `None` if it names no limit.
+    #[serde(default)]
+    pub limit_per_s: Option<f64>,
 }
 
 /// An upstream: a model engine or a plain service.
--- a/crates/oriole_agent/src/watchers.rs
+++ b/crates/oriole_agent/src/watchers.rs
@@ -51,6 +51,7 @@
                 if core.gate.is_report_after_loss(requested_at, age) {
                     core.upstream_connected(load.in_flight);
                 }
+                core.gate.set_limit(load.limit_per_s);
                 core.gate
                     .upstream_report(requested_at, age, load.in_flight, load.cold);
             }
--- a/crates/oriole_local/tests/whole/main.rs
+++ b/crates/oriole_local/tests/whole/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod faults;
 mod groups;
+mod limit;
 mod poison;
 mod sessions;
--- a/crates/oriole_routing/src/picking/router.rs
+++ b/crates/oriole_routing/src/picking/router.rs
@@ -402,6 +402,7 @@
         reason,
         RefusalReason::UpstreamFull
             | RefusalReason::UpstreamCold
+            | RefusalReason::UpstreamLimit
             | RefusalReason::NoCapacity
             | RefusalReason::QueueFull
             | RefusalReason::Draining
--- a/crates/oriole_routing/src/retry.rs
+++ b/crates/oriole_routing/src/retry.rs
@@ -202,6 +202,11 @@
         AttemptEnd::NotRun { reason, .. } if !is_retryable(reason) => {
             Err(GiveUpReason::NotRetryable)
         }
+        // The limit is that of one upstream, and the others may have room now.
+        AttemptEnd::NotRun {
+            reason: RefusalReason::UpstreamLimit,
+            ..
+        } => Ok(Duration::ZERO),
         AttemptEnd::NotRun { retry_after, .. } => Ok(retry_after.unwrap_or_default()),
         AttemptEnd::Unknown(UnknownReason::Deadline) => Err(GiveUpReason::Deadline),
         AttemptEnd::Unknown(_) if attempt.idempotent => Ok(Duration::ZERO),
@@ -218,6 +223,7 @@
             | RefusalReason::Deadline
             | RefusalReason::UpstreamCold
             | RefusalReason::UpstreamFull
+            | RefusalReason::UpstreamLimit
             | RefusalReason::Draining
             | RefusalReason::SuspectBusy
             | RefusalReason::NoConfiguration
--- a/crates/oriole_standins/src/engine/load.rs
+++ b/crates/oriole_standins/src/engine/load.rs
@@ -25,6 +25,8 @@
         pub cold: bool,
         /// Age of the sample, in milliseconds.
         pub age_ms: u32,
+        /// Requests per second that the upstream takes from all senders; `None` for no limit.
+        pub limit_per_s: Option<f64>,
     }
 }
 
@@ -71,6 +73,7 @@
             waiting,
             cold: view.state == HealthState::Cold,
             age_ms: 0,
+            limit_per_s: None,
         };
         if self.samples.len() == MAX_SAMPLES {
             self.samples.pop_front();
--- a/crates/oriole_standins/src/service.rs
+++ b/crates/oriole_standins/src/service.rs
@@ -14,6 +14,7 @@
 use oriole_types::digest::Digest;
 use oriole_types::domain_type;
 
+use crate::engine::EngineLoad;
 use crate::engine::load::LaggingLoad;
 use crate::engine::lock;
 use crate::health::{Health, HealthConfig, HealthState, RequestGuard, UpstreamView};
@@ -58,6 +59,7 @@
 pub struct Service {
     server: HttpServer,
     health: Health,
+    limit_per_s: Arc<Mutex<Option<f64>>>,
 }
 
 impl Service {
@@ -69,14 +71,20 @@
     pub async fn bind(cfg: ServiceConfig, ledger: Ledger) -> io::Result<Self> {
         let connections = ConnectionSwitch::default();
         let health = Health::new(cfg.health, connections.clone());
+        let limit_per_s = Arc::new(Mutex::new(None));
         let core = Core {
             health: health.clone(),
             service_time: cfg.service_time,
+            limit_per_s: limit_per_s.clone(),
             load: Mutex::new(LaggingLoad::new(cfg.report_lag)),
             ledger,
         };
         let server = HttpServer::bind(Arc::new(core), connections).await?;
-        Ok(Self { server, health })
+        Ok(Self {
+            server,
+            health,
+            limit_per_s,
+        })
     }
 
     /// The address it listens on.
@@ -90,6 +98,12 @@
         self.health.set_state(state);
     }
 
+    /// Announces a limit in requests per second from now on, or none. Requests beyond it are served
+    /// all the same.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        *lock(&self.limit_per_s) = per_s;
+    }
+
     /// Its state and counters.
     #[must_use]
     pub fn view(&self) -> UpstreamView {
@@ -105,6 +119,7 @@
 struct Core {
     health: Health,
     service_time: Duration,
+    limit_per_s: Arc<Mutex<Option<f64>>>,
     load: Mutex<LaggingLoad>,
     ledger: Ledger,
 }
@@ -173,7 +188,10 @@
     }
 
     fn load(&self) -> Response<Body> {
-        let report = lock(&self.load).report(&self.health.view(), 0);
+        let report = EngineLoad {
+            limit_per_s: *lock(&self.limit_per_s),
+            ..lock(&self.load).report(&self.health.view(), 0)
+        };
         server::json(StatusCode::OK, &report)
     }
 }
--- a/crates/oriole_types/src/outcome.rs
+++ b/crates/oriole_types/src/outcome.rs
@@ -113,6 +113,8 @@
         AgentStarting = 28, "agent_starting";
         /// A request with the same key is running; retry later to get its answer.
         KeyInProgress = 29, "key_in_progress";
+        /// The upstream gets as many requests per second as it announced that it takes.
+        UpstreamLimit = 30, "upstream_limit";
     }
 }
 
