Hold popular requests shortly that ran in crashes of other causes

Requests that upstreams have lived with are remembered, as parts are, and tried after 1 s, 2 s, 30 s and 2 min; a content that never passed waits as before. A request that turns deadly later reaches upstreams at most twice beyond the bound's three crashes and contact time.

--- a/crates/oriole_admission/src/poison/ledger.rs
+++ b/crates/oriole_admission/src/poison/ledger.rs
@@ -51,6 +51,19 @@
     Duration::from_secs(3600),
 ];
 
+/// Times after a crash from which a whole request may be tried again, by the number of its crashes.
+/// A single crash often has another cause.
+const NEW_REQUEST_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(30)];
+/// The same for a request that upstreams have lived with: a popular one runs in most crashes of other
+/// causes, and a broken link looks like a crash.
+const KNOWN_REQUEST_DELAYS: [Duration; 5] = [
+    Duration::ZERO,
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(30),
+    Duration::from_secs(120),
+];
+
 value_type! {
     /// What is known about a content, and therefore where it may run.
     pub enum ContentStatus {
@@ -79,15 +92,18 @@
 }
 
 impl ContentSuspicion {
-    /// Time after the newest crash from which the request may be tried again. A single crash often
-    /// has another cause; from [`QUARANTINE_CRASHES`] on the request waits until they are forgotten.
+    /// Time after the newest crash from which the request may be tried again. `has_passed` tells
+    /// whether upstreams are known to have lived with it earlier. After the last delay it waits until
+    /// its crashes are forgotten.
     #[must_use]
-    pub fn trial_delay(&self) -> Duration {
-        match self.crashes {
-            0 | 1 => Duration::ZERO,
-            n if n < QUARANTINE_CRASHES => TRIAL_DELAYS[NEW_CONTENT_STEP],
-            _ => CRASH_RETENTION,
-        }
+    pub fn trial_delay(&self, has_passed: bool) -> Duration {
+        let delays: &[Duration] = if has_passed {
+            &KNOWN_REQUEST_DELAYS
+        } else {
+            &NEW_REQUEST_DELAYS
+        };
+        let delay = delays.get(self.crashes.saturating_sub(1));
+        delay.copied().unwrap_or(CRASH_RETENTION)
     }
 }
 
--- a/crates/oriole_admission/src/poison/screen.rs
+++ b/crates/oriole_admission/src/poison/screen.rs
@@ -4,7 +4,8 @@
 //! A whole request that an upstream had not answered when it crashed becomes suspect. After its first
 //! crash one request in the fleet tries it again at once, which excuses what only ran beside the
 //! cause; after the second crash it is held back for a while, and after the third it is not sent any
-//! more until its crashes are forgotten.
+//! more until its crashes are forgotten. A request that upstreams have lived with is held for shorter
+//! times and tried twice more.
 //!
 //! Each shared part of a request that an upstream was about to answer when it crashed becomes
 //! suspect. A part that gets past that point anywhere is excused, so suspicion of a popular part ends
@@ -40,7 +41,8 @@
 /// Most claims that are kept.
 const MAX_CLAIMS: usize = 256;
 
-/// Most parts that are remembered as passed; beyond it the one that was added first is dropped.
+/// Most requests, and most parts, that are remembered as passed; beyond it the one that was added
+/// first is dropped.
 const MAX_PASSED: usize = 4096;
 
 /// A daemon's claim to try a part. The one with the lowest number wins.
@@ -104,10 +106,37 @@
     /// Time at which a tick first saw those versions.
     changed_at: Duration,
     claims: BTreeMap<Digest, Claim>,
-    /// Parts that upstreams have lived with, by the first bytes of their digests.
-    passed: BTreeSet<u64>,
-    /// The passed parts in the order in which they were added.
-    passed_order: VecDeque<u64>,
+    /// Requests that upstreams have lived with.
+    passed_requests: PassedSet,
+    /// Parts that upstreams have lived with.
+    passed_parts: PassedSet,
+}
+
+/// A bounded set of digests, by their first bytes.
+#[derive(Clone, Debug, Default)]
+struct PassedSet {
+    digests: BTreeSet<u64>,
+    /// The digests in the order in which they were added.
+    order: VecDeque<u64>,
+}
+
+impl PassedSet {
+    fn contains(&self, digest: &Digest) -> bool {
+        self.digests.contains(&digest.prefix_u64())
+    }
+
+    fn insert(&mut self, digest: &Digest) {
+        let digest = digest.prefix_u64();
+        if !self.digests.insert(digest) {
+            return;
+        }
+        self.order.push_back(digest);
+        if self.order.len() > MAX_PASSED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.digests.remove(&oldest);
+        }
+    }
 }
 
 impl PartScreen {
@@ -121,7 +150,8 @@
         let Some(suspicion) = self.requests.content_suspicion(request.content) else {
             return self.screen(now, request.parts, number);
         };
-        let due_at = suspicion.newest_at + suspicion.trial_delay();
+        let has_passed = self.passed_requests.contains(request.content);
+        let due_at = suspicion.newest_at + suspicion.trial_delay(has_passed);
         if now < due_at {
             return Verdict::HoldContent(due_at);
         }
@@ -157,7 +187,7 @@
         }
         let is_joint = suspects.len() > 1;
         let due_at = suspects.iter().map(|(part, suspicion)| {
-            let has_passed = self.passed.contains(&part.prefix_u64());
+            let has_passed = self.passed_parts.contains(part);
             let delay = suspicion.trial_delay(has_passed);
             let factor = if is_joint { JOINT_TRIAL_FACTOR } else { 1 };
             suspicion.newest_at + delay * factor
@@ -217,7 +247,7 @@
         request: ScreenedRequest<'_>,
         began_at: Duration,
     ) -> bool {
-        // Whole requests seldom come twice, so they are not remembered as passed.
+        self.passed_requests.insert(request.content);
         let is_content_excused = self.requests.record_passed(request.content, began_at);
         self.record_passed(request.parts, began_at) || is_content_excused
     }
@@ -228,7 +258,7 @@
         let mut is_news = false;
         for part in parts {
             is_news |= self.parts.record_passed(part, began_at);
-            self.remember_passed(part.prefix_u64());
+            self.passed_parts.insert(part);
         }
         is_news
     }
@@ -292,18 +322,6 @@
         (self.requests.version(), self.parts.version())
     }
 
-    fn remember_passed(&mut self, part: u64) {
-        if !self.passed.insert(part) {
-            return;
-        }
-        self.passed_order.push_back(part);
-        if self.passed_order.len() > MAX_PASSED
-            && let Some(oldest) = self.passed_order.pop_front()
-        {
-            self.passed.remove(&oldest);
-        }
-    }
-
     fn live_claim(&self, now: Duration, part: &Digest) -> Option<&Claim> {
         self.claims
             .get(part)
--- a/crates/oriole_admission/tests/part_screen.rs
+++ b/crates/oriole_admission/tests/part_screen.rs
@@ -93,6 +93,50 @@
     assert_eq!(screen_plain(&mut screen, later, "deadly"), Verdict::Clear);
 }
 
+/// A popular request that ran in crashes of other causes, or whose link broke, must not be held for
+/// long.
+#[test]
+fn request_known_to_pass_is_held_shortly() {
+    let mut screen = PartScreen::default();
+    let request = ScreenedRequest {
+        content: &part("popular"),
+        parts: &[],
+    };
+    screen.record_request_passed(request, ms(500));
+    crash_plain(&mut screen, ms(1000), 1, &["popular"]);
+    crash_plain(&mut screen, ms(1100), 2, &["popular"]);
+    let verdict = screen_plain(&mut screen, ms(2100), "popular");
+    assert!(matches!(verdict, Verdict::Trial { .. }), "{verdict:?}");
+}
+
+/// A request that once passed and crashes upstreams since is sent few times more.
+#[test]
+fn request_known_to_pass_is_not_sent_after_many_crashes() {
+    let mut screen = PartScreen::default();
+    let request = ScreenedRequest {
+        content: &part("deadly"),
+        parts: &[],
+    };
+    screen.record_request_passed(request, ms(500));
+    let (mut now, mut crashes) = (ms(1000), Vec::new());
+    while now < ms(600_000) {
+        now += ms(100);
+        if !matches!(screen_plain(&mut screen, now, "deadly"), Verdict::Hold(_))
+            && !matches!(
+                screen_plain(&mut screen, now, "deadly"),
+                Verdict::HoldContent(_)
+            )
+        {
+            crashes.push(now);
+            let number = crashes.len() as u64;
+            crash_plain(&mut screen, now, number, &["deadly"]);
+        }
+    }
+    let known_at = crashes[2] + CONTACT_BOUND;
+    let sent = crashes.iter().filter(|at| **at > known_at).count();
+    assert!(sent <= MAX_SENT_WHEN_KNOWN, "{crashes:?}");
+}
+
 /// A request that only ran beside the one that crashes upstreams is free as soon as that has crashed
 /// another.
 #[test]
@@ -459,6 +503,8 @@
             Some(Deadly::Part(_)) => request.parts.extend(deadly.map(Deadly::digest)),
             Some(Deadly::Content(_)) if self.variant == Variant::PartsOnly => {}
             Some(content) => request.content = content.digest(),
+            // Requests without parts are all the same, as those for a popular object are.
+            None if request.parts.is_empty() => request.content = part("popular"),
             None => {}
         }
         if self.variant == Variant::WholeRequest {
