--- a/crates/oriole_ranks/src/agent/addresses.rs
+++ b/crates/oriole_ranks/src/agent/addresses.rs
@@ -10,10 +10,23 @@
 use slog::warn;
 
 use super::{Agent, lock};
+use crate::recovery::MAX_RECOVERY_RANK;
 
-/// Time between two reads of the group's addresses.
+/// Time between two reads of the group's addresses by the agents that call or tell all ranks: the
+/// leader and those that recover a stalled switch. Also by all agents after the group was formed anew.
 const ADDRESS_REFRESH_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Time between two reads by the other agents. A listing holds all upstreams of the fleet, and a rank
+/// moves to another VM only when its group is formed anew.
+const IDLE_REFRESH_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Longest delay of the read after the group was formed anew, so that not all agents read at once.
+const MAX_REGROUPED_DELAY: Duration = Duration::from_millis(400);
+
+/// Number of reads at [`ADDRESS_REFRESH_INTERVAL`] after the group was formed anew, since the store may
+/// learn of a new upstream late.
+const READS_AFTER_REGROUPING: u32 = 3;
+
 /// Pauses between retries until everything that is needed has been read.
 const RETRY_BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(400),
@@ -24,12 +37,18 @@
 pub(super) async fn refresh_addresses(agent: Arc<Agent>) {
     let mut failed_reads = 0;
     let mut has_limits = false;
+    let mut reads_soon = READS_AFTER_REGROUPING;
     loop {
         let outcome = agent.refresh_once(&mut has_limits).await;
         let pause = match outcome {
             Ok(true) => {
                 failed_reads = 0;
-                ADDRESS_REFRESH_INTERVAL
+                reads_soon = reads_soon.saturating_sub(1);
+                if reads_soon > 0 || agent.calls_all_ranks() {
+                    ADDRESS_REFRESH_INTERVAL
+                } else {
+                    IDLE_REFRESH_INTERVAL
+                }
             }
             Ok(false) | Err(_) => {
                 failed_reads += 1;
@@ -39,11 +58,23 @@
         if let Err(e) = outcome {
             warn!(agent.log, "store"; "step" => "learn the group", "error" => e.to_string());
         }
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = agent.regrouped.notified() => {
+                reads_soon = READS_AFTER_REGROUPING;
+                let delay = MAX_REGROUPED_DELAY.mul_f64(rand::random());
+                tokio::time::sleep(delay).await;
+            }
+        }
     }
 }
 
 impl Agent {
+    /// Whether the agent leads, or recovers a stalled switch.
+    fn calls_all_ranks(&self) -> bool {
+        lock(&self.shared).rank <= MAX_RECOVERY_RANK
+    }
+
     /// Reads what is due. Returns whether the agent has everything it needs.
     async fn refresh_once(&self, has_limits: &mut bool) -> Result<bool, StoreError> {
         if !*has_limits {
--- a/crates/oriole_ranks/src/agent/engine.rs
+++ b/crates/oriole_ranks/src/agent/engine.rs
@@ -8,8 +8,11 @@
 
 use super::{Agent, lock};
 use crate::follower::PrepareTracker;
-use crate::message::{Datagram, ExpertList, Status, scale_choices};
+use crate::map_cache::initial_map;
+use crate::message::{Datagram, ExpertList, Status};
 use crate::recovery::StallDetector;
+use crate::sampler::ChoiceSampler;
+use crate::status_pacer::StatusPacer;
 
 /// Time between two reports while there is no switch in progress.
 const REPORT_INTERVAL: Duration = Duration::from_millis(120);
@@ -37,24 +40,17 @@
 pub(super) struct EngineState {
     pub(super) prepare_tracker: PrepareTracker,
     epoch: u64,
-    /// Last expert counts that were read.
-    counts: Option<ExpertCounts>,
+    sampler: ChoiceSampler,
+    status_pacer: StatusPacer,
     /// Experts in the map in use, by layer set, with the epoch and map version they were read for.
     current_experts: Option<(u64, u64, Vec<ExpertList>)>,
-    new_choices: NewChoices,
     reports_counts: bool,
+    /// Whether the map with which the epoch began is cached.
+    has_initial_map: bool,
     stall_detector: StallDetector,
     is_unreachable: bool,
 }
 
-/// Choices that were read but not sent yet. The fields are those of [`Status`].
-#[derive(Default)]
-struct NewChoices {
-    scaled: Vec<u32>,
-    total: u64,
-    from_pass: u64,
-}
-
 impl EngineState {
     /// Number of layer sets; 0 until the map in use was read.
     fn layer_sets(&self) -> usize {
@@ -100,7 +96,8 @@
     /// Handles one report: sends a status, carries out the leader's intent, starts recovery if the
     /// group has stalled, and on rank 0 acts as the leader. Returns whether a switch is in progress.
     async fn run_round(&self, state: &mut EngineState, report: EngineReport) -> bool {
-        if report.epoch != state.epoch {
+        let is_new_epoch = report.epoch != state.epoch;
+        if is_new_epoch {
             info!(self.log, "group"; "group" => &report.group, "epoch" => report.epoch,
                 "rank" => report.rank, "ranks" => report.ranks, "open" => report.group_running);
             *state = EngineState {
@@ -108,7 +105,8 @@
                 ..EngineState::default()
             };
         }
-        lock(&self.shared).group.clone_from(&report.group);
+        self.join_group(&report, is_new_epoch);
+        self.cache_initial_map(state, &report);
         self.read_current_experts(state, &report).await;
         self.read_counts(state, &report).await;
         self.send_status(state, &report).await;
@@ -123,16 +121,13 @@
     /// Reads the expert counts once per pass, if this rank sends them.
     async fn read_counts(&self, state: &mut EngineState, report: &EngineReport) {
         state.reports_counts = reports_counts(report);
-        let is_read = state.counts.as_ref().is_some_and(|c| c.pass >= report.pass);
-        if !state.reports_counts || is_read {
+        if !state.reports_counts || state.sampler.has_read(report.pass) {
             return;
         }
         match self.parts.engine.expert_counts().await {
             Ok(counts) => {
-                if let Some(last) = state.counts.take() {
-                    state.new_choices = choices_between(&last, &counts, state.layer_sets());
-                }
-                state.counts = Some(counts);
+                let layer_sets = state.layer_sets();
+                state.sampler.add(self.clock.now(), counts, layer_sets);
             }
             Err(e) => {
                 warn!(self.log, "call failed"; "step" => "counts", "error" => e.to_string());
@@ -162,12 +157,44 @@
         }
     }
 
+    /// Sends the leader what it does not know yet of this rank.
     async fn send_status(&self, state: &mut EngineState, report: &EngineReport) {
+        let now = self.clock.now();
+        let mut status = self.status(state, report);
+        if report.rank == 0 {
+            if let Some(sample) = state.sampler.take(now) {
+                status.set_choices(&sample);
+            }
+            let mut leader = lock(&self.leader);
+            // The report comes first, since a status of an unknown epoch is ignored.
+            leader.on_report(now, report.clone());
+            leader.on_status(now, status);
+            return;
+        }
+        if let Some(sample) = state.sampler.take_due(now) {
+            status.set_choices(&sample);
+        }
+        let is_awaited = self.has_intent(now);
+        if std::mem::take(&mut lock(&self.shared).experts_requested) {
+            state.status_pacer.request_experts();
+        }
+        let Some(status) = state.status_pacer.next(now, status, is_awaited) else {
+            return;
+        };
+        let datagram = Datagram {
+            status: Some(status),
+            ..Datagram::default()
+        };
+        self.send(0, &datagram).await;
+    }
+
+    /// The complete status of the rank, without choices.
+    fn status(&self, state: &EngineState, report: &EngineReport) -> Status {
         let current_experts = state
             .current_experts
             .as_ref()
             .filter(|(_, v, _)| *v == report.map_version);
-        let status = Status {
+        Status {
             group: report.group.clone(),
             epoch: report.epoch,
             rank: report.rank as u32,
@@ -180,43 +207,34 @@
             group_running: report.group_running,
             slowdown: report.slowdown,
             preparing_version: state.prepare_tracker.preparing(report.epoch),
-            choices_total: state.new_choices.total,
-            choices_from_pass: state.new_choices.from_pass,
-            scaled_choices: std::mem::take(&mut state.new_choices).scaled,
             known_versions: lock(&self.shared).map_cache.versions(report.epoch),
             current_experts: current_experts
                 .map_or_else(Vec::new, |(_, _, layer_sets)| layer_sets.clone()),
-        };
-        if report.rank == 0 {
-            let now = self.clock.now();
-            let mut leader = lock(&self.leader);
-            // The report comes first, since a status of an unknown epoch is ignored.
-            leader.on_report(now, report.clone());
-            leader.on_status(now, status);
-            return;
+            ..Status::default()
         }
-        let datagram = Datagram {
-            status: Some(status),
-            intent: None,
-        };
-        self.send(0, &datagram).await;
     }
-}
 
-/// Choices between two reads of the counts.
-fn choices_between(last: &ExpertCounts, counts: &ExpertCounts, layer_sets: usize) -> NewChoices {
-    if last.counts.len() != counts.counts.len() || layer_sets == 0 {
-        return NewChoices::default();
-    }
-    let pairs = counts.counts.iter().zip(&last.counts);
-    let choices: Vec<u64> = pairs.map(|(new, old)| new.saturating_sub(*old)).collect();
-    let total = choices.iter().sum::<u64>() / layer_sets as u64;
-    if total == 0 {
-        return NewChoices::default();
+    fn join_group(&self, report: &EngineReport, is_new_epoch: bool) {
+        let mut shared = lock(&self.shared);
+        if shared.group != report.group {
+            shared.group.clone_from(&report.group);
+        }
+        shared.rank = report.rank;
+        if is_new_epoch {
+            self.regrouped.notify_one();
+        }
     }
-    NewChoices {
-        scaled: scale_choices(&choices, layer_sets),
-        total,
-        from_pass: last.pass,
+
+    /// Caches the map with which the epoch begins, so that the first switch needs only a patch.
+    fn cache_initial_map(&self, state: &mut EngineState, report: &EngineReport) {
+        if state.has_initial_map {
+            return;
+        }
+        let limits = lock(&self.leader).limits().cloned();
+        if let Some(limits) = limits {
+            let map = initial_map(limits.layer_sets, limits.experts, report.ranks);
+            lock(&self.shared).map_cache.begin_epoch(report.epoch, map);
+            state.has_initial_map = true;
+        }
     }
 }
--- a/crates/oriole_ranks/src/agent/mod.rs
+++ b/crates/oriole_ranks/src/agent/mod.rs
@@ -27,6 +27,7 @@
 
 use self::engine::EngineState;
 use crate::follower::next_order;
+use crate::forwarding;
 use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
 use crate::map_cache::MapCache;
 use crate::message::{Datagram, Intent};
@@ -59,7 +60,11 @@
     engine_addresses: HashMap<usize, SocketAddr>,
     /// Name of the group, empty until the engine has reported it.
     group: String,
+    /// Rank of the agent's engine.
+    rank: usize,
     map_cache: MapCache,
+    /// Whether the leader has asked for the rank's experts.
+    experts_requested: bool,
     /// Time at which the switch in progress was planned. `None` if there is none.
     planned_at: Option<Duration>,
 }
@@ -72,6 +77,8 @@
     udp: UdpSocket,
     /// Ends the pause of the polling task.
     wake_up: Notify,
+    /// Ends the pause of the task that reads addresses when the group has been formed anew.
+    regrouped: Notify,
     shared: Mutex<Shared>,
     leader: Mutex<Leader>,
 }
@@ -106,6 +113,7 @@
             log: log.clone(),
             udp,
             wake_up: Notify::new(),
+            regrouped: Notify::new(),
             shared: Mutex::new(Shared::default()),
             leader: Mutex::new(Leader::new(LeaderConfig::default(), rand::random())),
             cfg,
@@ -150,6 +158,7 @@
                 continue;
             }
         };
+        counter!("oriole_agent_bytes_total", "direction" => "received").increment(len as u64);
         let datagram = match Datagram::decode(&buf[..len]) {
             Ok(datagram) => datagram,
             Err(e) => {
@@ -159,7 +168,12 @@
             }
         };
         let now = agent.clock.now();
-        if let Some(intent) = datagram.intent {
+        if datagram.requests_experts {
+            lock(&agent.shared).experts_requested = true;
+            agent.wake_up.notify_one();
+        }
+        if let Some(mut intent) = datagram.intent {
+            agent.forward_intent(&mut intent).await;
             agent.on_intent(now, intent);
         }
         if let Some(status) = datagram.status {
@@ -173,6 +187,21 @@
 }
 
 impl Agent {
+    /// Forwards an intent to the ranks that its sender has named.
+    async fn forward_intent(&self, intent: &mut Intent) {
+        let ranks = std::mem::take(&mut intent.forward_to);
+        for branch in forwarding::branches(&ranks) {
+            let datagram = Datagram {
+                intent: Some(Intent {
+                    forward_to: branch.forward_to,
+                    ..intent.clone()
+                }),
+                ..Datagram::default()
+            };
+            self.send(branch.rank, &datagram).await;
+        }
+    }
+
     fn on_intent(&self, now: Duration, intent: Intent) {
         let (version, base) = (intent.version, intent.base_version);
         let mut shared = lock(&self.shared);
@@ -194,22 +223,34 @@
             return;
         };
         let target = SocketAddr::new(engine.ip(), self.cfg.listen.port());
-        if let Err(e) = self.udp.send_to(&datagram.encode_to_vec(), target).await {
+        let buf = datagram.encode_to_vec();
+        counter!("oriole_agent_bytes_total", "direction" => "sent").increment(buf.len() as u64);
+        if let Err(e) = self.udp.send_to(&buf, target).await {
             warn!(self.log, "call failed"; "step" => "send", "peer" => target.to_string(),
                 "error" => e.to_string());
         }
     }
 
+    /// The leader's last intent, unless it has expired.
+    fn current_intent(&self, now: Duration) -> Option<Intent> {
+        let shared = lock(&self.shared);
+        let latest = shared.intent.as_ref();
+        latest
+            .filter(|(_, at)| now < *at + INTENT_TTL)
+            .map(|(intent, _)| intent.clone())
+    }
+
+    fn has_intent(&self, now: Duration) -> bool {
+        let shared = lock(&self.shared);
+        let latest = shared.intent.as_ref();
+        latest.is_some_and(|(_, at)| now < *at + INTENT_TTL)
+    }
+
     async fn follow_intent(&self, state: &mut EngineState, report: &EngineReport) -> bool {
         let now = self.clock.now();
-        let intent = {
-            let shared = lock(&self.shared);
-            let latest = shared.intent.as_ref();
-            latest
-                .filter(|(_, at)| now < *at + INTENT_TTL)
-                .map(|(intent, _)| intent.clone())
+        let Some(intent) = self.current_intent(now) else {
+            return false;
         };
-        let Some(intent) = intent else { return false };
         if let Some(order) = next_order(now, report, &intent, &state.prepare_tracker) {
             let end = self.order_own_engine(report.epoch, &order).await;
             let now = self.clock.now();
@@ -270,6 +311,15 @@
                 LeaderAction::SendIntent { intent, ranks } => {
                     self.send_intent(intent, &ranks).await;
                 }
+                LeaderAction::RequestExperts { ranks } => {
+                    let datagram = Datagram {
+                        requests_experts: true,
+                        ..Datagram::default()
+                    };
+                    for rank in ranks {
+                        self.send(rank, &datagram).await;
+                    }
+                }
                 LeaderAction::Planned {
                     version,
                     skew_before,
@@ -317,8 +367,8 @@
 
     async fn send_intent(&self, intent: Intent, ranks: &[usize]) {
         let datagram = Datagram {
-            status: None,
             intent: Some(intent.clone()),
+            ..Datagram::default()
         };
         for rank in ranks.iter().filter(|r| **r != 0) {
             self.send(*rank, &datagram).await;
--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -9,8 +9,8 @@
 /// pass, but shorter than the seconds in which demand may drift.
 const CHOICE_DECAY_TIME: Duration = Duration::from_millis(600);
 
-/// Number of new choices per expert of a layer set that are compared with the estimate. Their noise
-/// is then a tenth of the distance between two unrelated demands.
+/// Number of new choices per expert of a layer set that are compared with the estimate by default.
+/// Their noise is then a tenth of the distance between two unrelated demands.
 const MIN_COMPARED_PER_EXPERT: f64 = 16.0;
 
 /// Distance between two demands, from 0 to 1 and on top of the expected noise, above which a shift
@@ -20,8 +20,8 @@
 /// Expected distance from its mean of a sample with one choice per expert: `sqrt(2 / pi) / 2`.
 const UNIT_NOISE_DISTANCE: f64 = 0.4;
 
-/// Maximum weight of a sample, in choices per expert. While a prompt is processed, nearly all
-/// choices come from one request, which must not dominate the estimate.
+/// Maximum weight of a sample of one pass, in choices per expert. While a prompt is processed, nearly
+/// all choices come from one request, which must not dominate the estimate.
 const MAX_SAMPLE_PER_EXPERT: f64 = 32.0;
 
 /// Number of choices per expert that suffice for a plan: the share of an average expert is then
@@ -40,6 +40,8 @@
     pub total: u64,
     /// Last pass at the time of the earlier read.
     pub from_pass: u64,
+    /// Number of passes in which the choices were counted.
+    pub passes: u64,
 }
 
 /// Accumulated choices of several samples.
@@ -63,7 +65,8 @@
         }
         self.from_pass = self.from_pass.min(sample.from_pass);
         let scaled_sum: u64 = sample.scaled_choices.iter().map(|p| u64::from(*p)).sum();
-        let max_total = MAX_SAMPLE_PER_EXPERT * (sample.scaled_choices.len() / layer_sets) as f64;
+        let experts = (sample.scaled_choices.len() / layer_sets) as f64;
+        let max_total = MAX_SAMPLE_PER_EXPERT * experts * sample.passes.max(1) as f64;
         let total = (sample.total as f64).min(max_total);
         let scale = total * layer_sets as f64 / scaled_sum.max(1) as f64;
         for (choices, scaled) in self.by_expert.iter_mut().zip(sample.scaled_choices) {
@@ -103,8 +106,10 @@
 }
 
 /// Estimates the demand for each expert and detects shifts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Demand {
+    /// Number of new choices per expert that are compared with the estimate.
+    min_compared: f64,
     /// Choices since the last shift, older ones with less weight.
     estimate: ChoiceCounts,
     /// Newest samples, collected until there are enough to compare with the estimate.
@@ -115,7 +120,26 @@
     last_merge_at: Duration,
 }
 
+impl Default for Demand {
+    fn default() -> Self {
+        Self::with_min_compared(MIN_COMPARED_PER_EXPERT)
+    }
+}
+
 impl Demand {
+    /// Creates an empty estimate that is compared with `min_compared` new choices per expert at a time.
+    #[must_use]
+    pub fn with_min_compared(min_compared: f64) -> Self {
+        Self {
+            min_compared,
+            estimate: ChoiceCounts::default(),
+            pending: ChoiceCounts::default(),
+            shift_pass: 0,
+            last_shift_at: None,
+            last_merge_at: Duration::ZERO,
+        }
+    }
+
     /// Adds a sample that was received at `now`. Returns whether demand has shifted.
     pub fn add(&mut self, now: Duration, layer_sets: usize, sample: &Sample<'_>) -> bool {
         let len = sample.scaled_choices.len();
@@ -127,7 +151,7 @@
             return false;
         }
         self.pending.add(sample, layer_sets);
-        if self.pending.choices_per_expert(layer_sets) < MIN_COMPARED_PER_EXPERT {
+        if self.pending.choices_per_expert(layer_sets) < self.min_compared {
             return false;
         }
         let pending = std::mem::take(&mut self.pending);
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -14,11 +14,10 @@
 use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan, Gain};
 
 use crate::demand::{Demand, Sample};
+use crate::forwarding;
 use crate::map_cache::{self, diff, map_digest};
-use crate::message::{Intent, Status, to_layer_sets};
-
-/// Age at which a rank's last status is too old for the leader to advance a switch.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(900);
+use crate::message::{ExpertList, Intent, Status, to_layer_sets};
+use crate::status_pacer::status_timeout;
 
 /// Time that a preparation may take in addition to its copies: several times what an exchange of
 /// messages with all ranks takes.
@@ -53,9 +52,25 @@
 /// Time between two searches for a better map while neither map nor demand change.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which an intent with a map, which is large, is sent again.
+/// Time after which an intent with a map is sent again.
 const MAP_RESEND_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time after which an intent to arm is sent again.
+const ARM_RESEND_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Time after which the experts of ranks are requested again.
+const EXPERTS_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Maximum number of ranks whose experts are requested at a time.
+const MAX_REQUESTED_RANKS: usize = 32;
+
+/// Age at which the last status of a rank that prepares a map is too old to hold a pass for it. Such a
+/// rank repeats its status several times in this time.
+const PREPARED_STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Number of ranks by which those that forward an intent change with each attempt.
+const FORWARDERS_STEP: usize = 7;
+
 /// Number of low bits of a version that are random for each run of a leader, so that a late
 /// preparation of an earlier run can't have the same version with a different map.
 const VERSION_SALT_BITS: u32 = 16;
@@ -120,6 +135,11 @@
         /// Ranks that have not yet begun to carry it out.
         ranks: Vec<usize>,
     },
+    /// Ask the agents of some ranks for their experts.
+    RequestExperts {
+        /// Ranks whose experts are not known.
+        ranks: Vec<usize>,
+    },
     /// Log a new plan, whose preparation begins.
     Planned {
         /// Version of the planned map.
@@ -151,6 +171,8 @@
 struct RankState {
     status: Status,
     received_at: Duration,
+    /// Experts of the rank in the map of its last status, by layer set. Empty if they are unknown.
+    experts: Vec<Vec<u16>>,
 }
 
 /// The state machine of a group's leader.
@@ -167,10 +189,15 @@
     version: u64,
     /// Map of that version. Empty if a switch of an earlier run is continued.
     map: RankMap,
+    /// Version of `map`, kept when the switch has ended.
+    map_version: u64,
     /// Time of the last search for a better map. `None` if one is due.
     last_plan_at: Option<Duration>,
     last_order_at: Option<Duration>,
     last_intent_at: Option<Duration>,
+    last_experts_request_at: Option<Duration>,
+    /// Number of times that the current intent was sent.
+    intent_attempts: usize,
     /// Last reported pass and the time of its first report.
     last_pass: Option<(u64, Duration)>,
     /// Moving average of the time of a pass.
@@ -191,9 +218,12 @@
             phase: Phase::Idle,
             version: 0,
             map: Vec::new(),
+            map_version: 0,
             last_plan_at: None,
             last_order_at: None,
             last_intent_at: None,
+            last_experts_request_at: None,
+            intent_attempts: 0,
             last_pass: None,
             pass_time: Duration::from_millis(40),
         }
@@ -204,6 +234,12 @@
         self.limits = Some(limits);
     }
 
+    /// The limits on the group's maps, once the configuration is known.
+    #[must_use]
+    pub fn limits(&self) -> Option<&ExpertLimits> {
+        self.limits.as_ref()
+    }
+
     /// The current phase.
     #[must_use]
     pub fn phase(&self) -> &Phase {
@@ -246,9 +282,10 @@
             return false;
         }
         let sample = Sample {
-            scaled_choices: &status.scaled_choices,
+            scaled_choices: &status.scaled_choices(),
             total: status.choices_total,
             from_pass: status.choices_from_pass,
+            passes: status.pass.saturating_sub(status.choices_from_pass),
         };
         let layer_sets = self.limits.as_ref().map_or(0, |l| l.layer_sets);
         let demand_shifted = self.demand.add(now, layer_sets, &sample);
@@ -256,15 +293,40 @@
             self.last_plan_at = None;
         }
         let rank = status.rank as usize;
+        let experts = self.experts_of(rank, &status);
         if let Some(rank_state) = self.rank_states.get_mut(rank) {
             *rank_state = Some(RankState {
                 status,
                 received_at: now,
+                experts,
             });
         }
         demand_shifted
     }
 
+    /// Experts of a rank in the map in use, which few statuses carry: they may be known from an earlier
+    /// one, or since the leader planned that map.
+    fn experts_of(&self, rank: usize, status: &Status) -> Vec<Vec<u16>> {
+        if !status.current_experts.is_empty() {
+            return status
+                .current_experts
+                .iter()
+                .map(ExpertList::to_ids)
+                .collect();
+        }
+        if let Some(Some(known)) = self.rank_states.get(rank)
+            && known.status.map_version == status.map_version
+            && !known.experts.is_empty()
+        {
+            return known.experts.clone();
+        }
+        if status.map_version == self.map_version {
+            let sets = self.map.iter().map(|set| set.get(rank).cloned());
+            return sets.collect::<Option<_>>().unwrap_or_default();
+        }
+        Vec::new()
+    }
+
     /// Handles the outcome of an order to the leader's own engine.
     pub fn on_order_outcome(&mut self, order: &EngineOrder, outcome: OrderOutcome) {
         if let (EngineOrder::Hold { pass }, Phase::Holding { pass: wanted }) = (order, &self.phase)
@@ -294,11 +356,35 @@
             actions.push(LeaderAction::PhaseChanged(self.phase.clone()));
             self.last_order_at = None;
             self.last_intent_at = None;
+            self.intent_attempts = 0;
         }
         self.send_intent(now, &mut actions);
+        self.request_experts(now, &mut actions);
         actions
     }
 
+    /// Asks for the experts that are not known: those of the map with which an epoch begins, and of the
+    /// map in use when the leader has restarted.
+    fn request_experts(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
+        let was_sent = self
+            .last_experts_request_at
+            .is_some_and(|at| now < at + EXPERTS_REQUEST_INTERVAL);
+        if was_sent {
+            return;
+        }
+        let rank_states = self.rank_states.iter().enumerate();
+        let unknown = rank_states.filter(|(_, r)| r.as_ref().is_some_and(|r| r.experts.is_empty()));
+        let ranks: Vec<usize> = unknown
+            .map(|(rank, _)| rank)
+            .filter(|rank| *rank != 0)
+            .take(MAX_REQUESTED_RANKS)
+            .collect();
+        if !ranks.is_empty() {
+            self.last_experts_request_at = Some(now);
+            actions.push(LeaderAction::RequestExperts { ranks });
+        }
+    }
+
     fn step(&mut self, now: Duration, actions: &mut Vec<LeaderAction>) {
         match self.phase {
             Phase::Idle => self.step_idle(now, actions),
@@ -332,8 +418,7 @@
         self.last_plan_at = Some(now);
         let Some(plan) = self.plan() else { return };
         self.version = self.next_version();
-        self.map = plan.map;
-        map_cache::sort_experts(&mut self.map);
+        self.set_map(plan.map);
         self.phase = self.preparing_phase(now, plan.busiest_rank_copies);
         actions.push(LeaderAction::Planned {
             version: self.version,
@@ -367,11 +452,18 @@
         let map = self.limits.as_ref().and_then(|l| self.current_map(l));
         if let Some(map) = map {
             self.version = self.next_version();
-            self.map = map;
+            self.set_map(map);
             self.phase = self.preparing_phase(now, 0);
         }
     }
 
+    /// Sets the map of the current version.
+    fn set_map(&mut self, mut map: RankMap) {
+        map_cache::sort_experts(&mut map);
+        self.map = map;
+        self.map_version = self.version;
+    }
+
     fn preparing_phase(&self, now: Duration, copies: usize) -> Phase {
         let copy_s = self.limits.as_ref().map_or(0.0, |l| l.copy_s);
         let copy_time =
@@ -386,7 +478,9 @@
     /// they copy may never report either as prepared. A refusal or a timeout also abandons it.
     fn step_preparing(&mut self, now: Duration, until: Duration, actions: &mut Vec<LeaderAction>) {
         let version = self.version;
-        let is_prepared = self.all_ranks(now, |s| s.prepared_version == Some(version));
+        let is_prepared = self.all_ranks_within(now, PREPARED_STATUS_TIMEOUT, |s| {
+            s.prepared_version == Some(version)
+        });
         let is_refused = self.statuses().any(|s| s.refused_version == Some(version));
         let reason = match is_prepared {
             true if !self.is_outdated(now) => {
@@ -478,10 +572,14 @@
             Phase::Idle | Phase::Holding { .. } | Phase::Releasing { .. } => return,
         };
         let has_map = arm_pass.is_none() && !self.map.is_empty();
-        if has_map
-            && self
-                .last_intent_at
-                .is_some_and(|at| now < at + MAP_RESEND_INTERVAL)
+        let resend_interval = if has_map {
+            MAP_RESEND_INTERVAL
+        } else {
+            ARM_RESEND_INTERVAL
+        };
+        if self
+            .last_intent_at
+            .is_some_and(|at| now < at + resend_interval)
         {
             return;
         }
@@ -493,19 +591,34 @@
             arm_pass,
             ..Intent::default()
         };
-        let pending_ranks = (0..self.rank_states.len()).filter(|r| self.is_pending(*r));
-        if !has_map {
-            let ranks = pending_ranks.collect();
+        let pending_ranks: Vec<usize> = (0..self.rank_states.len())
+            .filter(|r| self.is_pending(*r))
+            .collect();
+        if has_map {
+            self.push_map_intents(&intent, pending_ranks, actions);
+        } else {
+            let ranks = pending_ranks;
             actions.push(LeaderAction::SendIntent { intent, ranks });
-            return;
         }
+        self.intent_attempts += 1;
+    }
+
+    /// Sends the map to some ranks, as a patch to those that know the map in use.
+    fn push_map_intents(
+        &self,
+        intent: &Intent,
+        ranks: Vec<usize>,
+        actions: &mut Vec<LeaderAction>,
+    ) {
         let base = self.own_report.map_version;
-        let (patch_ranks, full_map_ranks): (Vec<usize>, Vec<usize>) =
-            pending_ranks.partition(|r| {
-                let rank_state = self.rank_states[*r].as_ref();
-                rank_state.is_some_and(|s| s.status.known_versions.contains(&base))
-            });
         let current_map = self.limits.as_ref().and_then(|l| self.current_map(l));
+        let knows_base = |r: &usize| {
+            let rank_state = self.rank_states[*r].as_ref();
+            rank_state.is_some_and(|s| s.status.known_versions.contains(&base))
+        };
+        let (patch_ranks, full_map_ranks): (Vec<usize>, Vec<usize>) = ranks
+            .into_iter()
+            .partition(|r| current_map.is_some() && knows_base(r));
         if let Some(current_map) = current_map
             && !patch_ranks.is_empty()
         {
@@ -515,16 +628,39 @@
                 digest: map_digest(&self.map),
                 ..intent.clone()
             };
-            let ranks = patch_ranks;
-            actions.push(LeaderAction::SendIntent { intent, ranks });
+            self.push_forwarded(&intent, &patch_ranks, actions);
         }
         if !full_map_ranks.is_empty() {
             let intent = Intent {
                 map: to_layer_sets(&self.map),
-                ..intent
+                ..intent.clone()
             };
-            let ranks = full_map_ranks;
-            actions.push(LeaderAction::SendIntent { intent, ranks });
+            self.push_forwarded(&intent, &full_map_ranks, actions);
+        }
+    }
+
+    /// Sends an intent to some of the ranks, which forward it to the others. Each attempt chooses other
+    /// forwarders, since the agent of one may be gone.
+    fn push_forwarded(&self, intent: &Intent, ranks: &[usize], actions: &mut Vec<LeaderAction>) {
+        let (own, others): (Vec<usize>, Vec<usize>) = ranks.iter().partition(|r| **r == 0);
+        if !own.is_empty() {
+            actions.push(LeaderAction::SendIntent {
+                intent: intent.clone(),
+                ranks: own,
+            });
+        }
+        let mut others: Vec<u32> = others.iter().map(|r| *r as u32).collect();
+        let step = self.intent_attempts.wrapping_mul(FORWARDERS_STEP);
+        let rotation = step.checked_rem(others.len()).unwrap_or(0);
+        others.rotate_left(rotation);
+        for branch in forwarding::branches(&others) {
+            actions.push(LeaderAction::SendIntent {
+                intent: Intent {
+                    forward_to: branch.forward_to,
+                    ..intent.clone()
+                },
+                ranks: vec![branch.rank],
+            });
         }
     }
 
@@ -576,10 +712,19 @@
 
     /// Whether all ranks have sent a recent status that satisfies the condition.
     fn all_ranks(&self, now: Duration, condition: impl Fn(&Status) -> bool) -> bool {
+        self.all_ranks_within(now, status_timeout(self.rank_states.len()), condition)
+    }
+
+    fn all_ranks_within(
+        &self,
+        now: Duration,
+        timeout: Duration,
+        condition: impl Fn(&Status) -> bool,
+    ) -> bool {
         self.rank_states.iter().all(|rank_state| {
             rank_state
                 .as_ref()
-                .is_some_and(|s| now < s.received_at + STATUS_TIMEOUT && condition(&s.status))
+                .is_some_and(|s| now < s.received_at + timeout && condition(&s.status))
         })
     }
 
@@ -612,14 +757,17 @@
         (SWITCH_OVERHEAD + Duration::from_secs_f64(copy_time)).min(self.cfg.horizon)
     }
 
+    /// The map in use. `None` until the experts of all ranks in it are known.
     fn current_map(&self, limits: &ExpertLimits) -> Option<RankMap> {
+        let version = self.own_report.map_version;
         let mut map = vec![Vec::with_capacity(self.rank_states.len()); limits.layer_sets];
-        for status in self.statuses() {
-            if status.current_experts.len() != limits.layer_sets {
+        for rank_state in self.rank_states.iter().flatten() {
+            let is_known = rank_state.experts.len() == limits.layer_sets;
+            if !is_known || rank_state.status.map_version != version {
                 return None;
             }
-            for (set, experts) in map.iter_mut().zip(&status.current_experts) {
-                set.push(experts.to_ids());
+            for (set, experts) in map.iter_mut().zip(&rank_state.experts) {
+                set.push(experts.clone());
             }
         }
         map_cache::sort_experts(&mut map);
--- a/crates/oriole_ranks/src/lib.rs
+++ b/crates/oriole_ranks/src/lib.rs
@@ -20,20 +20,28 @@
 //!   leader's intent.
 //! - [`leader`]: the state machine of the agent of rank 0.
 //! - [`map_cache`]: sends maps as a patch to the one in use.
+//! - [`forwarding`]: spreads an intent over the ranks through some of them.
 //! - [`recovery`]: completes a map switch when the leader is silent.
+//! - [`choices`]: samples of expert choices, and their form in messages.
+//! - [`sampler`]: chooses when a rank sends a sample of its choices.
+//! - [`status_pacer`]: chooses when a rank sends its status.
 //! - [`demand`]: estimates which experts are in demand.
 //! - [`agent`]: the tasks of a running agent.
 //! - [`settings`]: settings of the process.
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod choices;
 pub mod demand;
 pub mod follower;
+pub mod forwarding;
 pub mod leader;
 pub mod map_cache;
 pub mod message;
 pub mod recovery;
+pub mod sampler;
 pub mod settings;
+pub mod status_pacer;
 
 /// The types that `main` and tests commonly need.
 pub mod prelude {
--- a/crates/oriole_ranks/src/message.rs
+++ b/crates/oriole_ranks/src/message.rs
@@ -2,6 +2,9 @@
 
 use oriole_fleet::prelude::RankMap;
 
+use crate::choices;
+use crate::sampler::ChoiceSample;
+
 /// State of one rank, sent by its agent to the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Status {
@@ -38,11 +41,13 @@
     /// Factor by which the rank takes longer than usual.
     #[prost(double, tag = "11")]
     pub slowdown: f64,
-    /// How often the router chose each expert since the last status, by layer set, scaled so that
-    /// each layer set sums to about [`CHOICES_SCALE`]. Empty if no new counts were read.
-    #[prost(uint32, repeated, tag = "12")]
-    pub scaled_choices: Vec<u32>,
-    /// Experts that the rank holds in the map in use, by layer set. Empty if they were not read yet.
+    /// How often the router chose each expert since the last sample, by layer set: the first
+    /// `choices_len` numbers, scaled by [`crate::choices::scale_choices`] and packed by
+    /// [`crate::choices::pack`]. Empty in most statuses, see [`crate::sampler`].
+    #[prost(bytes = "vec", tag = "12")]
+    pub packed_choices: Vec<u8>,
+    /// Experts that the rank holds in the map in use, by layer set. Empty unless the leader has asked
+    /// for them.
     #[prost(message, repeated, tag = "13")]
     pub current_experts: Vec<ExpertList>,
     /// Version that the engine has accepted to copy, if any.
@@ -57,24 +62,25 @@
     /// Versions in the agent's [`MapCache`](crate::map_cache::MapCache), which a patch may build on.
     #[prost(uint64, repeated, tag = "17")]
     pub known_versions: Vec<u64>,
+    /// Number of layer sets times the number of experts; 0 if there are no choices.
+    #[prost(uint32, tag = "18")]
+    pub choices_len: u32,
 }
 
-/// Sum of the scaled choices of a layer set. It is as fine as the small number of choices justifies,
-/// and most experts take one byte on the wire.
-pub const CHOICES_SCALE: u64 = 4096;
+impl Status {
+    /// The choices in this status; empty if there are none or they can't be unpacked.
+    #[must_use]
+    pub fn scaled_choices(&self) -> Vec<u32> {
+        choices::unpack(&self.packed_choices, self.choices_len as usize).unwrap_or_default()
+    }
 
-/// Scales the choices of each layer set to [`CHOICES_SCALE`] in total. Returns an empty list if the
-/// choices can't be divided into `layer_sets` equal parts.
-#[must_use]
-pub fn scale_choices(choices: &[u64], layer_sets: usize) -> Vec<u32> {
-    if layer_sets == 0 || !choices.len().is_multiple_of(layer_sets) {
-        return Vec::new();
+    /// Adds a sample of choices.
+    pub fn set_choices(&mut self, sample: &ChoiceSample) {
+        self.packed_choices = choices::pack(&sample.scaled);
+        self.choices_len = sample.scaled.len() as u32;
+        self.choices_total = sample.total;
+        self.choices_from_pass = sample.from_pass;
     }
-    let scaled = choices.chunks(choices.len() / layer_sets).flat_map(|set| {
-        let total = set.iter().sum::<u64>().max(1);
-        set.iter().map(move |c| (c * CHOICES_SCALE / total) as u32)
-    });
-    scaled.collect()
 }
 
 /// A list of experts.
@@ -137,6 +143,9 @@
     /// Digest of the patched map.
     #[prost(uint64, tag = "8")]
     pub digest: u64,
+    /// Ranks that the receiver forwards the intent to, without this list.
+    #[prost(uint32, repeated, tag = "9")]
+    pub forward_to: Vec<u32>,
 }
 
 impl Intent {
@@ -160,7 +169,7 @@
         .collect()
 }
 
-/// One datagram between agents. Carries either a status or an intent.
+/// One datagram between agents. Carries a status, an intent, or a request.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// State of the sender's rank.
@@ -169,4 +178,7 @@
     /// Intent of the sender, which is the leader.
     #[prost(message, optional, tag = "2")]
     pub intent: Option<Intent>,
+    /// Whether the sender, which is the leader, asks for the receiver's experts.
+    #[prost(bool, tag = "3")]
+    pub requests_experts: bool,
 }
--- a/crates/oriole_ranks/tests/demand_shift/main.rs
+++ b/crates/oriole_ranks/tests/demand_shift/main.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
+use oriole_ranks::choices::scale_choices;
 use oriole_ranks::demand::{Demand, Sample};
-use oriole_ranks::message::scale_choices;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
@@ -106,6 +106,7 @@
             scaled_choices,
             total,
             from_pass,
+            passes: 1,
         };
         self.demand.add(self.now, LAYER_SETS, &sample)
     }
--- a/crates/oriole_ranks/tests/group_fuzz/main.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/main.rs
@@ -1,7 +1,9 @@
 //! Fuzzes a simulated group with late orders, lost messages, restarted agents and new epochs, and
 //! checks the main invariant: in each pass, all ranks use the same map.
 
+mod link;
 mod model;
+mod size;
 
 use std::time::Duration;
 
--- a/crates/oriole_ranks/tests/group_fuzz/model.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/model.rs
@@ -3,15 +3,45 @@
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
-use oriole_ranks::message::ExpertList;
+use oriole_placement::even_split;
+use oriole_ranks::forwarding::branches;
+use oriole_ranks::map_cache::initial_map;
+use oriole_ranks::message::{Datagram, ExpertList};
 use oriole_ranks::prelude::*;
 use oriole_ranks::recovery::next_step;
+use oriole_ranks::sampler::{ChoiceSample, ChoiceSampler};
+use oriole_ranks::status_pacer::StatusPacer;
+use prost::Message as _;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-const RANKS: usize = 4;
-const EXPERTS: usize = 16;
-const LAYER_SETS: usize = 2;
+use crate::link::Link;
+
+/// Size of a group and rate of its links.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub ranks: usize,
+    pub experts: usize,
+    pub layer_sets: usize,
+    pub experts_per_rank: usize,
+    /// Number of ranks that count choices.
+    pub count_reporters: usize,
+    /// Average choices in a pass of one rank: of an expert in demand, and of another one.
+    pub choices: (u64, u64),
+    /// Rate of each VM's link. `None` if it does not limit.
+    pub link_bytes_per_s: Option<f64>,
+}
+
+/// The group of the fuzz.
+pub const SMALL: Shape = Shape {
+    ranks: 4,
+    experts: 16,
+    layer_sets: 2,
+    experts_per_rank: 6,
+    count_reporters: 4,
+    choices: (600, 30),
+    link_bytes_per_s: None,
+};
 /// Longest pause between events of a stream that callers accept as on time.
 pub const MAX_STALL: Duration = Duration::from_millis(120);
 pub const TICK: Duration = Duration::from_millis(10);
@@ -31,18 +61,11 @@
     pub held_pass: Option<u64>,
 }
 
-fn initial_map() -> RankMap {
-    let set = (0..RANKS)
-        .map(|r| (r..EXPERTS).step_by(RANKS).map(|e| e as u16).collect())
-        .collect();
-    vec![set; LAYER_SETS]
-}
-
 impl Engine {
-    fn new() -> Self {
+    fn new(shape: Shape) -> Self {
         Self {
             version: 0,
-            map: initial_map(),
+            map: initial_map(shape.layer_sets, shape.experts, shape.ranks),
             highest_version: 0,
             accepted_orders: 0,
             copy_in_progress: None,
@@ -86,9 +109,14 @@
     pub order: EngineOrder,
 }
 
+#[derive(Default)]
 pub struct Agent {
     pub prepare_tracker: PrepareTracker,
     pub map_cache: MapCache,
+    /// Epoch whose initial map is cached.
+    pub cached_epoch: u64,
+    pub status_pacer: StatusPacer,
+    pub sampler: ChoiceSampler,
     pub intent: Option<(Intent, Duration)>,
     pub suspended_until: Duration,
     pub next_run_at: Duration,
@@ -96,6 +124,7 @@
 }
 
 pub struct Group {
+    pub shape: Shape,
     pub rng: StdRng,
     pub now: Duration,
     pub epoch: u64,
@@ -109,7 +138,12 @@
     pub intents_in_flight: Vec<(Duration, usize, Intent)>,
     /// Delivery time and status.
     pub statuses_in_flight: Vec<(Duration, Status)>,
-    /// Expert with the highest demand.
+    /// Links by rank.
+    pub links: Vec<Link>,
+    /// Cumulative choices of each rank, by layer set and expert.
+    pub counts: Vec<Vec<u64>>,
+    /// Expert with the highest demand. In a large group, one of several, see
+    /// [`is_in_demand`](Self::is_in_demand).
     pub hot_expert: usize,
     /// Whether only the test changes `hot_expert`.
     pub is_hot_expert_fixed: bool,
@@ -123,41 +157,39 @@
     pub faked_hold_pass: Option<u64>,
 }
 
-fn new_leader(rng: &mut StdRng) -> Leader {
+fn new_leader(rng: &mut StdRng, shape: Shape) -> Leader {
     let mut leader = Leader::new(LeaderConfig::default(), rng.random());
     leader.set_limits(ExpertLimits {
-        layer_sets: LAYER_SETS,
-        experts: EXPERTS,
-        max_experts_per_rank: EXPERTS / RANKS + 2,
+        layer_sets: shape.layer_sets,
+        experts: shape.experts,
+        max_experts_per_rank: shape.experts_per_rank,
         max_new_experts_per_rank: 2,
         expert_share: 0.85,
-        copy_s: 0.05,
+        copy_s: COPY_TIME.as_secs_f64() / 2.0,
     });
     leader
 }
 
 impl Group {
     pub fn new(seed: u64, injected_bug: InjectedBug) -> Self {
+        Self::with_shape(seed, injected_bug, SMALL)
+    }
+
+    pub fn with_shape(seed: u64, injected_bug: InjectedBug, shape: Shape) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let agents = (0..RANKS)
-            .map(|_| Agent {
-                prepare_tracker: PrepareTracker::default(),
-                map_cache: MapCache::default(),
-                intent: None,
-                suspended_until: Duration::ZERO,
-                next_run_at: Duration::ZERO,
-                stall_detector: StallDetector::default(),
-            })
-            .collect();
+        let ranks = 0..shape.ranks;
         Self {
-            leader: new_leader(&mut rng),
+            leader: new_leader(&mut rng, shape),
             rng,
             now: Duration::ZERO,
             epoch: 1,
             pass: 0,
             last_pass_at: Duration::ZERO,
-            engines: vec![Engine::new(); RANKS],
-            agents,
+            engines: ranks.clone().map(|_| Engine::new(shape)).collect(),
+            agents: ranks.clone().map(|_| Agent::default()).collect(),
+            links: ranks.map(|_| Link::new(shape.link_bytes_per_s)).collect(),
+            counts: vec![vec![0; shape.layer_sets * shape.experts]; shape.ranks],
+            shape,
             delayed_orders: Vec::new(),
             intents_in_flight: Vec::new(),
             statuses_in_flight: Vec::new(),
@@ -180,8 +212,8 @@
             self.inject_faults(faults);
             self.execute_delayed_orders();
             self.finish_copies();
-            self.deliver();
-            for rank in 0..RANKS {
+            self.deliver(faults);
+            for rank in 0..self.shape.ranks {
                 self.run_agent(rank, faults);
             }
             self.advance_pass()?;
@@ -191,25 +223,26 @@
 
     fn inject_faults(&mut self, faults: Faults) {
         if !self.is_hot_expert_fixed && self.rng.random_bool(0.004) {
-            self.hot_expert = self.rng.random_range(0..EXPERTS);
+            self.hot_expert = self.rng.random_range(0..self.shape.experts);
         }
         if self.rng.random_bool(faults.restart) {
-            let rank = self.rng.random_range(0..RANKS);
+            let rank = self.rng.random_range(0..self.shape.ranks);
             let pause = Duration::from_millis(self.rng.random_range(0..3000));
             self.agents[rank].suspended_until = self.now + pause;
             // A killed agent loses its state; a frozen one keeps it.
             if self.rng.random_bool(0.5) {
-                self.agents[rank].prepare_tracker = PrepareTracker::default();
-                self.agents[rank].map_cache = MapCache::default();
-                self.agents[rank].intent = None;
+                let killed = std::mem::take(&mut self.agents[rank]);
+                self.agents[rank].suspended_until = killed.suspended_until;
+                self.agents[rank].next_run_at = killed.next_run_at;
+                self.agents[rank].stall_detector = killed.stall_detector;
                 if rank == 0 {
-                    self.leader = new_leader(&mut self.rng);
+                    self.leader = new_leader(&mut self.rng, self.shape);
                 }
             }
         }
         if self.rng.random_bool(faults.new_epoch) {
             self.epoch += 1;
-            self.engines = vec![Engine::new(); RANKS];
+            self.engines = vec![Engine::new(self.shape); self.shape.ranks];
         }
     }
 
@@ -318,7 +351,7 @@
             group: "g".to_owned(),
             epoch: self.epoch,
             rank,
-            ranks: RANKS,
+            ranks: self.shape.ranks,
             group_running: true,
             pass: self.pass,
             map_version: engine.version,
@@ -333,18 +366,58 @@
         }
     }
 
-    fn status(&self, rank: usize) -> Status {
-        let report = self.report(rank);
-        let mut scaled_choices = vec![30_u32; LAYER_SETS * EXPERTS];
-        for set in 0..LAYER_SETS {
-            scaled_choices[set * EXPERTS + self.hot_expert] = 600;
+    /// Whether an expert is among those with high demand: one in sixteen.
+    fn is_in_demand(&self, expert: usize) -> bool {
+        expert % 16 == self.hot_expert % 16
+    }
+
+    /// Ratio of the load of the most loaded rank to the mean with the map in use.
+    pub fn skew(&self) -> f64 {
+        let shares = (0..self.shape.experts).map(|e| self.mean_choices(e) as f64);
+        let demand = vec![shares.collect(); self.shape.layer_sets];
+        even_split::skew(&self.engines[0].map, &demand, &vec![1.0; self.shape.ranks])
+    }
+
+    /// Average number of choices of an expert in a pass of one rank.
+    fn mean_choices(&self, expert: usize) -> u64 {
+        let (in_demand, other) = self.shape.choices;
+        if self.is_in_demand(expert) {
+            in_demand
+        } else {
+            other
+        }
+    }
+
+    /// Adds the choices of one pass to the counts of all ranks.
+    fn count_choices(&mut self) {
+        let experts = self.shape.experts;
+        for rank in 0..self.shape.ranks {
+            if !self.counts_choices(rank) {
+                continue;
+            }
+            for index in 0..self.shape.layer_sets * experts {
+                let mean = self.mean_choices(index % experts);
+                // The variance of a random count is its mean.
+                let deviation = ((3 * mean) as f64).sqrt() as u64;
+                let deviation = deviation.min(mean);
+                self.counts[rank][index] +=
+                    self.rng.random_range(mean - deviation..=mean + deviation);
+            }
         }
+    }
+
+    fn counts_choices(&self, rank: usize) -> bool {
+        rank.is_multiple_of(self.shape.ranks / self.shape.count_reporters)
+    }
+
+    fn status(&mut self, rank: usize) -> Status {
+        let report = self.report(rank);
         let engine = &self.engines[rank];
-        Status {
+        let mut status = Status {
             group: report.group,
             epoch: report.epoch,
             rank: rank as u32,
-            ranks: RANKS as u32,
+            ranks: self.shape.ranks as u32,
             pass: report.pass,
             map_version: report.map_version,
             prepared_version: report.prepared_version,
@@ -353,15 +426,49 @@
             preparing_version: self.agents[rank].prepare_tracker.preparing(self.epoch),
             group_running: true,
             slowdown: 1.0,
-            choices_total: u64::from(scaled_choices[..EXPERTS].iter().sum::<u32>()),
-            choices_from_pass: self.pass.saturating_sub(1),
-            scaled_choices,
             known_versions: self.agents[rank].map_cache.versions(self.epoch),
             current_experts: engine
                 .map
                 .iter()
                 .map(|s| ExpertList::from(s[rank].as_slice()))
                 .collect(),
+            ..Status::default()
+        };
+        if let Some(sample) = self.sample(rank) {
+            status.set_choices(&sample);
+        }
+        status
+    }
+
+    /// The sample of choices that a rank sends now, if any.
+    fn sample(&mut self, rank: usize) -> Option<ChoiceSample> {
+        if !self.counts_choices(rank) {
+            return None;
+        }
+        let sampler = &mut self.agents[rank].sampler;
+        if !sampler.has_read(self.pass) {
+            let counts = ExpertCounts {
+                epoch: self.epoch,
+                pass: self.pass,
+                counts: self.counts[rank].clone(),
+            };
+            sampler.add(self.now, counts, self.shape.layer_sets);
+        }
+        if rank == 0 {
+            sampler.take(self.now)
+        } else {
+            sampler.take_due(self.now)
+        }
+    }
+
+    fn cache_initial_map(&mut self, rank: usize) {
+        let agent = &mut self.agents[rank];
+        if agent.cached_epoch != self.epoch {
+            agent.cached_epoch = self.epoch;
+            // Some engines begin with another map than their agents assume.
+            let experts = self.shape.experts - usize::from(self.epoch.is_multiple_of(2));
+            let map = initial_map(self.shape.layer_sets, experts, self.shape.ranks);
+            agent.map_cache.begin_epoch(self.epoch, map);
         }
     }
 
@@ -371,14 +478,25 @@
         Duration::from_millis(self.rng.random_range(1..=longest))
     }
 
-    fn deliver(&mut self) {
+    fn deliver(&mut self, faults: Faults) {
         let now = self.now;
         let (due, rest): (Vec<_>, Vec<_>) = self
             .intents_in_flight
             .drain(..)
             .partition(|(at, ..)| *at <= now);
         self.intents_in_flight = rest;
-        for (_, rank, intent) in due {
+        for (_, rank, mut intent) in due {
+            let forward_to = std::mem::take(&mut intent.forward_to);
+            // A suspended agent forwards nothing, and the intent waits in its socket.
+            if now >= self.agents[rank].suspended_until {
+                for branch in branches(&forward_to) {
+                    let intent = Intent {
+                        forward_to: branch.forward_to,
+                        ..intent.clone()
+                    };
+                    self.transmit_intent(rank, &intent, &[branch.rank], faults);
+                }
+            }
             self.on_intent(rank, now, intent);
         }
         let (due, rest): (Vec<_>, Vec<_>) = self
@@ -411,18 +529,18 @@
         }
         let pause = Duration::from_millis(self.rng.random_range(20..60));
         self.agents[rank].next_run_at = self.now + pause;
+        self.cache_initial_map(rank);
         let report = self.report(rank);
         let status = self.status(rank);
+        let intent = self.agents[rank].intent.clone();
+        let intent = intent.filter(|(_, at)| self.now < *at + Duration::from_millis(400));
         if rank == 0 {
             self.leader.on_report(self.now, report.clone());
             self.leader.on_status(self.now, status);
-        } else if !self.rng.random_bool(faults.lost_message) {
-            let delay = self.delay(faults);
-            self.statuses_in_flight.push((self.now + delay, status));
+        } else {
+            self.send_status(rank, status, intent.is_some(), faults);
         }
-        let intent = self.agents[rank].intent.clone();
-        if let Some((intent, at)) = intent
-            && self.now < at + Duration::from_millis(400)
+        if let Some((intent, _)) = intent
             && let Some(order) = next_order(
                 self.now,
                 &report,
@@ -447,7 +565,8 @@
 
     fn recover_stalled_switch(&mut self, faults: Faults) {
         for _ in 0..3 {
-            let reports: Vec<EngineReport> = (0..RANKS).map(|r| self.report(r)).collect();
+            let ranks = 0..self.shape.ranks;
+            let reports: Vec<EngineReport> = ranks.map(|r| self.report(r)).collect();
             match next_step(&reports) {
                 RecoveryStep::Nothing(_) => return,
                 RecoveryStep::Arm {
@@ -482,6 +601,7 @@
                 LeaderAction::SendIntent { intent, ranks } => {
                     self.send_intent(&intent, &ranks, faults);
                 }
+                LeaderAction::RequestExperts { ranks } => self.request_experts(&ranks, faults),
                 LeaderAction::Planned { .. } => self.planned_switches += 1,
                 LeaderAction::PreparationAbandoned { .. } => self.abandoned_preparations += 1,
                 LeaderAction::PhaseChanged(phase) => {
@@ -500,18 +620,66 @@
         }
     }
 
+    fn send_status(&mut self, rank: usize, status: Status, is_awaited: bool, faults: Faults) {
+        let pacer = &mut self.agents[rank].status_pacer;
+        let Some(status) = pacer.next(self.now, status, is_awaited) else {
+            return;
+        };
+        let datagram = Datagram {
+            status: Some(status),
+            ..Datagram::default()
+        };
+        if let Some(at) = self.transmit(rank, 0, datagram.encoded_len(), faults) {
+            self.statuses_in_flight
+                .extend(datagram.status.map(|status| (at, status)));
+        }
+    }
+
+    fn request_experts(&mut self, ranks: &[usize], faults: Faults) {
+        let datagram = Datagram {
+            requests_experts: true,
+            ..Datagram::default()
+        };
+        for rank in ranks.iter().copied() {
+            let arrival = self.transmit(0, rank, datagram.encoded_len(), faults);
+            if let Some(at) = arrival {
+                self.agents[rank].status_pacer.request_experts();
+                self.agents[rank].next_run_at = self.agents[rank].next_run_at.min(at);
+            }
+        }
+    }
+
     fn send_intent(&mut self, intent: &Intent, ranks: &[usize], faults: Faults) {
+        if ranks.contains(&0) {
+            self.on_intent(0, self.now, intent.clone());
+        }
+        let others: Vec<usize> = ranks.iter().filter(|r| **r != 0).copied().collect();
+        self.transmit_intent(0, intent, &others, faults);
+    }
+
+    fn transmit_intent(&mut self, from: usize, intent: &Intent, ranks: &[usize], faults: Faults) {
+        let datagram = Datagram {
+            intent: Some(intent.clone()),
+            ..Datagram::default()
+        };
+        let len = datagram.encoded_len();
         for rank in ranks.iter().copied() {
-            if rank == 0 {
-                self.on_intent(0, self.now, intent.clone());
-            } else if !self.rng.random_bool(faults.lost_message) {
-                let delay = self.delay(faults);
-                self.intents_in_flight
-                    .push((self.now + delay, rank, intent.clone()));
+            if let Some(at) = self.transmit(from, rank, len, faults) {
+                self.intents_in_flight.push((at, rank, intent.clone()));
             }
         }
     }
 
+    /// Time at which a datagram arrives. `None` if it is lost.
+    fn transmit(&mut self, from: usize, to: usize, len: usize, faults: Faults) -> Option<Duration> {
+        if self.rng.random_bool(faults.lost_message) {
+            return None;
+        }
+        let sent_at = self.links[from].pass(self.now, len)?;
+        let received_at = self.links[to].pass(sent_at, len)?;
+        Some(received_at + self.delay(faults))
+    }
+
     fn advance_pass(&mut self) -> Result<(), String> {
         if self.now < self.last_pass_at + Duration::from_millis(40) {
             return Ok(());
@@ -530,6 +698,7 @@
         self.stall_time = Duration::ZERO;
         self.faked_hold_pass = self.faked_hold_pass.filter(|p| *p > next_pass);
         self.pass = next_pass;
+        self.count_choices();
         for engine in &mut self.engines {
             if let Some((version, pass)) = engine.armed
                 && pass == next_pass
