Heed what upstreams say of themselves, bound numbers from outside, and keep errors out of streams

An odd entry among those of the upstreams: it could happen. A remaining cold time of 1e300 ms, times of the configuration and a caller's own deadline header went through a conversion that panics; a daemon that read the entry would have ended again and again. Deep nesting, 1e400 and port 70000 were and are entries that can't be read, or fields that are ignored.

A refusal written once more on a kept connection: it can't happen here. Such an answer carries another request's id, or none on a connection that was used before, and promises nothing then.

A stream that broke off and an error from the next upstream: failures, cut heads and endless bodies were dropped, but a success that is no stream of events was relayed into the caller's stream, and a success without events ended a stream as complete though an event had begun. Both count as no continuation now.

Server-Leaving and Retry-After of a 503 were not read. Both hold for one run of an upstream, from any answer that belongs to the request, for every attempt of this daemon; nothing that the store or a peer says takes them back. Where all upstreams of a service pause, a request is refused at once ('upstream_paused') with the time of the first that is free. Peers are not told, and requests are not spread at the end of a pause: both are open.

--- a/crates/oriole_admission/src/lib.rs
+++ b/crates/oriole_admission/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`confirmation`]: whether the held configuration is recent enough to admit work.
 //! - [`fleet_limit`]: request rates that upstreams announce, shared by daemons that do not ask each
 //!   other.
+//! - [`upstream_notice`]: upstreams that leave, or that want no requests for a while.
 //! - [`fence`]: refusal of orders with an old fencing number, for engines that do not check it.
 //!
 //! ```
@@ -34,6 +35,7 @@
 pub mod fleet_limit;
 pub mod gate;
 pub mod poison;
+pub mod upstream_notice;
 pub mod warmth;
 
 /// The items that a daemon usually needs from this crate.
--- a/crates/oriole_fleet/src/dialect.rs
+++ b/crates/oriole_fleet/src/dialect.rs
@@ -47,6 +47,17 @@
     Unreadable(String),
 }
 
+/// For how long an upstream that turned a request away wants no more of them.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RetryAfter {
+    /// It does not say.
+    None,
+    /// For this time, in seconds; any number.
+    Seconds(f64),
+    /// It says something that is no number; the text is cut.
+    Unreadable(String),
+}
+
 /// Translation between the platform's wire formats and the types of this crate.
 ///
 /// An adapter only translates; the daemons decide what to do with the result.
@@ -64,6 +75,12 @@
     /// Reads the limit that an upstream announces in the headers of an answer.
     fn announced_limit(&self, headers: &HeaderMap) -> AnnouncedLimit;
 
+    /// Whether an upstream says in the headers of an answer that it leaves.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// Reads from the headers of a refusal for how long the upstream wants no requests.
+    fn retry_after(&self, headers: &HeaderMap) -> RetryAfter;
+
     /// Whether a request is a readiness probe.
     fn is_readiness_query(&self, uri: &Uri) -> bool;
 
--- a/crates/oriole_fleet/src/lib.rs
+++ b/crates/oriole_fleet/src/lib.rs
@@ -12,9 +12,11 @@
 //! - [`dialect`]: the platform's names and formats on the wire, as a trait.
 //! - [`fleet_store`]: the platform's key-value store, as a trait.
 //! - [`engine`]: expert-parallel engines, as a trait.
+//! - [`bounded`]: conversion of numbers that come from outside.
 #![forbid(unsafe_code)]
 
 pub mod accounts;
+pub mod bounded;
 pub mod configuration;
 pub mod decoded_item;
 pub mod dialect;
@@ -29,7 +31,7 @@
     pub use crate::accounts::{Account, Accounts};
     pub use crate::configuration::{Configuration, RequestLimits};
     pub use crate::decoded_item::DecodedItem;
-    pub use crate::dialect::{AnnouncedLimit, Dialect, EndpointQuery, HeaderNames};
+    pub use crate::dialect::{AnnouncedLimit, Dialect, EndpointQuery, HeaderNames, RetryAfter};
     pub use crate::engine::{
         EngineError, EngineOrder, EngineReport, ExpertCounts, ExpertEngine, ExpertLimits,
         OrderOutcome, RankMap,
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -203,6 +203,15 @@
         /// Where the news came from: `answer` or `peer`.
         source: &'a str,
     },
+    /// An upstream said in an answer that it leaves, or that it wants no requests for a while.
+    Notice {
+        /// Instance of the upstream.
+        upstream: &'a str,
+        /// `leaving`, `paused` or `ignored`.
+        now: &'a str,
+        /// Seconds of the pause, or the ignored value.
+        value: &'a str,
+    },
     /// A request was refused or failed.
     Refused {
         /// Attempt id given by the caller.
@@ -270,6 +279,7 @@
             LogEvent::Resume { .. } => "resume",
             LogEvent::Suspicion { .. } => "suspicion",
             LogEvent::Limit { .. } => "limit",
+            LogEvent::Notice { .. } => "notice",
             LogEvent::Refused { .. } => "refused",
             LogEvent::Answered { .. } => "answered",
             LogEvent::Broken { .. } => "broken",
@@ -443,6 +453,13 @@
                 info!(log, "limit"; "upstream" => upstream, "now" => now, "per_s" => per_s,
                     "value" => value, "source" => source);
             }
+            LogEvent::Notice {
+                upstream,
+                now,
+                value,
+            } => {
+                info!(log, "notice"; "upstream" => upstream, "now" => now, "value" => value);
+            }
             LogEvent::Refused {
                 request,
                 account,
--- a/crates/oriole_gateway/src/forward/head_outcome.rs
+++ b/crates/oriole_gateway/src/forward/head_outcome.rs
@@ -19,6 +19,16 @@
     pub is_encoded: bool,
 }
 
+impl HeadInfo<'_> {
+    /// Whether the response is one to the attempt `attempt_id`. Without an id it is so only on a new
+    /// connection; otherwise it may be a late response to an earlier request.
+    #[must_use]
+    pub fn belongs_to(&self, attempt_id: &str) -> bool {
+        self.echoed_id
+            .map_or(!self.is_reused, |id| id == attempt_id)
+    }
+}
+
 /// Outcome of a request as far as the response head shows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadOutcome {
--- a/crates/oriole_gateway/src/forward/headers.rs
+++ b/crates/oriole_gateway/src/forward/headers.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::Full;
+use oriole_fleet::bounded;
 use oriole_fleet::prelude::HeaderNames;
 
 /// Headers that apply to a single connection, in addition to those that `Connection` lists.
@@ -117,7 +118,7 @@
     let seconds = value
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
+    seconds.parse().ok().map(bounded::duration_from_secs)
 }
 
 /// Whether the upstream closes the connection after this response.
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 pub mod head_outcome;
 pub mod headers;
 pub mod limits;
+mod notices;
 pub mod request;
 mod stream;
 mod suspects;
@@ -278,12 +279,7 @@
 }
 
 fn is_event_stream(request: &CheckedRequest, live: &LiveResponse) -> bool {
-    let is_declared = live
-        .response
-        .headers()
-        .get(header::CONTENT_TYPE)
-        .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
-    is_declared || request.route.kind == RouteKind::Stream
+    live.declares_events() || request.route.kind == RouteKind::Stream
 }
 
 /// Time that the next attempt may take until the head of its response.
--- a/crates/oriole_gateway/src/forward/request.rs
+++ b/crates/oriole_gateway/src/forward/request.rs
@@ -7,6 +7,7 @@
 use http::{Request, header};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
+use oriole_fleet::bounded;
 use oriole_fleet::prelude::*;
 use oriole_types::digest::Digest;
 use rand::RngExt as _;
@@ -100,7 +101,7 @@
     let caller_timeout = header_text(&names.deadline_ms)
         .and_then(|v| v.trim().parse::<f64>().ok())
         .filter(|ms| ms.is_finite() && *ms >= 0.0)
-        .map(|ms| Duration::from_secs_f64(ms / 1000.0));
+        .map(bounded::duration_from_ms);
     let caller_deadline = caller_timeout.map(|w| received_at + w);
     let respond_by = (received_at + route.timeout).min(caller_deadline.unwrap_or(Duration::MAX));
     let last_event_id = header_text(&names.last_event_id).and_then(|v| v.trim().parse().ok());
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -47,6 +47,7 @@
 
 /// Reason of a stream that ended with its connection before any event.
 const ENDED_WITHOUT_EVENT: &str = "ended without an event";
+const ENDED_BEFORE_EVENT: &str = "ended before an event that had begun";
 
 /// Builds the response whose body relays the stream.
 pub(super) fn respond(
@@ -60,6 +61,8 @@
     let relay = StreamRelay {
         splitter: EventSplitter::after(request.last_event_id),
         status: live.response.status().as_u16(),
+        declares_events: live.declares_events(),
+        lacks_event: false,
         live: Some(live),
         last_events_at: None,
         resumed_at: Duration::ZERO,
@@ -113,6 +116,10 @@
     splitter: EventSplitter,
     live: Option<LiveResponse>,
     status: u16,
+    /// Whether the head that the caller has says that the body is a stream of events.
+    declares_events: bool,
+    /// Whether an earlier upstream broke off within an event that the caller has not got since.
+    lacks_event: bool,
     /// Time at which the caller last received events.
     last_events_at: Option<Duration>,
     /// Time at which the present upstream took over; zero for the first one.
@@ -133,6 +140,7 @@
             match self.next_step(waiting_since).await {
                 RelayStep::Events(events) if events.is_empty() => {}
                 RelayStep::Events(events) => {
+                    self.lacks_event = false;
                     self.record_event_timing();
                     return Some(Ok(events));
                 }
@@ -180,6 +188,7 @@
             },
             Ok(Some(Err(_))) => RelayStep::Broken(CONNECTION_BROKE),
             Ok(None) if self.splitter.has_partial() => RelayStep::Broken(ENDED_WITHIN_EVENT),
+            Ok(None) if self.lacks_event => RelayStep::Broken(ENDED_BEFORE_EVENT),
             Ok(None) if !has_length && self.splitter.last_id().is_none() => {
                 RelayStep::Broken(ENDED_WITHOUT_EVENT)
             }
@@ -285,6 +294,7 @@
             drop(traffic);
             self.progress.tried.push(live.instance.clone());
         }
+        self.lacks_event |= self.splitter.has_partial();
         self.splitter.discard_partial();
         let outcome = if self.request.route.allows_reexecution() {
             loop {
@@ -347,6 +357,10 @@
         )
         .await;
         match result {
+            // Its body is no part of the caller's stream, whatever its status says.
+            AttemptEnd::Success(live) if self.declares_events && !live.declares_events() => {
+                progress.possible_runs += 1;
+            }
             AttemptEnd::Success(live) => {
                 progress.possible_runs += 1;
                 self.live = Some(*live);
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -9,7 +9,7 @@
 
 use super::head_outcome::{HeadInfo, HeadOutcome, classify_head};
 use super::request::CheckedRequest;
-use super::{headers, limits};
+use super::{headers, limits, notices};
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::Gateway;
 use crate::traffic::Pick;
@@ -59,6 +59,12 @@
             || headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Whether its head says that the body is a stream of events.
+    pub fn declares_events(&self) -> bool {
+        let content_type = self.response.headers().get(header::CONTENT_TYPE);
+        content_type.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+    }
+
     /// Returns the connection to the pool after the body was read in full, unless the upstream
     /// closes it.
     pub fn finish(self, gateway: &Arc<Gateway>) {
@@ -189,6 +195,9 @@
         .record_head_latency(took);
     let outcome = classify_head(&request.id, &info);
     limits::on_answer(gateway, pick, &outcome, headers);
+    if info.belongs_to(&request.id) {
+        notices::on_answer(gateway, pick, info.status, headers);
+    }
     match outcome {
         HeadOutcome::Success => {
             let now = gateway.clock.now();
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -34,6 +34,8 @@
     BudgetSpent,
     /// The limits that its upstreams announce leave no room for it.
     UpstreamLimit,
+    /// All its upstreams leave or want no requests for a while.
+    UpstreamPaused,
     /// A part of its prompt is suspected of crashing upstreams.
     SuspectPart,
     /// It is suspected of crashing upstreams as a whole.
@@ -67,6 +69,7 @@
             | Self::Rejected
             | Self::BudgetSpent
             | Self::UpstreamLimit
+            | Self::UpstreamPaused
             | Self::SuspectPart
             | Self::SuspectRequest
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
@@ -82,9 +85,11 @@
         match self {
             Self::Leaving => Some(Duration::ZERO),
             Self::NotReady => Some(Duration::from_millis(300)),
-            Self::NoUpstream | Self::GroupDown | Self::Rejected | Self::BudgetSpent => {
-                Some(GROUP_RECOVERY_TIME)
-            }
+            Self::NoUpstream
+            | Self::GroupDown
+            | Self::Rejected
+            | Self::BudgetSpent
+            | Self::UpstreamPaused => Some(GROUP_RECOVERY_TIME),
             Self::Busy => Some(Duration::from_millis(200)),
             _ => None,
         }
@@ -106,6 +111,7 @@
             Self::Rejected => "rejected",
             Self::BudgetSpent => "budget_spent",
             Self::UpstreamLimit => "upstream_limit",
+            Self::UpstreamPaused => "upstream_paused",
             Self::SuspectPart => "suspect_part",
             Self::SuspectRequest => "suspect_request",
             Self::BodyTimeout => "body_timeout",
--- a/crates/oriole_gateway/src/settings.rs
+++ b/crates/oriole_gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_fleet::bounded;
 use oriole_kernel::settings::{Settings, check_range};
 use serde::{Deserialize, Serialize};
 
@@ -172,7 +173,7 @@
             retry: RetryBounds {
                 ratio: self.bounds.retry_ratio,
                 allowance: self.bounds.retry_allowance,
-                window: Duration::from_secs_f64(self.bounds.retry_window_s),
+                window: bounded::duration_from_secs(self.bounds.retry_window_s),
             },
             cold: ColdBounds {
                 overage: self.bounds.cold_overage,
@@ -184,13 +185,13 @@
     /// Time for which an upstream whose entry vanished around a store outage may stay usable.
     #[must_use]
     pub fn lapse_grace(&self) -> Duration {
-        let bound = Duration::from_secs_f64(self.bounds.drain_ms / 1000.0);
+        let bound = bounded::duration_from_ms(self.bounds.drain_ms);
         bound.saturating_sub(MAX_SEND_DELAY)
     }
 
     /// Time from the stop signal until the process is killed.
     #[must_use]
     pub fn grace(&self) -> Duration {
-        Duration::from_secs_f64(self.bounds.grace_s)
+        bounded::duration_from_secs(self.bounds.grace_s)
     }
 }
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use oriole_admission::fleet_limit::{FleetLimits, LimitReached, SenderPosition};
+use oriole_admission::upstream_notice::UpstreamNotices;
+use oriole_fleet::bounded;
 use oriole_fleet::prelude::*;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, RngExt as _};
@@ -150,6 +152,8 @@
     pick_rates: HashMap<String, EventRate>,
     /// Limits that upstreams announce.
     pub limits: FleetLimits,
+    /// Upstreams that leave or want no requests for a while.
+    pub notices: UpstreamNotices,
     /// Requests that limits kept from every upstream of their service.
     limited_rates: HashMap<String, EventRate>,
     urgency: UrgencyTracker,
@@ -185,6 +189,7 @@
             retry_budgets: HashMap::new(),
             pick_rates: HashMap::new(),
             limits: FleetLimits::default(),
+            notices: UpstreamNotices::default(),
             limited_rates: HashMap::new(),
             urgency: UrgencyTracker::default(),
             outages: OutageTracker::default(),
@@ -262,6 +267,20 @@
                 max_wait: None,
             });
         }
+        let noticed = |known: &&KnownUpstream| self.notices.free_at(now, known.run_hash());
+        let first_free_at = usable.iter().filter_map(noticed).min();
+        let usable: Vec<&KnownUpstream> = match first_free_at {
+            None => usable,
+            Some(_) => usable
+                .into_iter()
+                .filter(|k| noticed(k).is_none())
+                .collect(),
+        };
+        if let Some(first_free_at) = first_free_at
+            && usable.is_empty()
+        {
+            return Err(paused_error(now, first_free_at));
+        }
         for known in &usable {
             self.load_mut(&known.upstream.instance);
         }
@@ -386,7 +405,7 @@
         let max_s = MAX_LIMIT_RETRY_AFTER.as_secs_f64();
         Some(PickError {
             reason: Refusal::UpstreamLimit,
-            retry_after: Duration::from_secs_f64((fleet_rejections / per_s).min(max_s)),
+            retry_after: bounded::duration_from_secs((fleet_rejections / per_s).min(max_s)),
             max_wait: None,
         })
     }
@@ -460,6 +479,20 @@
     }
 }
 
+/// The error for a request whose upstreams all leave or want no requests until `first_free_at`.
+fn paused_error(now: Duration, first_free_at: Duration) -> PickError {
+    let reason = Refusal::UpstreamPaused;
+    let retry_after = match first_free_at {
+        Duration::MAX => reason.retry_after().unwrap_or_default(),
+        first_free_at => first_free_at.saturating_sub(now),
+    };
+    PickError {
+        reason,
+        retry_after,
+        max_wait: None,
+    }
+}
+
 fn busy_error(retry_after: Duration) -> PickError {
     PickError {
         reason: Refusal::Busy,
@@ -490,5 +523,5 @@
     let capacity = f64::from(known.upstream.capacity.max(1));
     let queued = (f64::from(load.in_flight()) + unreported + 1.0 - capacity).max(0.0);
     let service_time_s = load.service_time_s.unwrap_or(DEFAULT_SERVICE_TIME_S);
-    Duration::from_secs_f64(queued * service_time_s / capacity)
+    bounded::duration_from_secs(queued * service_time_s / capacity)
 }
--- a/crates/oriole_gateway/tests/gateway/bad_input.rs
+++ b/crates/oriole_gateway/tests/gateway/bad_input.rs
@@ -39,6 +39,26 @@
     assert_eq!(*requests.lock().unwrap(), before);
 }
 
+/// A time that no clock can hold ended the task of its request.
+#[rstest]
+#[case::huge("1e300")]
+#[case::above_duration("1e23")]
+#[case::infinite("inf")]
+#[case::not_a_number("NaN")]
+#[case::negative("-1e300")]
+#[tokio::test]
+async fn odd_deadline_is_served(#[case] deadline: &str) {
+    let (address, _) =
+        upstream("HTTP/1.1 200 OK\r\nsignature: s\r\nContent-Length: 2\r\n\r\nok").await;
+    let harness = start(RouteKind::AtMostOnce, address).await;
+    let req = format!(
+        "POST /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: d\r\ndeadline: {deadline}\r\n\
+         Content-Length: 2\r\nConnection: close\r\n\r\nhi"
+    );
+    let answer = harness.send_until_ready(&req).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 #[tokio::test]
 async fn bad_request_oversized_head_is_refused() {
     let (address, requests) = upstream("").await;
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -83,6 +83,19 @@
         }
     }
 
+    fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("leaving")
+    }
+
+    fn retry_after(&self, headers: &HeaderMap) -> RetryAfter {
+        let value = headers.get("retry-after").and_then(|v| v.to_str().ok());
+        match value.map(str::parse) {
+            None => RetryAfter::None,
+            Some(Ok(secs)) => RetryAfter::Seconds(secs),
+            Some(Err(_)) => RetryAfter::Unreadable(value.unwrap_or_default().to_owned()),
+        }
+    }
+
     fn is_readiness_query(&self, uri: &Uri) -> bool {
         uri.path() == "/ready"
     }
@@ -183,5 +196,5 @@
 
 /// A duration in seconds.
 pub fn secs(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds)
+    oriole_fleet::bounded::duration_from_secs(seconds)
 }
--- a/crates/oriole_ranks/src/leader.rs
+++ b/crates/oriole_ranks/src/leader.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use oriole_fleet::bounded;
 use oriole_fleet::prelude::*;
 use oriole_placement::even_split::{self, EvenSplitConfig, EvenSplitPlan, Gain};
 
@@ -466,8 +467,7 @@
 
     fn preparing_phase(&self, now: Duration, copies: usize) -> Phase {
         let copy_s = self.limits.as_ref().map_or(0.0, |l| l.copy_s);
-        let copy_time =
-            Duration::from_secs_f64(COPY_TIMEOUT_FACTOR * copies as f64 * copy_s.max(0.0));
+        let copy_time = bounded::duration_from_secs(COPY_TIMEOUT_FACTOR * copies as f64 * copy_s);
         Phase::Preparing {
             until: now + PREPARE_TIMEOUT + copy_time,
         }
@@ -754,7 +754,7 @@
     /// is in use sooner, but leaves the rest of the gain to that switch.
     fn time_to_next_switch(&self, limits: &ExpertLimits, gain: &Gain) -> Duration {
         let copy_time = gain.busiest_rank_copies_total as f64 * limits.copy_s.max(0.0);
-        (SWITCH_OVERHEAD + Duration::from_secs_f64(copy_time)).min(self.cfg.horizon)
+        (SWITCH_OVERHEAD + bounded::duration_from_secs(copy_time)).min(self.cfg.horizon)
     }
 
     /// The map in use. `None` until the experts of all ranks in it are known.
--- a/crates/oriole_ranks/tests/group_fuzz/link.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/link.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use oriole_fleet::bounded;
+
 /// Bytes that wait in a link's queue at most.
 const MAX_QUEUED_BYTES: f64 = 64.0 * 1024.0;
 
@@ -43,7 +45,7 @@
             return None;
         }
         self.bytes += len as u64;
-        self.idle_at = start + Duration::from_secs_f64(len as f64 / rate);
+        self.idle_at = start + bounded::duration_from_secs(len as f64 / rate);
         Some(self.idle_at)
     }
 }
