Read the addresses of a group only when it was formed anew

A listing holds all upstreams of the fleet. A rank moves to another VM only when its group is formed anew, so all agents read then, three times at 4 s, go on while a rank's address is missing, and else read each 30 s.

--- a/crates/oriole_ranks/src/agent/addresses.rs
+++ b/crates/oriole_ranks/src/agent/addresses.rs
@@ -10,14 +10,13 @@
 use slog::warn;
 
 use super::{Agent, lock};
-use crate::recovery::MAX_RECOVERY_RANK;
 
-/// Time between two reads of the group's addresses by the agents that call or tell all ranks: the
-/// leader and those that recover a stalled switch. Also by all agents after the group was formed anew.
+/// Time between two reads of the group's addresses after the group was formed anew, and until the
+/// addresses of all ranks are known.
 const ADDRESS_REFRESH_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Time between two reads by the other agents. A listing holds all upstreams of the fleet, and a rank
-/// moves to another VM only when its group is formed anew.
+/// Time between two reads otherwise. A listing holds all upstreams of the fleet, and a rank moves to
+/// another VM only when its group is formed anew.
 const IDLE_REFRESH_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Longest delay of the read after the group was formed anew, so that not all agents read at once.
@@ -44,7 +43,7 @@
             Ok(true) => {
                 failed_reads = 0;
                 reads_soon = reads_soon.saturating_sub(1);
-                if reads_soon > 0 || agent.calls_all_ranks() {
+                if reads_soon > 0 || !agent.knows_all_ranks() {
                     ADDRESS_REFRESH_INTERVAL
                 } else {
                     IDLE_REFRESH_INTERVAL
@@ -70,9 +69,9 @@
 }
 
 impl Agent {
-    /// Whether the agent leads, or recovers a stalled switch.
-    fn calls_all_ranks(&self) -> bool {
-        lock(&self.shared).rank <= MAX_RECOVERY_RANK
+    fn knows_all_ranks(&self) -> bool {
+        let shared = lock(&self.shared);
+        shared.engine_addresses.len() >= shared.ranks
     }
 
     /// Reads what is due. Returns whether the agent has everything it needs.
--- a/crates/oriole_ranks/src/agent/engine.rs
+++ b/crates/oriole_ranks/src/agent/engine.rs
@@ -219,7 +219,7 @@
         if shared.group != report.group {
             shared.group.clone_from(&report.group);
         }
-        shared.rank = report.rank;
+        shared.ranks = report.ranks;
         if is_new_epoch {
             self.regrouped.notify_one();
         }
--- a/crates/oriole_ranks/src/agent/mod.rs
+++ b/crates/oriole_ranks/src/agent/mod.rs
@@ -60,8 +60,8 @@
     engine_addresses: HashMap<usize, SocketAddr>,
     /// Name of the group, empty until the engine has reported it.
     group: String,
-    /// Rank of the agent's engine.
-    rank: usize,
+    /// Number of ranks of the group.
+    ranks: usize,
     map_cache: MapCache,
     /// Whether the leader has asked for the rank's experts.
     experts_requested: bool,
--- a/crates/oriole_ranks/src/recovery.rs
+++ b/crates/oriole_ranks/src/recovery.rs
@@ -17,7 +17,7 @@
 const STALL_TIMEOUT_PER_RANK: Duration = Duration::from_millis(200);
 
 /// Highest rank whose agent starts recovery. More agents would only call the same engines.
-pub const MAX_RECOVERY_RANK: usize = 4;
+const MAX_RECOVERY_RANK: usize = 4;
 
 /// Time between two recovery attempts of an agent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
