Repeat the status of a rank for as long as the leader may wait for another one

Cause: a pass is held only if each rank's status is younger than 400 ms, but a prepared rank fell back to heartbeats (0.76 s at 63 ranks) once its intent was 0.4 s old. An agent that paused for 0.7 s in a preparation kept the group from its map; the new test fails without the change ('no switch').

Change: a rank counts as awaited for 3 s after its last intent, unless the map is in use.

--- a/crates/oriole_ranks/src/agent/engine.rs
+++ b/crates/oriole_ranks/src/agent/engine.rs
@@ -174,7 +174,7 @@
         if let Some(sample) = state.sampler.take_due(now) {
             status.set_choices(&sample);
         }
-        let is_awaited = self.has_intent(now);
+        let is_awaited = self.is_awaited(now, report);
         if std::mem::take(&mut lock(&self.shared).experts_requested) {
             state.status_pacer.request_experts();
         }
--- a/crates/oriole_ranks/src/agent/mod.rs
+++ b/crates/oriole_ranks/src/agent/mod.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::engine::EngineState;
-use crate::follower::next_order;
+use crate::follower::{is_awaited, next_order};
 use crate::forwarding;
 use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
 use crate::map_cache::MapCache;
@@ -240,10 +240,11 @@
             .map(|(intent, _)| intent.clone())
     }
 
-    fn has_intent(&self, now: Duration) -> bool {
+    /// Whether the leader may wait for this rank.
+    fn is_awaited(&self, now: Duration, report: &EngineReport) -> bool {
         let shared = lock(&self.shared);
         let latest = shared.intent.as_ref();
-        latest.is_some_and(|(_, at)| now < *at + INTENT_TTL)
+        latest.is_some_and(|(intent, at)| is_awaited(now, report, intent, *at))
     }
 
     async fn follow_intent(&self, state: &mut EngineState, report: &EngineReport) -> bool {
--- a/crates/oriole_ranks/src/follower.rs
+++ b/crates/oriole_ranks/src/follower.rs
@@ -9,6 +9,23 @@
 /// Time after which an unanswered order to prepare is sent again.
 const PREPARE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after an intent in which the leader may wait for the rank although it repeats the intent only to
+/// others: it holds a pass once the last rank is prepared.
+const AWAITED_TIME: Duration = Duration::from_secs(3);
+
+/// Whether the leader may wait for this rank to carry out an intent that was received at `received_at`.
+#[must_use]
+pub fn is_awaited(
+    now: Duration,
+    report: &EngineReport,
+    intent: &Intent,
+    received_at: Duration,
+) -> bool {
+    intent.epoch == report.epoch
+        && report.map_version < intent.version
+        && now < received_at + AWAITED_TIME
+}
+
 /// Tracks the outcomes of an agent's orders to prepare a map.
 #[derive(Clone, Debug, Default)]
 pub struct PrepareTracker {
--- a/crates/oriole_ranks/src/lib.rs
+++ b/crates/oriole_ranks/src/lib.rs
@@ -46,7 +46,7 @@
 /// The types that `main` and tests commonly need.
 pub mod prelude {
     pub use crate::agent::{AgentParts, RankAgent};
-    pub use crate::follower::{PrepareTracker, next_order};
+    pub use crate::follower::{PrepareTracker, is_awaited, next_order};
     pub use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
     pub use crate::map_cache::MapCache;
     pub use crate::message::{Intent, Status};
--- a/crates/oriole_ranks/src/status_pacer.rs
+++ b/crates/oriole_ranks/src/status_pacer.rs
@@ -18,8 +18,11 @@
 /// Number of heartbeats after which a silent rank is not heard any more.
 const MISSED_HEARTBEATS: u32 = 3;
 
-/// Time after which a status is repeated while the leader waits for it.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(60);
+/// Minimum time after which a status is repeated while the leader waits for it.
+const MIN_REPEAT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time after which a status is repeated, for each rank of its group.
+const REPEAT_INTERVAL_PER_RANK: Duration = Duration::from_millis(1);
 
 /// Change of a rank's slowdown that is sent at once.
 const SLOWDOWN_STEP: f64 = 0.1;
@@ -27,8 +30,15 @@
 /// Time between two heartbeats of a rank in a group of `ranks`.
 #[must_use]
 pub fn heartbeat_interval(ranks: usize) -> Duration {
-    let ranks = u32::try_from(ranks).unwrap_or(u32::MAX);
-    MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_RANK.saturating_mul(ranks))
+    MIN_HEARTBEAT_INTERVAL.max(for_each(HEARTBEAT_INTERVAL_PER_RANK, ranks))
+}
+
+fn repeat_interval(ranks: usize) -> Duration {
+    MIN_REPEAT_INTERVAL.max(for_each(REPEAT_INTERVAL_PER_RANK, ranks))
+}
+
+fn for_each(time: Duration, ranks: usize) -> Duration {
+    time.saturating_mul(u32::try_from(ranks).unwrap_or(u32::MAX))
 }
 
 /// Age at which the last status of a rank that the leader does not wait for is too old to plan.
@@ -65,10 +75,11 @@
             ..status.clone()
         };
         let is_changed = self.last.as_ref().is_none_or(|last| differs(last, &key));
+        let ranks = status.ranks as usize;
         let interval = if is_awaited {
-            REPEAT_INTERVAL
+            repeat_interval(ranks)
         } else {
-            heartbeat_interval(status.ranks as usize)
+            heartbeat_interval(ranks)
         };
         let has_experts = self.experts_requested && !status.current_experts.is_empty();
         let has_content = is_changed || has_experts || !status.packed_choices.is_empty();
--- a/crates/oriole_ranks/tests/group_fuzz/size.rs
+++ b/crates/oriole_ranks/tests/group_fuzz/size.rs
@@ -48,6 +48,21 @@
     group.links.iter().map(|l| l.bytes).max().unwrap_or(0)
 }
 
+/// A rank whose agent pauses while a map is prepared delays the switch. The statuses of the others, which
+/// are ready earlier, must not grow too old meanwhile: the preparation was abandoned then.
+#[test]
+fn group_large_agent_pauses_while_preparing_switch_goes_on() {
+    let mut group = Group::with_shape(1, InjectedBug::None, shape(63, 252, 8, 8.0));
+    group.is_hot_expert_fixed = true;
+    while group.planned_switches == 0 {
+        group.run(TICK, NO_FAULTS).unwrap();
+    }
+    group.agents[40].suspended_until = group.now + Duration::from_millis(700);
+    group.run(Duration::from_millis(1100), NO_FAULTS).unwrap();
+    assert_eq!(group.abandoned_preparations, 0);
+    assert!(group.engines[0].version > 0, "no switch");
+}
+
 /// Bytes a second at the busiest agent, once no better map is found.
 fn calm_bytes_per_s(group: &mut Group) -> f64 {
     for _ in 0..5 {
