Weigh each pass of a sample alike, and sample small groups more often

Cause: a sample of a second holds passes in which the prompt of one request was processed, which make ten times the choices of others; the limit on a pass's weight was applied to the whole sample.

Change: a pass weighs as 32 choices an expert at most within a sample (the new test has 0.10 for the share of a prompt's expert before and fails, now below 0.05), and a sample covers 0.75 ms for each count instead of 1 ms and a second at least.

--- a/crates/oriole_ranks/src/demand.rs
+++ b/crates/oriole_ranks/src/demand.rs
@@ -22,7 +22,7 @@
 
 /// Maximum weight of a sample of one pass, in choices per expert. While a prompt is processed, nearly
 /// all choices come from one request, which must not dominate the estimate.
-const MAX_SAMPLE_PER_EXPERT: f64 = 32.0;
+pub const MAX_SAMPLE_PER_EXPERT: f64 = 32.0;
 
 /// Number of choices per expert that suffice for a plan: the share of an average expert is then
 /// known to an eighth, and that of experts in high demand far better.
--- a/crates/oriole_ranks/src/sampler.rs
+++ b/crates/oriole_ranks/src/sampler.rs
@@ -9,13 +9,13 @@
 use oriole_fleet::prelude::ExpertCounts;
 
 use crate::choices::scale_choices;
-use crate::demand::{Demand, Sample};
+use crate::demand::{Demand, MAX_SAMPLE_PER_EXPERT, Sample};
 
 /// Minimum time between two samples while demand does not shift.
-const MIN_CALM_INTERVAL: Duration = Duration::from_secs(1);
+const MIN_CALM_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two samples while demand does not shift, for each count in them.
-const CALM_INTERVAL_PER_COUNT: Duration = Duration::from_millis(1);
+const CALM_INTERVAL_PER_COUNT: Duration = Duration::from_micros(750);
 
 /// Time after a shift in which each pass is sent as a sample of its own: the leader plans within the
 /// first of them.
@@ -101,8 +101,10 @@
             self.from_pass = last.pass;
             self.layer_sets = layer_sets;
         }
+        let weight = pass_weight(&choices, layer_sets);
         for (pending, new) in self.pending.iter_mut().zip(&choices) {
-            *pending = pending.saturating_add(*new);
+            let weighted = (*new as f64 * weight).round() as u64;
+            *pending = pending.saturating_add(weighted);
         }
     }
 
@@ -137,6 +139,14 @@
     }
 }
 
+/// Weight of the choices of one pass in a sample of many: they may count only as much as in a sample of
+/// their own, so that a pass with a prompt does not dominate.
+fn pass_weight(choices: &[u64], layer_sets: usize) -> f64 {
+    let experts = (choices.len() / layer_sets.max(1)) as f64;
+    let total = total_per_set(choices, layer_sets).max(1) as f64;
+    (MAX_SAMPLE_PER_EXPERT * experts / total).min(1.0)
+}
+
 /// Average number of choices in a layer set.
 fn total_per_set(choices: &[u64], layer_sets: usize) -> u64 {
     let sum = choices.iter().fold(0_u64, |sum, c| sum.saturating_add(*c));
--- a/crates/oriole_ranks/tests/demand_shift/main.rs
+++ b/crates/oriole_ranks/tests/demand_shift/main.rs
@@ -5,6 +5,7 @@
 //! and no choice from before the shift may count in the estimate.
 
 mod patch;
+mod sampler;
 
 use std::time::Duration;
 
