--- /dev/null
+++ b/review/standins/worker.rs
@@ -0,0 +1,168 @@
+//! Stand-in of a worker.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::cluster::Record;
+use crate::http::{self, Conn, Head};
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub attempt: String,
+    pub began_at: f64,
+    /// Time at which the answer was written to its end.
+    pub ended_at: Option<f64>,
+    /// Time at which the worker saw that its caller had closed the connection.
+    pub cut_at: Option<f64>,
+}
+
+#[derive(Clone)]
+pub struct Worker {
+    pub instance: String,
+    pub address: SocketAddr,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time between two events, or until a plain answer.
+    pub pause: Duration,
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    record: Record,
+    last_signature: Arc<AtomicU64>,
+}
+
+impl Worker {
+    pub fn start(
+        listener: TcpListener,
+        instance: &str,
+        events: u64,
+        pause: Duration,
+        record: &Record,
+    ) -> Self {
+        let worker = Self {
+            instance: instance.to_owned(),
+            address: listener.local_addr().unwrap(),
+            events,
+            pause,
+            runs: Arc::default(),
+            record: record.clone(),
+            last_signature: Arc::default(),
+        };
+        let handler = worker.clone();
+        http::serve(
+            listener,
+            Arc::new(move |conn, head, _body| handler.handle(conn, &head)),
+        );
+        worker
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, service: &str) -> String {
+        format!(
+            "{{\"backend\":\"{service}\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v1\",\
+             \"capacity\":12,\"phase\":\"ready\",\"cold_remaining_ms\":0,\"born\":1790000000000,\
+             \"sequence\":1}}",
+            self.address
+        )
+    }
+
+    pub fn run_of(&self, attempt: &str) -> Option<Run> {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().find(|r| r.attempt == attempt).cloned()
+    }
+
+    fn handle(&self, conn: &mut Conn, head: &Head) -> io::Result<()> {
+        if head.word(1) == "/healthz" {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.instance
+            );
+            return conn.write(head.as_bytes());
+        }
+        let attempt = head.get("Attempt-Id").unwrap_or("").to_owned();
+        if head
+            .get("Expect-Instance")
+            .is_some_and(|i| i != self.instance)
+        {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {attempt}\r\n\
+                 Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.instance
+            );
+            return conn.write(head.as_bytes());
+        }
+        self.record
+            .line(&format!("worker {} runs {attempt}", self.instance));
+        let index = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(Run {
+                attempt: attempt.clone(),
+                began_at: self.record.now(),
+                ended_at: None,
+                cut_at: None,
+            });
+            runs.len() - 1
+        };
+        let outcome = if self.events > 0 {
+            self.stream(conn, &attempt)
+        } else {
+            self.answer(conn, &attempt)
+        };
+        let now = self.record.now();
+        let run = &mut self.runs.lock().unwrap()[index];
+        match &outcome {
+            Ok(()) => {
+                run.ended_at = Some(now);
+                self.record
+                    .line(&format!("worker {} ends {attempt}", self.instance));
+            }
+            Err(e) => {
+                run.cut_at = Some(now);
+                let text = format!(
+                    "worker {} at work on {attempt}: its caller is gone ({e})",
+                    self.instance
+                );
+                self.record.line(&text);
+            }
+        }
+        outcome
+    }
+
+    fn signature(&self) -> String {
+        let number = self.last_signature.fetch_add(1, Ordering::Relaxed);
+        format!("{}.{number:x}", self.instance)
+    }
+
+    fn answer(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
+        std::thread::sleep(self.pause);
+        let body = format!("answer to {attempt};").repeat(20);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            self.signature(),
+            body.len()
+        );
+        conn.write(head.as_bytes())
+    }
+
+    fn stream(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.signature()
+        );
+        conn.write(head.as_bytes())?;
+        for id in 1..=self.events {
+            std::thread::sleep(self.pause);
+            if conn.is_closed() {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            let event = format!("id: {id}\ndata: {attempt} {id} of {}\n\n", self.events);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            conn.write(chunk.as_bytes())?;
+        }
+        conn.write(b"0\r\n\r\n")
+    }
+}
