Extend the review's stand-ins by endless bodies and preempted streams

Cause: two more cases need workers that act so. Change: two modules of the stand-ins, and two traits of the worker.

--- a/review/standins/late_stream.rs
+++ b/review/standins/late_stream.rs
@@ -109,7 +109,8 @@
     }
 }
 
-fn send(record: &Record, to: std::net::SocketAddr, attempt: &str) -> (f64, f64, Answer) {
+/// Sends a stream's request; returns when it was sent and when its connection or answer ended.
+pub fn send(record: &Record, to: std::net::SocketAddr, attempt: &str) -> (f64, f64, Answer) {
     let request = format!(
         "POST /note/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt}\r\nModel: m\r\n\
          Token-Usage: 674,396\r\nPrompt-Prefix: 5c1e07a2:40,{:08x}:634\r\nDeadline-Ms: 8000\r\n\
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,9 +4,11 @@
 
 mod cluster;
 mod departure;
+mod endless_body;
 mod http;
 mod late_stream;
 mod odd_entry;
+mod preempted_stream;
 mod store;
 mod worker;
 
@@ -34,6 +36,8 @@
         "late-stream" => late_stream::run,
         "odd-entry" => odd_entry::run,
         "departure" => departure::run,
+        "preempted-stream" => preempted_stream::run,
+        "endless-body" => endless_body::run,
         _ => |_, _| Verdict::NotRun,
     };
     // Unwinding ends the processes that the case has started.
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,6 +31,9 @@
     pub runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
     last_signature: Arc<AtomicU64>,
+    is_endless: Arc<AtomicBool>,
+    /// Event of each stream after which the request is preempted, and for how long; none if zero.
+    preemption: Arc<Mutex<(u64, Duration)>>,
 }
 
 impl Worker {
@@ -49,6 +52,8 @@
             runs: Arc::default(),
             record: record.clone(),
             last_signature: Arc::default(),
+            is_endless: Arc::default(),
+            preemption: Arc::default(),
         };
         let handler = worker.clone();
         http::serve(
@@ -68,6 +73,16 @@
         )
     }
 
+    /// Whether the bodies of its answers never end.
+    pub fn set_endless(&self, is_endless: bool) {
+        self.is_endless.store(is_endless, Ordering::Relaxed);
+    }
+
+    /// Preempts each stream after this event for a while.
+    pub fn set_preemption(&self, event: u64, pause: Duration) {
+        *self.preemption.lock().unwrap() = (event, pause);
+    }
+
     pub fn run_of(&self, attempt: &str) -> Option<Run> {
         let runs = self.runs.lock().unwrap();
         runs.iter().find(|r| r.attempt == attempt).cloned()
@@ -137,6 +152,9 @@
 
     fn answer(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
         std::thread::sleep(self.pause);
+        if self.is_endless.load(Ordering::Relaxed) {
+            return self.send_without_end(conn, attempt);
+        }
         let body = format!("answer to {attempt};").repeat(20);
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {}\r\n\
@@ -147,6 +165,20 @@
         conn.write(head.as_bytes())
     }
 
+    /// Sends a body that is no body, until the caller closes: the size of its first chunk never ends.
+    fn send_without_end(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.signature()
+        );
+        conn.write(head.as_bytes())?;
+        let bytes = [b'0'; 64 * 1024];
+        loop {
+            conn.write(&bytes)?;
+        }
+    }
+
     fn stream(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Signature: {}\r\n\
@@ -162,6 +194,12 @@
             let event = format!("id: {id}\ndata: {attempt} {id} of {}\n\n", self.events);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             conn.write(chunk.as_bytes())?;
+            let (event, pause) = *self.preemption.lock().unwrap();
+            if id == event {
+                let text = format!("worker {} preempts {attempt} for {pause:?}", self.instance);
+                self.record.line(&text);
+                std::thread::sleep(pause);
+            }
         }
         conn.write(b"0\r\n\r\n")
     }
