--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod departure;
 mod endless_body;
+mod garbled_head;
 mod http;
 mod late_stream;
 mod odd_entry;
@@ -37,6 +38,7 @@
         "odd-entry" => odd_entry::run,
         "departure" => departure::run,
         "preempted-stream" => preempted_stream::run,
+        "garbled-head" => garbled_head::run,
         "endless-body" => endless_body::run,
         _ => |_, _| Verdict::NotRun,
     };
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -32,6 +32,7 @@
     record: Record,
     last_signature: Arc<AtomicU64>,
     is_endless: Arc<AtomicBool>,
+    is_garbled: Arc<AtomicBool>,
     /// Event of each stream after which the request is preempted, and for how long; none if zero.
     preemption: Arc<Mutex<(u64, Duration)>>,
 }
@@ -53,6 +54,7 @@
             record: record.clone(),
             last_signature: Arc::default(),
             is_endless: Arc::default(),
+            is_garbled: Arc::default(),
             preemption: Arc::default(),
         };
         let handler = worker.clone();
@@ -78,6 +80,11 @@
         self.is_endless.store(is_endless, Ordering::Relaxed);
     }
 
+    /// Whether it sends bytes that are no answer, and leaves the connection open.
+    pub fn set_garbled(&self, is_garbled: bool) {
+        self.is_garbled.store(is_garbled, Ordering::Relaxed);
+    }
+
     /// Preempts each stream after this event for a while.
     pub fn set_preemption(&self, event: u64, pause: Duration) {
         *self.preemption.lock().unwrap() = (event, pause);
@@ -152,6 +159,13 @@
 
     fn answer(&self, conn: &mut Conn, attempt: &str) -> io::Result<()> {
         std::thread::sleep(self.pause);
+        if self.is_garbled.load(Ordering::Relaxed) {
+            conn.write(b"HTTP/1.1 101 Switching Protocols\r\n\r\n\x00\x01\x02\x03")?;
+            while !conn.is_closed() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         if self.is_endless.load(Ordering::Relaxed) {
             return self.send_without_end(conn, attempt);
         }
