--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/oriole-gateway ] || exit 2
 [ -x target/review/standins ] || exit 2
-exec target/review/standins late-stream review/1/record.txt
+exec target/review/standins odd-entry review/1/record.txt
