End the daemons of a case that is killed

Cause: a script ended by a signal would have left its processes running. Change: the kernel kills them when the program of the stand-ins ends.

--- a/review/standins/cluster.rs
+++ b/review/standins/cluster.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,8 +14,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -108,13 +113,20 @@
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.unwrap();
-        let child = Command::new(self.program)
+        let mut command = Command::new(self.program);
+        command
             .env("ORIOLEFIELD_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn();
-        self.child = Some(child.unwrap());
+            .stderr(log);
+        // SAFETY: a plain system call in the child. No daemon outlives a case that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        self.child = Some(command.spawn().unwrap());
     }
 
     pub fn signal(&self, signal: i32) {
