--- a/crates/oriole_fleet/src/dialect.rs
+++ b/crates/oriole_fleet/src/dialect.rs
@@ -23,6 +23,9 @@
     pub account: HeaderName,
     /// Instance of the upstream that a request is meant for; any other instance refuses it.
     pub expect_instance: HeaderName,
+    /// Version of the weights that a caller asks for; an upstream with another version refuses the
+    /// request.
+    pub expect_version: HeaderName,
     /// Present if the upstream did not run the request.
     pub not_run: HeaderName,
     /// Priority of a request at the upstream; zero is the most urgent.
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -86,7 +86,7 @@
     FleetChanged {
         /// The change.
         change: &'a FleetChange,
-        /// Where the change came from: `store` or `peer`.
+        /// Where the change came from: `store`, `peer` or `upstream`.
         source: &'a str,
         /// Highest revision in the fleet view after the change.
         version: u64,
--- a/crates/oriole_gateway/src/fleet_view/known_upstream.rs
+++ b/crates/oriole_gateway/src/fleet_view/known_upstream.rs
@@ -4,6 +4,10 @@
 
 use oriole_fleet::prelude::*;
 
+/// Time for which an upstream is not used after another instance answered at its address. Longer than
+/// the entry of an instance that is gone usually stays in the store.
+const REFUTED_TIME: Duration = Duration::from_secs(10);
+
 /// An upstream's latest entry with the times that decide whether it may be used.
 #[derive(Clone, Debug)]
 pub struct KnownUpstream {
@@ -15,8 +19,10 @@
     pub cold_until: Duration,
     /// Time at which the entry was removed; `None` while it exists.
     pub removed_at: Option<Duration>,
-    /// Whether a newer instance runs at the same address.
-    pub is_superseded: bool,
+    /// Whether a newer run at the same address has an entry.
+    pub(super) is_superseded: bool,
+    /// Time at which another instance answered at its address, unless the entry changed since.
+    refuted_at: Option<Duration>,
     usable_until: Duration,
 }
 
@@ -29,6 +35,7 @@
             cold_until: now + upstream.cold_remaining,
             removed_at: None,
             is_superseded: false,
+            refuted_at: None,
             usable_until: Duration::MAX,
             upstream,
         }
@@ -37,9 +44,11 @@
     /// Whether it takes new requests, regardless of evacuations and of its group.
     #[must_use]
     pub fn accepts_work(&self, now: Duration) -> bool {
+        let is_refuted = self.refuted_at.is_some_and(|at| now < at + REFUTED_TIME);
         self.upstream.state == UpstreamState::Ready
             && now < self.usable_until
             && !self.is_superseded
+            && !is_refuted
     }
 
     /// Hash of the instance and its run; another run has another one.
@@ -65,13 +74,15 @@
             .is_none_or(|s| s.group_running)
     }
 
-    /// Whether this instance is newer than `other`: by start time if both state one, otherwise by
-    /// arrival of the entry.
-    pub(super) fn is_newer_run(&self, other: &Self) -> bool {
-        match (self.upstream.started_at_ms, other.upstream.started_at_ms) {
-            (Some(own), Some(other)) if own != other => own > other,
-            _ => self.declared_at >= other.declared_at,
-        }
+    /// Start time of its run, if the entry shows that this run took the address over from earlier ones.
+    pub(super) fn superseding_start(&self) -> Option<u64> {
+        let is_listed = self.removed_at.is_none() && self.refuted_at.is_none();
+        self.upstream.started_at_ms.filter(|_| is_listed)
+    }
+
+    /// Records that another instance answered at its address.
+    pub(super) fn refute(&mut self, now: Duration) {
+        self.refuted_at = Some(now);
     }
 
     /// Whether it only takes its cold rate.
@@ -86,7 +97,7 @@
         self.cold_until = self.cold_until.max(cold_until);
         self.declared_at = now;
         self.removed_at = None;
-        self.is_superseded = false;
+        self.refuted_at = None;
         self.usable_until = Duration::MAX;
         self.upstream = upstream;
     }
--- a/crates/oriole_gateway/src/fleet_view/mod.rs
+++ b/crates/oriole_gateway/src/fleet_view/mod.rs
@@ -5,7 +5,8 @@
 
 mod known_upstream;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -85,6 +86,10 @@
     Upstream {
         /// Instance of the upstream.
         instance: String,
+        /// Service that its entry names.
+        service: String,
+        /// Address that its entry names.
+        address: SocketAddr,
         /// New state of the upstream.
         state: UpstreamState,
     },
@@ -95,6 +100,18 @@
         /// Whether the cause may be an expired lease. The upstream then stays usable for a while.
         lapsed: bool,
     },
+    /// An upstream's entry was superseded by that of a newer run at the same address, or no longer is.
+    UpstreamSuperseded {
+        /// Instance of the upstream.
+        instance: String,
+        /// Whether it is superseded now.
+        superseded: bool,
+    },
+    /// Another instance answered at an upstream's address.
+    UpstreamRefuted {
+        /// Instance of the upstream.
+        instance: String,
+    },
     /// A failure domain was taken out of service or returned.
     Evacuated {
         /// Name of the failure domain.
@@ -262,11 +279,11 @@
     #[must_use]
     pub fn running_group_of(&self, now: Duration, instance: &str) -> Option<&str> {
         let mut upstreams = self.upstreams.values();
-        let group = upstreams
-            .find(|known| known.upstream.instance == instance)?
-            .group()?;
+        let member = upstreams.find(|known| known.upstream.instance == instance)?;
+        let group = member.group()?;
         let is_running = self.upstreams.values().any(|known| {
             known.group() == Some(group)
+                && known.upstream.service == member.upstream.service
                 && known.accepts_work(now)
                 && known.group_reported_running()
         });
@@ -346,11 +363,15 @@
             }
             DecodedItem::Unreadable(reason) => {
                 // An unreadable entry does not identify a usable upstream.
-                self.upstreams.remove(&item.key);
-                vec![FleetChange::Unreadable {
+                let replaced = self.upstreams.remove(&item.key);
+                let mut changes = vec![FleetChange::Unreadable {
                     key: item.key,
                     reason,
-                }]
+                }];
+                if let Some(replaced) = replaced {
+                    changes.extend(self.update_superseded(replaced.upstream.address));
+                }
+                changes
             }
             DecodedItem::Peer { .. } | DecodedItem::Other => Vec::new(),
         }
@@ -359,54 +380,96 @@
     fn put_configuration(&mut self, cfg: Configuration) -> Vec<FleetChange> {
         let version = cfg.version;
         self.configuration = Some(Arc::new(cfg));
-        vec![FleetChange::Configuration { version }]
+        let mut changes = vec![FleetChange::Configuration { version }];
+        // Which entries may supersede others depends on the configured services.
+        let addresses: HashSet<SocketAddr> = self
+            .upstreams
+            .values()
+            .map(|known| known.upstream.address)
+            .collect();
+        if addresses.len() < self.upstreams.len() {
+            for address in addresses {
+                changes.extend(self.update_superseded(address));
+            }
+        }
+        changes
     }
 
     fn put_upstream(&mut self, now: Duration, key: &str, upstream: Upstream) -> Vec<FleetChange> {
-        let change = FleetChange::Upstream {
+        let mut changes = vec![FleetChange::Upstream {
             instance: upstream.instance.clone(),
+            service: upstream.service.clone(),
+            address: upstream.address,
             state: upstream.state,
-        };
+        }];
+        let address = upstream.address;
+        let mut left_address = None;
         match self.upstreams.get_mut(key) {
-            Some(known) => known.update(now, upstream),
+            Some(known) => {
+                left_address = Some(known.upstream.address).filter(|left| *left != address);
+                known.update(now, upstream);
+            }
             None => {
                 let known = KnownUpstream::new(now, upstream);
                 self.upstreams.insert(key.to_owned(), known);
             }
         }
-        self.supersede(key);
-        vec![change]
+        for address in left_address.into_iter().chain([address]) {
+            changes.extend(self.update_superseded(address));
+        }
+        changes
     }
 
-    /// Marks all but the newest instance at an address as superseded. The entries of earlier
-    /// instances may not have expired yet.
-    fn supersede(&mut self, key: &str) {
-        let Some(newest) = self.upstreams.get(key).cloned() else {
-            return;
-        };
-        let mut is_superseded = false;
-        for (other_key, other) in &mut self.upstreams {
-            if other_key == key || other.upstream.address != newest.upstream.address {
+    /// Whether an entry names an upstream that requests can be sent to. Entries of other writers may
+    /// have services that are not configured.
+    fn names_upstream(&self, known: &KnownUpstream) -> bool {
+        let cfg = self.configuration.as_ref();
+        cfg.is_none_or(|cfg| cfg.services.contains_key(&known.upstream.service))
+    }
+
+    /// Determines which entries at an address are superseded: those that started before another one
+    /// there. The entries of earlier runs may not have expired yet. Without start times nothing shows
+    /// which run is newer; then the upstream itself refuses requests that are not meant for it.
+    fn update_superseded(&mut self, address: SocketAddr) -> Vec<FleetChange> {
+        let at_address = |known: &&KnownUpstream| known.upstream.address == address;
+        let latest_start = self
+            .upstreams
+            .values()
+            .filter(at_address)
+            .filter(|known| self.names_upstream(known))
+            .filter_map(KnownUpstream::superseding_start)
+            .max();
+        let mut changes = Vec::new();
+        for known in self.upstreams.values_mut() {
+            if known.upstream.address != address {
                 continue;
             }
-            if newest.is_newer_run(other) {
-                other.is_superseded = true;
-            } else {
-                is_superseded = true;
+            let own_start = known.upstream.started_at_ms;
+            let superseded = own_start.is_some() && own_start < latest_start;
+            if std::mem::replace(&mut known.is_superseded, superseded) != superseded {
+                changes.push(FleetChange::UpstreamSuperseded {
+                    instance: known.upstream.instance.clone(),
+                    superseded,
+                });
             }
         }
-        if let Some(known) = self.upstreams.get_mut(key) {
-            known.is_superseded = is_superseded;
-        }
+        changes
     }
 
-    /// Records that another instance answered at the upstream's address.
-    pub fn mark_superseded(&mut self, instance: &str) {
-        for known in self.upstreams.values_mut() {
-            if known.upstream.instance == instance {
-                known.is_superseded = true;
-            }
-        }
+    /// Records that another instance answered at the upstream's address. It is not used for a while,
+    /// and its entry supersedes no other.
+    pub fn refute(&mut self, now: Duration, instance: &str) -> Vec<FleetChange> {
+        let mut upstreams = self.upstreams.values_mut();
+        let Some(known) = upstreams.find(|known| known.upstream.instance == instance) else {
+            return Vec::new();
+        };
+        known.refute(now);
+        let address = known.upstream.address;
+        let mut changes = vec![FleetChange::UpstreamRefuted {
+            instance: instance.to_owned(),
+        }];
+        changes.extend(self.update_superseded(address));
+        changes
     }
 
     fn remove(&mut self, now: Duration, key: &str, revision: u64) -> Vec<FleetChange> {
@@ -422,20 +485,23 @@
             self.on_domain_return(now, &domain);
             return vec![FleetChange::Evacuated { domain, out: false }];
         }
-        if !self.upstreams.contains_key(key) {
+        let Some(known) = self.upstreams.get(key) else {
             return Vec::new();
-        }
-        let lapsed = self.is_likely_lapse(now);
+        };
+        let lapsed = self.names_upstream(known) && self.is_likely_lapse(now);
         let grace = self.lapse_grace;
         let Some(known) = self.upstreams.get_mut(key) else {
             return Vec::new();
         };
         known.mark_removed(now, if lapsed { grace } else { Duration::ZERO });
         let instance = known.upstream.instance.clone();
+        let address = known.upstream.address;
         if lapsed {
             self.extend_recent_grace(now);
         }
-        vec![FleetChange::UpstreamGone { instance, lapsed }]
+        let mut changes = vec![FleetChange::UpstreamGone { instance, lapsed }];
+        changes.extend(self.update_superseded(address));
+        changes
     }
 
     /// Treats the upstreams of a returned failure domain as cold, because they received no requests
@@ -464,7 +530,7 @@
         let live = self
             .upstreams
             .values()
-            .filter(|u| u.removed_at.is_none())
+            .filter(|u| u.removed_at.is_none() && self.names_upstream(u))
             .count();
         let known = live + self.recent_removals.len() - 1;
         let is_mass = self.recent_removals.len() >= MASS_LAPSE_MIN_COUNT
--- a/crates/oriole_gateway/src/forward/headers.rs
+++ b/crates/oriole_gateway/src/forward/headers.rs
@@ -76,6 +76,11 @@
         Self { parts, body }
     }
 
+    /// Whether the caller sent a header.
+    pub fn has_header(&self, name: &HeaderName) -> bool {
+        self.parts.headers.contains_key(name)
+    }
+
     /// Builds the request for one attempt at `instance`.
     pub fn for_attempt(
         &self,
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -214,7 +214,10 @@
         HeadOutcome::NotRun(reason) => {
             let status = live.response.status();
             if status == StatusCode::MISDIRECTED_REQUEST {
-                gateway.fleet_view().mark_superseded(&live.instance);
+                // It may also refuse what the caller itself expected of the upstream.
+                if !request.outgoing.has_header(&names.expect_version) {
+                    gateway.refute_upstream(&live.instance);
+                }
             } else {
                 let now = gateway.clock.now();
                 gateway
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -188,6 +188,16 @@
         self.log_changes(&changes, source, version);
     }
 
+    /// Records that another instance answered at an upstream's address.
+    pub fn refute_upstream(&self, instance: &str) {
+        let now = self.clock.now();
+        let (changes, version) = {
+            let mut view = self.fleet_view();
+            (view.refute(now, instance), view.max_revision())
+        };
+        self.log_changes(&changes, "upstream", version);
+    }
+
     /// Applies changes from a peer. Those that are news should have been reported by the watch.
     pub fn apply_from_peer(&self, changes: Vec<Change>) {
         let before = self.fleet_view().digests().clone();
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -1,6 +1,7 @@
 //! A dialect without a platform. `up/NAME` holds `service address domain state start group phase`;
 //! the last three are optional.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,7 @@
                 signature: name("signature"),
                 account: name("account"),
                 expect_instance: name("expect"),
+                expect_version: name("expect-version"),
                 not_run: name("not-run"),
                 priority: name("priority"),
             },
@@ -159,6 +161,19 @@
     }
 }
 
+/// The services of a configuration: `llm` only.
+pub fn services() -> HashMap<String, Service> {
+    let service = Service {
+        name: "llm".to_owned(),
+        health_path: String::new(),
+        max_connections: u32::MAX,
+        cold_start: Duration::ZERO,
+        cold_requests_per_s: 0.0,
+        group: None,
+    };
+    [(service.name.clone(), service)].into()
+}
+
 /// An empty fleet view that uses the fake dialect.
 pub fn fleet_view() -> FleetView {
     FleetView::new(Arc::new(FakeDialect::default()), secs(1.8))
--- a/crates/oriole_gateway/tests/gateway/fleet_view.rs
+++ b/crates/oriole_gateway/tests/gateway/fleet_view.rs
@@ -99,10 +99,10 @@
 }
 
 #[test]
-fn mark_superseded_is_unusable_until_new_entry() {
+fn refute_is_unusable_until_new_entry() {
     let mut view = fleet_view();
     view.apply(secs(0.0), put("up/a", A, 1));
-    view.mark_superseded("a");
+    view.refute(secs(0.0), "a");
     assert!(usable(&view, 0.1).is_empty());
     view.apply(secs(1.0), put("up/a", A, 2));
     assert_eq!(usable(&view, 1.1), ["a"]);
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::fake::{FakeDialect, item};
+use crate::fake::{FakeDialect, item, services};
 
 /// Time limit for a log line, a response or readiness.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -262,6 +262,7 @@
     let dialect = FakeDialect {
         configuration: Some(Configuration {
             routes: RouteTable::new(vec![route]),
+            services: services(),
             ..Configuration::default()
         }),
         ..FakeDialect::default()
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod kept_connection;
 mod log_walkthrough;
 mod members;
+mod odd_entry;
 mod outage;
 mod overload;
 mod peers;
--- a/crates/oriole_ranks/src/agent/addresses.rs
+++ b/crates/oriole_ranks/src/agent/addresses.rs
@@ -1,6 +1,5 @@
 //! Reads the addresses of the group's engines and the limits on its maps from the platform's store.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +9,7 @@
 use slog::warn;
 
 use super::{Agent, lock};
+use crate::group_addresses::GroupAddresses;
 
 /// Time between two reads of the group's addresses after the group was formed anew, and until the
 /// addresses of all ranks are known.
@@ -102,7 +102,7 @@
     async fn read_addresses(&self) -> Result<bool, StoreError> {
         let group = lock(&self.shared).group.clone();
         let prefix = self.parts.dialect.upstreams_prefix();
-        let mut addresses = HashMap::new();
+        let mut addresses = GroupAddresses::new(&self.cfg.service, &group);
         let mut after: Option<String> = None;
         loop {
             let page = self
@@ -113,10 +113,8 @@
             for item in &page.items {
                 if let DecodedItem::Upstream(upstream) =
                     self.parts.dialect.decode(&item.key, &item.value)
-                    && let Some(membership) = upstream.group_membership
-                    && membership.group == group
                 {
-                    addresses.insert(membership.rank, upstream.address);
+                    addresses.add(&upstream);
                 }
             }
             after = page.items.last().map(|i| i.key.clone());
@@ -124,6 +122,7 @@
                 break;
             }
         }
+        let addresses = addresses.into_addresses();
         let is_known = addresses.contains_key(&0);
         lock(&self.shared).engine_addresses = addresses;
         Ok(is_known)
--- a/crates/oriole_ranks/src/lib.rs
+++ b/crates/oriole_ranks/src/lib.rs
@@ -20,6 +20,7 @@
 //!   leader's intent.
 //! - [`leader`]: the state machine of the agent of rank 0.
 //! - [`map_cache`]: sends maps as a patch to the one in use.
+//! - [`group_addresses`]: chooses the addresses of the group's engines from the upstreams' entries.
 //! - [`forwarding`]: spreads an intent over the ranks through some of them.
 //! - [`recovery`]: completes a map switch when the leader is silent.
 //! - [`choices`]: samples of expert choices, and their form in messages.
@@ -35,6 +36,7 @@
 pub mod demand;
 pub mod follower;
 pub mod forwarding;
+pub mod group_addresses;
 pub mod leader;
 pub mod map_cache;
 pub mod message;
@@ -47,6 +49,7 @@
 pub mod prelude {
     pub use crate::agent::{AgentParts, RankAgent};
     pub use crate::follower::{PrepareTracker, is_awaited, next_order};
+    pub use crate::group_addresses::GroupAddresses;
     pub use crate::leader::{Leader, LeaderAction, LeaderConfig, Phase};
     pub use crate::map_cache::MapCache;
     pub use crate::message::{Intent, Status};
