--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -25,7 +25,7 @@
 use self::body::{ResponseBody, full};
 use self::request::{CheckedRequest, RejectedRequest};
 use self::suspects::Trial;
-use self::upstream_attempt::{AttemptEnd, LiveResponse};
+use self::upstream_attempt::{AttemptEnd, HeadPatience, LiveResponse};
 use crate::decision_log::LogEvent;
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
@@ -38,12 +38,12 @@
 /// breaks off can be retried.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
 
-/// Time that an idempotent request waits for a response head before the next attempt, as a multiple
-/// of the route's objective.
+/// Time that an idempotent request waits for a response head before another upstream is tried, as a
+/// multiple of the route's objective.
 const HEAD_TIMEOUT_OBJECTIVES: u32 = 3;
 
-/// Time that a resumable stream waits for a response head before the next attempt. Callers give up
-/// about a second later.
+/// Time that a resumable stream waits for a response head before another upstream is tried. Callers give
+/// up about a second later.
 const STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Share of a route's objective that a request may spend in an upstream's queue; the rest is for
@@ -216,16 +216,20 @@
             histogram!("oriole_wait_seconds").record(waited.as_secs_f64());
         }
         progress.attempts += 1;
-        let timeout = head_timeout(request, progress);
         // The request may have run until the attempt shows otherwise.
         progress.possible_runs += 1;
+        let has_alternative = || has_alternative(gateway, request, progress, &pick.instance);
+        let patience = HeadPatience {
+            timeout: head_timeout(&request.route),
+            has_alternative: &has_alternative,
+        };
         let result = upstream_attempt::run(
             gateway,
             request,
             &pick,
             progress.attempts,
             request.last_event_id,
-            timeout,
+            patience,
         )
         .await;
         match result {
@@ -282,18 +286,46 @@
     live.declares_events() || request.route.kind == RouteKind::Stream
 }
 
-/// Time that the next attempt may take until the head of its response.
-fn head_timeout(request: &CheckedRequest, progress: &Progress) -> Duration {
-    let has_another_attempt = request.route.allows_reexecution()
-        && progress.possible_runs + 1 < request.route.max_attempts;
-    match request.route.kind {
-        _ if !has_another_attempt => Duration::MAX,
+/// Time that an attempt may take until the head of its response, if another one can follow.
+fn head_timeout(route: &Route) -> Duration {
+    match route.kind {
         RouteKind::Stream => STREAM_HEAD_TIMEOUT,
         RouteKind::Idempotent | RouteKind::AtMostOnce => {
-            request.route.latency_objective * HEAD_TIMEOUT_OBJECTIVES
+            route.latency_objective * HEAD_TIMEOUT_OBJECTIVES
         }
     }
-    .min(request.route.timeout)
+    .min(route.timeout)
+}
+
+/// Whether a request that may run at the upstream `current` can be sent to another one.
+fn has_alternative(
+    gateway: &Gateway,
+    request: &CheckedRequest,
+    progress: &Progress,
+    current: &str,
+) -> bool {
+    if !allows_rerun(request, progress) {
+        return false;
+    }
+    let now = gateway.clock.now();
+    let share = gateway.share();
+    let mut traffic = gateway.traffic();
+    let is_within_budget = traffic.allows_retry(now, &request.service, share);
+    drop(traffic);
+    let view = gateway.fleet_view();
+    let mut usable = view.usable_upstreams(now, &request.service);
+    is_within_budget
+        && usable.any(|known| {
+            let instance = &known.upstream.instance;
+            instance != current && !progress.tried.contains(instance)
+        })
+}
+
+/// Whether a request that may have run may run once more.
+fn allows_rerun(request: &CheckedRequest, progress: &Progress) -> bool {
+    request.route.allows_reexecution()
+        && progress.possible_runs < request.route.max_attempts
+        && progress.attempts < MAX_ATTEMPTS
 }
 
 /// Which slots a request may use.
@@ -413,11 +445,7 @@
     request: &CheckedRequest,
     progress: &Progress,
 ) -> Result<(), RequestFailure> {
-    let is_allowed = request.route.allows_reexecution()
-        && progress.possible_runs < request.route.max_attempts
-        && progress.attempts < MAX_ATTEMPTS
-        && try_spend_retry(gateway, request, "unknown");
-    if is_allowed {
+    if allows_rerun(request, progress) && try_spend_retry(gateway, request, "unknown") {
         Ok(())
     } else {
         Err(Refusal::UpstreamFailed.into())
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -13,29 +13,38 @@
 use super::body::{ResponseBody, ResponseInterrupted, full};
 use super::events::EventSplitter;
 use super::request::CheckedRequest;
-use super::upstream_attempt::{self, AttemptEnd, LiveResponse};
+use super::upstream_attempt::{self, AttemptEnd, HeadPatience, LiveResponse};
 use super::{
-    MAX_ATTEMPTS, Progress, WaitPolicy, account_name, headers, pick, suspects, try_spend_retry,
+    Progress, WaitPolicy, account_name, allows_rerun, has_alternative, headers, pick, suspects,
+    try_spend_retry,
 };
 use crate::decision_log::LogEvent;
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
 
-/// Time without data after which a stream is resumed at another upstream. Callers leave after about
-/// two seconds.
+/// Time without an event after which a stream is resumed at another upstream, if one can take it.
+/// Callers leave after about two seconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Largest event that is buffered until its end arrives. An upstream that sends more without an end of
 /// an event sends no events.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
-/// Time that a resume attempt waits for the head of a response.
+/// Time that a resume attempt waits for the head of a response before another upstream is tried.
 const RESUME_HEAD_TIMEOUT: Duration = Duration::from_millis(1300);
 
 /// Longest time that a resume attempt may wait for a slot. Giving up would lose the events that the
 /// caller already has, and the caller stays for about a second after the silence was detected.
 const RESUME_MAX_WAIT: Duration = Duration::from_millis(600);
 
+/// Reason of a stream whose upstream sent no event for [`SILENCE_TIMEOUT`].
+const SILENCE: &str = "silence";
+
+/// Outcomes of looking for another upstream.
+const RESUMED: &str = "resumed";
+const NOT_RESUMABLE: &str = "not resumable";
+const NO_UPSTREAM: &str = "no upstream";
+
 /// Reason of a stream whose connection broke.
 const CONNECTION_BROKE: &str = "connection broke";
 
@@ -63,6 +72,7 @@
         status: live.response.status().as_u16(),
         declares_events: live.declares_events(),
         lacks_event: false,
+        outlasts_silence: false,
         live: Some(live),
         last_events_at: None,
         resumed_at: Duration::ZERO,
@@ -95,20 +105,12 @@
     End,
     /// The stream broke, for this reason.
     Broken(&'static str),
+    /// The upstream sent no event for [`SILENCE_TIMEOUT`].
+    Silent,
     /// The time limit of the route or the caller has passed.
     Expired,
 }
 
-/// Result of one attempt to resume a stream.
-enum ResumeResult {
-    /// The stream continues.
-    Resumed,
-    /// This upstream does not continue the stream; another may.
-    NextUpstream,
-    /// No further upstream is tried, for this reason.
-    GivenUp(&'static str),
-}
-
 struct StreamRelay {
     gateway: Arc<Gateway>,
     request: CheckedRequest,
@@ -120,6 +122,8 @@
     declares_events: bool,
     /// Whether an earlier upstream broke off within an event that the caller has not got since.
     lacks_event: bool,
+    /// Whether the present upstream is silent and no other one can take the stream.
+    outlasts_silence: bool,
     /// Time at which the caller last received events.
     last_events_at: Option<Duration>,
     /// Time at which the present upstream took over; zero for the first one.
@@ -137,10 +141,16 @@
     async fn next(&mut self) -> Option<Result<Bytes, ResponseInterrupted>> {
         let waiting_since = self.gateway.clock.now();
         while !self.is_finished {
-            match self.next_step(waiting_since).await {
+            let mut step = self.next_step(waiting_since).await;
+            if let RelayStep::Silent = step {
+                step = self.replace_silent_upstream().await;
+            }
+            match step {
+                RelayStep::Silent => self.outlasts_silence = true,
                 RelayStep::Events(events) if events.is_empty() => {}
                 RelayStep::Events(events) => {
                     self.lacks_event = false;
+                    self.outlasts_silence = false;
                     self.record_event_timing();
                     return Some(Ok(events));
                 }
@@ -168,33 +178,79 @@
             return RelayStep::Expired;
         }
         let Some(live) = &mut self.live else {
-            return RelayStep::Broken("no upstream");
+            return RelayStep::Broken(NO_UPSTREAM);
         };
         let waited_from = waiting_since.max(self.resumed_at);
         let silence_ends_at = waited_from + SILENCE_TIMEOUT;
-        let silence = silence_ends_at.saturating_sub(self.gateway.clock.now());
-        let has_length = live.has_length();
-        let frame = live.response.body_mut().frame();
-        match tokio::time::timeout(silence.min(remaining), frame).await {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(data) => {
-                    let events = self.splitter.push(&data);
-                    if self.splitter.partial_len() > MAX_EVENT_BYTES {
-                        return RelayStep::Broken(EVENT_TOO_LARGE);
+        let silence = if self.outlasts_silence {
+            Duration::MAX
+        } else {
+            silence_ends_at.saturating_sub(self.gateway.clock.now())
+        };
+        let step = read_step(live, &mut self.splitter, self.lacks_event);
+        match tokio::time::timeout(silence.min(remaining), step).await {
+            Ok(step) => step,
+            Err(_) if remaining <= silence => RelayStep::Expired,
+            Err(_) => RelayStep::Silent,
+        }
+    }
+
+    /// Looks for another upstream that continues the stream of a silent one. The silent one keeps its
+    /// connection until then: it may go on, and if no other takes over, only it can. Returns
+    /// [`RelayStep::Silent`] if there is no other.
+    async fn replace_silent_upstream(&mut self) -> RelayStep {
+        if !self.request.route.allows_reexecution() {
+            self.record_resume(NOT_RESUMABLE, SILENCE);
+            return RelayStep::Silent;
+        }
+        let Some(mut silent) = self.live.take() else {
+            return RelayStep::Broken(NO_UPSTREAM);
+        };
+        self.give_up_on(&silent.instance);
+        let mut broke = None;
+        let resumption = Resumption {
+            gateway: &self.gateway,
+            request: &self.request,
+            after: self.splitter.last_id(),
+            declares_events: self.declares_events,
+        };
+        let goes_on = async {
+            loop {
+                match read_step(&mut silent, &mut self.splitter, self.lacks_event).await {
+                    RelayStep::Events(events) if events.is_empty() => {}
+                    RelayStep::Broken(reason) => {
+                        broke = Some(reason);
+                        // Only another upstream can continue the stream now.
+                        std::future::pending::<()>().await;
                     }
-                    RelayStep::Events(events)
+                    step => return step,
                 }
-                Err(_trailers) => RelayStep::Events(Bytes::new()),
-            },
-            Ok(Some(Err(_))) => RelayStep::Broken(CONNECTION_BROKE),
-            Ok(None) if self.splitter.has_partial() => RelayStep::Broken(ENDED_WITHIN_EVENT),
-            Ok(None) if self.lacks_event => RelayStep::Broken(ENDED_BEFORE_EVENT),
-            Ok(None) if !has_length && self.splitter.last_id().is_none() => {
-                RelayStep::Broken(ENDED_WITHOUT_EVENT)
             }
-            Ok(None) => RelayStep::End,
-            Err(_) if remaining <= silence => RelayStep::Expired,
-            Err(_) => RelayStep::Broken("silence"),
+        };
+        let outcome = tokio::select! {
+            biased;
+            step = goes_on => Ok(step),
+            resumed = resumption.run(&mut self.progress) => Err(resumed),
+        };
+        self.live = Some(silent);
+        match (outcome, broke) {
+            (Ok(step), _) => {
+                self.record_resume("upstream went on", SILENCE);
+                step
+            }
+            (Err(Ok(live)), broke) => {
+                if let Some(reason) = broke {
+                    self.record_disconnect(reason).await;
+                }
+                self.take_over(live);
+                self.record_resume(RESUMED, SILENCE);
+                RelayStep::Events(Bytes::new())
+            }
+            (Err(Err(_)), Some(reason)) => RelayStep::Broken(reason),
+            (Err(Err(why)), None) => {
+                self.record_resume(why, SILENCE);
+                RelayStep::Silent
+            }
         }
     }
 
@@ -285,28 +341,52 @@
         ResponseInterrupted
     }
 
-    /// Resumes the stream at another upstream; returns whether that worked.
+    /// Resumes a stream that broke at another upstream; returns whether that worked.
     async fn resume(&mut self, reason: &'static str) -> bool {
         if let Some(live) = self.live.take() {
-            let now = self.gateway.clock.now();
-            let mut traffic = self.gateway.traffic();
-            traffic.load_mut(&live.instance).record_unreachable(now);
-            drop(traffic);
-            self.progress.tried.push(live.instance.clone());
+            self.give_up_on(&live.instance);
         }
-        self.lacks_event |= self.splitter.has_partial();
-        self.splitter.discard_partial();
         let outcome = if self.request.route.allows_reexecution() {
-            loop {
-                match self.try_resume().await {
-                    ResumeResult::Resumed => break "resumed",
-                    ResumeResult::NextUpstream => {}
-                    ResumeResult::GivenUp(why) => break why,
+            let resumption = Resumption {
+                gateway: &self.gateway,
+                request: &self.request,
+                after: self.splitter.last_id(),
+                declares_events: self.declares_events,
+            };
+            match resumption.run(&mut self.progress).await {
+                Ok(live) => {
+                    self.take_over(live);
+                    RESUMED
                 }
+                Err(why) => why,
             }
         } else {
-            "not resumable"
+            NOT_RESUMABLE
         };
+        self.record_resume(outcome, reason);
+        self.live.is_some()
+    }
+
+    /// Records that an upstream broke off or is silent, so that the stream is not resumed there.
+    fn give_up_on(&mut self, instance: &str) {
+        let now = self.gateway.clock.now();
+        let mut traffic = self.gateway.traffic();
+        traffic.load_mut(instance).record_unreachable(now);
+        drop(traffic);
+        self.progress.tried.push(instance.to_owned());
+    }
+
+    /// Goes on with the stream of another upstream.
+    fn take_over(&mut self, live: LiveResponse) {
+        self.lacks_event |= self.splitter.has_partial();
+        self.splitter.discard_partial();
+        self.live = Some(live);
+        self.outlasts_silence = false;
+        self.resumed_at = self.gateway.clock.now();
+        (self.began_at, self.has_passed) = (None, false);
+    }
+
+    fn record_resume(&self, outcome: &'static str, reason: &'static str) {
         counter!("oriole_resumes_total", "outcome" => outcome, "reason" => reason).increment(1);
         self.gateway.log.event(&LogEvent::Resume {
             request: &self.request.id,
@@ -314,78 +394,124 @@
             outcome,
             reason,
         });
-        self.live.is_some()
     }
 
-    /// Makes one attempt to resume the stream.
-    async fn try_resume(&mut self) -> ResumeResult {
-        let Ok(trial) = suspects::admit(&self.gateway, &self.request).await else {
-            return ResumeResult::GivenUp("suspect part");
+    /// Time left until the request's time limit.
+    fn remaining(&self) -> Duration {
+        self.request
+            .respond_by
+            .saturating_sub(self.gateway.clock.now())
+    }
+}
+
+/// Reads the next frame from an upstream. Returns how the stream goes on, without regard to time.
+async fn read_step(
+    live: &mut LiveResponse,
+    splitter: &mut EventSplitter,
+    lacks_event: bool,
+) -> RelayStep {
+    let has_length = live.has_length();
+    match live.response.body_mut().frame().await {
+        Some(Ok(frame)) => match frame.into_data() {
+            Ok(data) => {
+                let events = splitter.push(&data);
+                if splitter.partial_len() > MAX_EVENT_BYTES {
+                    return RelayStep::Broken(EVENT_TOO_LARGE);
+                }
+                RelayStep::Events(events)
+            }
+            Err(_trailers) => RelayStep::Events(Bytes::new()),
+        },
+        Some(Err(_)) => RelayStep::Broken(CONNECTION_BROKE),
+        None if splitter.has_partial() => RelayStep::Broken(ENDED_WITHIN_EVENT),
+        None if lacks_event => RelayStep::Broken(ENDED_BEFORE_EVENT),
+        None if !has_length && splitter.last_id().is_none() => {
+            RelayStep::Broken(ENDED_WITHOUT_EVENT)
+        }
+        None => RelayStep::End,
+    }
+}
+
+/// The search for an upstream that continues a stream.
+struct Resumption<'a> {
+    gateway: &'a Arc<Gateway>,
+    request: &'a CheckedRequest,
+    /// Id of the last event that the caller has.
+    after: Option<u64>,
+    /// Whether the head that the caller has says that the body is a stream of events.
+    declares_events: bool,
+}
+
+impl Resumption<'_> {
+    /// Tries one upstream after the other.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no further upstream is tried.
+    async fn run(&self, progress: &mut Progress) -> Result<LiveResponse, &'static str> {
+        loop {
+            if let Some(live) = self.try_next(progress).await? {
+                return Ok(live);
+            }
+        }
+    }
+
+    /// Tries one upstream; returns its response if it continues the stream.
+    async fn try_next(
+        &self,
+        progress: &mut Progress,
+    ) -> Result<Option<LiveResponse>, &'static str> {
+        let (gateway, request) = (self.gateway, self.request);
+        let Ok(trial) = suspects::admit(gateway, request).await else {
+            return Err("suspect part");
         };
-        let remaining = self.remaining();
-        if remaining.is_zero() {
-            return ResumeResult::GivenUp("time is up");
+        if gateway.clock.now() >= request.respond_by {
+            return Err("time is up");
         }
-        let progress = &mut self.progress;
-        if progress.possible_runs >= self.request.route.max_attempts
-            || progress.attempts >= MAX_ATTEMPTS
-        {
-            return ResumeResult::GivenUp("attempts spent");
+        if !allows_rerun(request, progress) {
+            return Err("attempts spent");
         }
-        if !try_spend_retry(&self.gateway, &self.request, "resume") {
-            return ResumeResult::GivenUp("budget spent");
+        if !try_spend_retry(gateway, request, "resume") {
+            return Err("budget spent");
         }
         let policy = WaitPolicy::Queue(RESUME_MAX_WAIT);
-        let picked = pick(
-            &self.gateway,
-            &self.request,
-            progress,
-            policy,
-            trial.as_ref(),
-        );
-        let Ok(pick) = picked else {
-            return ResumeResult::GivenUp("no upstream");
+        let Ok(pick) = pick(gateway, request, progress, policy, trial.as_ref()) else {
+            return Err(NO_UPSTREAM);
         };
         progress.attempts += 1;
-        let result = upstream_attempt::run(
-            &self.gateway,
-            &self.request,
+        // The request may have run until the attempt shows otherwise.
+        progress.possible_runs += 1;
+        let remaining = request.respond_by.saturating_sub(gateway.clock.now());
+        let has_alternative = || has_alternative(gateway, request, progress, &pick.instance);
+        let patience = HeadPatience {
+            timeout: RESUME_HEAD_TIMEOUT,
+            has_alternative: &has_alternative,
+        };
+        let attempt = upstream_attempt::run(
+            gateway,
+            request,
             &pick,
             progress.attempts,
-            self.splitter.last_id(),
-            RESUME_HEAD_TIMEOUT.min(remaining),
-        )
-        .await;
+            self.after,
+            patience,
+        );
+        let Ok(result) = tokio::time::timeout(remaining, attempt).await else {
+            return Err("time is up");
+        };
         match result {
             // Its body is no part of the caller's stream, whatever its status says.
-            AttemptEnd::Success(live) if self.declares_events && !live.declares_events() => {
-                progress.possible_runs += 1;
-            }
-            AttemptEnd::Success(live) => {
-                progress.possible_runs += 1;
-                self.live = Some(*live);
-                self.resumed_at = self.gateway.clock.now();
-                (self.began_at, self.has_passed) = (None, false);
-                return ResumeResult::Resumed;
-            }
-            AttemptEnd::NotRun { .. } => {}
+            AttemptEnd::Success(live) if self.declares_events && !live.declares_events() => {}
+            AttemptEnd::Success(live) => return Ok(Some(*live)),
+            AttemptEnd::NotRun { .. } => progress.possible_runs -= 1,
             AttemptEnd::Unknown { is_disconnect, .. } => {
-                progress.possible_runs += 1;
                 if is_disconnect {
-                    suspects::on_disconnect(&self.gateway, &self.request, &pick.instance).await;
+                    suspects::on_disconnect(gateway, request, &pick.instance).await;
                 }
             }
-            AttemptEnd::Failure(_) => progress.possible_runs += 1,
+            AttemptEnd::Failure(_) => {}
         }
         progress.tried.push(pick.instance);
-        ResumeResult::NextUpstream
-    }
-
-    /// Time left until the request's time limit.
-    fn remaining(&self) -> Duration {
-        self.request
-            .respond_by
-            .saturating_sub(self.gateway.clock.now())
+        Ok(None)
     }
 }
 
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -107,6 +107,32 @@
     },
 }
 
+/// When an attempt without the head of a response is given up.
+#[derive(Clone, Copy)]
+pub struct HeadPatience<'a> {
+    /// Time after which it is given up, if another upstream can take the request.
+    pub timeout: Duration,
+    /// Whether another upstream can take the request now. Otherwise this one may still answer.
+    pub has_alternative: &'a (dyn Fn() -> bool + Send + Sync),
+}
+
+impl HeadPatience<'_> {
+    /// Waits for the head of a response.
+    async fn wait_for<T>(
+        &self,
+        sent: impl Future<Output = Result<T, SendError>>,
+    ) -> Result<T, SendError> {
+        tokio::pin!(sent);
+        loop {
+            match tokio::time::timeout(self.timeout, &mut sent).await {
+                Ok(result) => return result,
+                Err(_) if (self.has_alternative)() => return Err(SendError::TimedOut),
+                Err(_) => {}
+            }
+        }
+    }
+}
+
 /// Sends a request to an upstream and classifies the head of its response.
 pub async fn run(
     gateway: &Arc<Gateway>,
@@ -114,14 +140,12 @@
     pick: &Pick,
     attempt: u32,
     last_event_id: Option<u64>,
-    head_timeout: Duration,
+    patience: HeadPatience<'_>,
 ) -> AttemptEnd {
     let started_at = gateway.clock.now();
     let guard = InFlightGuard::new(gateway, &pick.instance);
-    let sent = tokio::time::timeout(head_timeout, send(gateway, request, pick, last_event_id))
-        .await
-        .unwrap_or(Err(SendError::TimedOut));
-    let result = match sent {
+    let sent = send(gateway, request, pick, last_event_id);
+    let result = match patience.wait_for(sent).await {
         Ok((connection, response)) => {
             let live = LiveResponse {
                 instance: pick.instance.clone(),
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -231,6 +231,11 @@
         self.retry_budget(service).record_request(now);
     }
 
+    /// Whether a request of a service may be sent once more now.
+    pub fn allows_retry(&mut self, now: Duration, service: &str, share: DaemonShare) -> bool {
+        self.retry_budget(service).allows_retry(now, share.daemons)
+    }
+
     /// Spends one retry from the service's budget; `false` if none is left.
     pub fn try_spend_retry(&mut self, now: Duration, service: &str, share: DaemonShare) -> bool {
         self.retry_budget(service)
--- a/crates/oriole_gateway/src/traffic/retry_budget.rs
+++ b/crates/oriole_gateway/src/traffic/retry_budget.rs
@@ -47,16 +47,22 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Spends one retry if the share of one of `daemons` allows it; returns whether it did.
-    pub fn try_spend_retry(&mut self, now: Duration, daemons: usize) -> bool {
+    /// Whether the share of one of `daemons` allows another retry.
+    #[must_use]
+    pub fn allows_retry(&self, now: Duration, daemons: usize) -> bool {
         let (requests, retries) = self.totals(now);
         let allowance = self.bounds.allowance / daemons.max(1) as f64;
         let allowed = self.bounds.ratio * f64::from(requests) + allowance;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
+        f64::from(retries) + 1.0 <= allowed
+    }
+
+    /// Spends one retry if the share of one of `daemons` allows it; returns whether it did.
+    pub fn try_spend_retry(&mut self, now: Duration, daemons: usize) -> bool {
+        let is_allowed = self.allows_retry(now, daemons);
+        if is_allowed {
+            self.current_bucket(now).retries += 1;
         }
-        self.current_bucket(now).retries += 1;
-        true
+        is_allowed
     }
 
     fn bucket_width(&self) -> Duration {
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod restart;
 mod settings;
+mod silent_upstream;
 mod suspect_content;
 mod suspect_parts;
 mod upstream_notice;
