--- a/crates/oriole_gateway/tests/gateway/silent_upstream.rs
+++ b/crates/oriole_gateway/tests/gateway/silent_upstream.rs
@@ -18,7 +18,7 @@
 const PAUSE: Duration = Duration::from_millis(1800);
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nattempt: s1\r\nsignature: s\r\n\
-     Content-Type: text/event-stream\r\nContent-Length: 28\r\n\r\n";
+     Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n";
 const FIRST: &str = "id: 1\ndata: a\n";
 const SECOND: &str = "id: 2\ndata: b\n";
 const REFUSAL: &str = "HTTP/1.1 503 Full\r\nattempt: s1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -50,8 +50,6 @@
 /// A stream of two events whose upstream pauses between them.
 async fn preempted_stream() -> SocketAddr {
     let parts = vec![format!("{HEAD}{FIRST}\n"), format!("{SECOND}\n")];
-    // The length counts two events with their empty lines.
-    let parts = parts.iter().map(|p| p.replace(": 28", ": 30")).collect();
     pausing_upstream(parts, PAUSE).await
 }
 
@@ -114,22 +112,18 @@
         Other::Fails => upstream("garbage\r\n\r\n").await.0,
         Other::IsSilent => silent_upstream().await,
     };
-    let mut has_begun = false;
     // The upstream that is picked first is random.
     for _ in 0..6 {
         let harness = start_with_upstreams(stream_route(true, 3), &[paused, other]).await;
         let answer = harness.post("s1").await;
         assert!(is_whole(&answer), "{answer}");
-        has_begun = true;
     }
-    assert!(has_begun);
 }
 
 /// An upstream that never goes on is replaced before the caller leaves.
 #[tokio::test]
 async fn serve_stream_silent_other_continues_in_time() {
-    let head = HEAD.replace(": 28", ": 30");
-    let stuck = pausing_upstream(vec![format!("{head}{FIRST}\n")], Duration::from_secs(60)).await;
+    let stuck = pausing_upstream(vec![format!("{HEAD}{FIRST}\n")], Duration::from_secs(60)).await;
     let (other, _) = upstream(CONTINUATION).await;
     for _ in 0..6 {
         let harness = start_with_upstreams(stream_route(true, 2), &[stuck, other]).await;
@@ -147,7 +141,7 @@
 /// A trickle of bytes without an event counts as silence.
 #[tokio::test]
 async fn serve_stream_trickles_other_continues_in_time() {
-    let head = HEAD.replace(": 28", ": 300");
+    let head = HEAD.replace(": 30", ": 300");
     let mut parts = vec![format!("{head}{FIRST}\n")];
     parts.extend((0..40).map(|_| "x".to_owned()));
     let trickling = pausing_upstream(parts, Duration::from_millis(200)).await;
@@ -171,7 +165,7 @@
 #[case::stream(RouteKind::Stream)]
 #[tokio::test]
 async fn serve_head_is_late_without_alternative_is_whole(#[case] kind: RouteKind) {
-    let answer = format!("{HEAD}{FIRST}\n{SECOND}\n").replace(": 28", ": 30");
+    let answer = format!("{HEAD}{FIRST}\n{SECOND}\n");
     let late = pausing_upstream(vec![String::new(), answer], PAUSE).await;
     let route = Route {
         kind,
