Accept during a shutdown only what can end before the exit (LOST)

Cause: requests were accepted for a fixed 3.5 s, compared with neither the grace period nor the request's own limit.

What is refused has not run and is told so at once. Short requests are accepted longer than before.

Streams that the exit cuts are logged as `daemon stopped` instead of `caller left`.

--- a/crates/oriole_gateway/src/daemon.rs
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -17,9 +17,6 @@
 use crate::settings::GatewaySettings;
 use crate::{ingress, registration, service_port, watcher};
 
-/// Time before the end of the grace period at which the process exits by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Shortest time from the start of a shutdown to the exit of an idle daemon, so that callers with
 /// an outdated list of endpoints can still connect.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_secs(3);
@@ -80,18 +77,17 @@
     /// closed their connections, then stops all tasks.
     pub async fn shutdown(self) {
         let gateway = &self.gateway;
-        gateway.start_leaving();
+        let departure = gateway.start_leaving();
         let in_flight = || gateway.active_requests.load(Ordering::Relaxed);
         gateway.log.event(&LogEvent::Stopping {
             in_flight: in_flight(),
         });
         let started_at = gateway.clock.now();
-        let deadline = started_at + gateway.cfg.grace().saturating_sub(EXIT_MARGIN);
         loop {
             tokio::time::sleep(POLL_INTERVAL).await;
             let now = gateway.clock.now();
             let is_idle = gateway.open_connections.load(Ordering::Relaxed) == 0;
-            if now >= deadline || (is_idle && now >= started_at + MIN_SHUTDOWN_TIME) {
+            if now >= departure.exits_at() || (is_idle && now >= started_at + MIN_SHUTDOWN_TIME) {
                 break;
             }
         }
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -51,10 +51,6 @@
 /// arrive in time.
 pub const QUEUE_WAIT_SHARE: f64 = 0.5;
 
-/// Time after the start of leaving during which new requests are still accepted. Requests accepted
-/// until then can still finish before the process exits.
-const LEAVING_ACCEPT_TIME: Duration = Duration::from_millis(3500);
-
 /// Most requests per daemon that wait for a group at the same time; bounds the daemon's memory.
 const MAX_WAITING_REQUESTS: usize = 128;
 
@@ -104,40 +100,33 @@
     let guard = CountGuard::new(&gateway, |g| &g.active_requests);
     let received_at = gateway.clock.now();
     gateway.wait_until_started().await;
-    let mut response = if refuses_new_requests(&gateway, received_at) {
-        let id = attempt_id(&gateway, &req);
-        reject(
-            &gateway,
-            received_at,
-            &RejectedRequest {
-                id,
-                route: String::new(),
+    let accepted = request::read(&gateway, req).await.and_then(|request| {
+        if accepts(&gateway, &request) {
+            Ok(request)
+        } else {
+            Err(RejectedRequest {
+                id: request.id,
+                route: request.route.name,
                 refusal: Refusal::Leaving,
-            },
-        )
-    } else {
-        match request::read(&gateway, req).await {
-            Ok(request) => forward(&gateway, request, guard).await,
-            Err(rejected) => reject(&gateway, received_at, &rejected),
+            })
         }
+    });
+    let mut response = match accepted {
+        Ok(request) => forward(&gateway, request, guard).await,
+        Err(rejected) => reject(&gateway, received_at, &rejected),
     };
-    if gateway.leaving_since().is_some() {
+    if gateway.departure().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
 
-fn attempt_id(gateway: &Gateway, req: &Request<Incoming>) -> String {
-    let name = &gateway.dialect.headers().attempt;
-    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
-fn refuses_new_requests(gateway: &Gateway, now: Duration) -> bool {
-    gateway
-        .leaving_since()
-        .is_some_and(|since| now >= since + LEAVING_ACCEPT_TIME)
+/// Whether a request can be served before the process exits, as far as that is known.
+fn accepts(gateway: &Gateway, request: &CheckedRequest) -> bool {
+    let now = gateway.clock.now();
+    let departure = gateway.departure();
+    departure.is_none_or(|departure| departure.accepts(now, request.respond_by))
 }
 
 async fn forward(
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -517,17 +517,16 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        if !self.is_finished {
-            counter!("oriole_broken_streams_total", "reason" => "caller left").increment(1);
-            self.gateway.log.event(&LogEvent::Broken {
-                request: &self.request.id,
-                reason: "caller left",
-                took: self
-                    .gateway
-                    .clock
-                    .now()
-                    .saturating_sub(self.request.received_at),
-            });
+        if self.is_finished {
+            return;
         }
+        let now = self.gateway.clock.now();
+        let departure = self.gateway.departure();
+        let has_stopped = departure.is_some_and(|departure| now >= departure.exits_at());
+        self.break_off(if has_stopped {
+            "daemon stopped"
+        } else {
+            "caller left"
+        });
     }
 }
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::decision_log::{DecisionLog, LogEvent};
+use crate::departure::Departure;
 use crate::fleet_view::{FleetChange, FleetView};
 use crate::freshness::{Confirmation, ConfirmationId, FreshnessTracker, Place};
 use crate::mesh::members::Members;
@@ -58,7 +59,7 @@
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
     part_screen: Mutex<PartScreen>,
-    leaving_since: Mutex<Option<Duration>>,
+    departure: Mutex<Option<Departure>>,
     ready: watch::Sender<bool>,
 }
 
@@ -92,7 +93,7 @@
             open_connections: AtomicUsize::new(0),
             active_requests: AtomicUsize::new(0),
             waiting_requests: AtomicUsize::new(0),
-            leaving_since: Mutex::new(None),
+            departure: Mutex::new(None),
             ready: watch::Sender::new(false),
             dialect,
             clock,
@@ -135,7 +136,7 @@
 
     /// Whether callers may use this daemon.
     pub fn readiness(&self) -> Readiness {
-        if self.leaving_since().is_some() {
+        if self.departure().is_some() {
             Readiness::Leaving
         } else if self.fleet_view().is_complete() {
             Readiness::Ready
@@ -144,15 +145,17 @@
         }
     }
 
-    /// Time at which the process was asked to stop; `None` while it runs normally.
-    pub fn leaving_since(&self) -> Option<Duration> {
-        *lock(&self.leaving_since)
+    /// The shutdown in progress; `None` while the process runs normally.
+    pub fn departure(&self) -> Option<Departure> {
+        *lock(&self.departure)
     }
 
     /// Marks the daemon as leaving and informs its peers.
-    pub fn start_leaving(&self) {
-        *lock(&self.leaving_since) = Some(self.clock.now());
+    pub fn start_leaving(&self) -> Departure {
+        let departure = Departure::new(self.clock.now(), self.cfg.grace());
+        *lock(&self.departure) = Some(departure);
         self.mesh_wake.notify_one();
+        departure
     }
 
     /// Waits until the daemon is ready, but at most for a short time after its start.
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //!   they hold.
 //! - [`forward`]: handling of one request: attempts, response and event stream.
 //! - [`refusal`]: reasons to refuse a request, and the resulting status and `Retry-After`.
+//! - [`departure`]: which requests are still accepted during a shutdown.
 //! - [`endpoints`]: selection of the addresses that callers should connect to.
 //! - [`upstream`]: connections to upstreams.
 //!
@@ -23,6 +24,7 @@
 
 pub mod daemon;
 pub mod decision_log;
+pub mod departure;
 pub mod endpoints;
 pub mod fleet_view;
 pub mod forward;
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -15,6 +15,7 @@
 use rand::RngExt as _;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 use crate::fake::{FakeDialect, item, services};
 
@@ -213,7 +214,7 @@
     callers: SocketAddr,
     /// Log lines written so far.
     pub log: LogBuffer,
-    _daemon: GatewayDaemon,
+    daemon: GatewayDaemon,
 }
 
 /// Starts a daemon with one upstream.
@@ -256,8 +257,24 @@
     start_with_store(route(kind), store).await
 }
 
+/// Starts a daemon with one upstream and a grace period for its shutdown.
+pub async fn start_with_grace(route: Route, upstream: SocketAddr, grace: Duration) -> Harness {
+    let mut cfg = settings();
+    cfg.bounds.grace_s = grace.as_secs_f64();
+    let value = format!("llm {upstream} north ready");
+    let store = FakeStore {
+        items: vec![item("cfg/0", "3", 1), item("up/i-1", &value, 2)],
+        peer_refusals: Mutex::new(0),
+        list_delay: Duration::ZERO,
+    };
+    start_with(cfg, route, store).await
+}
+
 async fn start_with_store(route: Route, store: FakeStore) -> Harness {
-    let cfg = settings();
+    start_with(settings(), route, store).await
+}
+
+async fn start_with(cfg: GatewaySettings, route: Route, store: FakeStore) -> Harness {
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
         configuration: Some(Configuration {
@@ -276,11 +293,21 @@
     Harness {
         callers,
         log,
-        _daemon: daemon,
+        daemon,
     }
 }
 
 impl Harness {
+    /// Address for callers' requests.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Shuts the daemon down in a task, which ends when it has stopped.
+    pub fn shut_down(self) -> JoinHandle<()> {
+        tokio::spawn(self.daemon.shutdown())
+    }
+
     /// Sends a valid request with attempt id `id` until the daemon is ready; returns the whole
     /// response.
     pub async fn post(&self, id: &str) -> String {
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod harness;
 mod head_outcome;
 mod kept_connection;
+mod leaving;
 mod log_walkthrough;
 mod members;
 mod odd_entry;
