Bound what upstreams may send on the wire, and what is buffered (CONFIG)

Cause: limits counted decoded bytes. What the HTTP library drops, or needs before it has decoded anything, was read as fast as it came until the request's time was up, on the thread that serves everything.

Memory did not run out in any shape; its peak grew to 152 MB with the requests buffered at a time, and nothing bounded it.

Buffered responses share 32 MB. An event's end is searched for once, in token lines too.

--- a/crates/oriole_agent/src/upstream/answer.rs
+++ b/crates/oriole_agent/src/upstream/answer.rs
@@ -1,6 +1,7 @@
 //! Reads an upstream's answer part by part.
 
 use bytes::{Bytes, BytesMut};
+use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -38,6 +39,8 @@
 struct TokenLines {
     /// Received data that has not been returned yet.
     buf: BytesMut,
+    /// Bytes at the start of `buf` that hold no line feed.
+    searched: usize,
     /// Expected position of the next token.
     next_position: u64,
     /// Whether the final line was received.
@@ -56,8 +59,9 @@
 impl Answer {
     /// Creates an answer that is one document.
     #[must_use]
-    pub fn plain(body: Incoming) -> Self {
+    pub fn plain(response: Response<Incoming>) -> Self {
         let kind = AnswerKind::Plain { done: false };
+        let body = response.into_body();
         Self { body, kind }
     }
 
@@ -67,6 +71,7 @@
     pub fn lines(body: Incoming, resume_from: u64) -> Self {
         let kind = AnswerKind::Lines(TokenLines {
             buf: BytesMut::new(),
+            searched: 0,
             next_position: resume_from,
             done: false,
         });
@@ -143,7 +148,9 @@
         }
         let mut count = 0;
         let mut taken = 0;
-        while let Some(len) = self.buf[taken..].iter().position(|b| *b == b'\n') {
+        let mut searched = self.searched;
+        while let Some(len) = line_len(&self.buf[taken..], searched) {
+            searched = 0;
             let line = &self.buf[taken..taken + len];
             if is_end_line(line, self.next_position)? {
                 self.done = true;
@@ -153,7 +160,8 @@
             count += 1;
             taken += len + 1;
         }
-        if self.buf.len() - taken > MAX_LINE_BYTES {
+        self.searched = self.buf.len() - taken;
+        if self.searched > MAX_LINE_BYTES {
             return Err(UpstreamError::Incomplete);
         }
         if count == 0 {
@@ -164,6 +172,12 @@
     }
 }
 
+/// Length of the line at the start of `bytes`, whose first `searched` bytes hold no line feed.
+fn line_len(bytes: &[u8], searched: usize) -> Option<usize> {
+    let len = bytes[searched..].iter().position(|b| *b == b'\n')?;
+    Some(searched + len)
+}
+
 /// Whether a line is the final line; fails if its position or count is not the expected one.
 fn is_end_line(line: &[u8], next_position: u64) -> Result<bool, UpstreamError> {
     let line: TokenLine = serde_json::from_slice(line).map_err(|_| UpstreamError::Incomplete)?;
--- a/crates/oriole_agent/src/upstream/client.rs
+++ b/crates/oriole_agent/src/upstream/client.rs
@@ -8,8 +8,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use oriole_kernel::connector::BoundedConnector;
+use oriole_kernel::sockets::TcpTimeouts;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
@@ -21,13 +22,16 @@
 /// Timeout of a load query.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Most bytes of an answer on the wire; a stream of tokens is the longest.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
 /// Largest JSON document that [`read_json`] accepts, in bytes.
 const DEFAULT_MAX_JSON_BYTES: usize = 16 * 1024;
 
 /// An HTTP client of one upstream with pooled connections. Its errors distinguish whether a request
 /// was sent.
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<BoundedConnector, Full<Bytes>>,
     base_url: String,
 }
 
@@ -35,9 +39,14 @@
     /// Creates a client of the upstream at this address.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = BoundedConnector {
+            address: addr,
+            timeouts: TcpTimeouts {
+                connect: CONNECT_TIMEOUT,
+                ..TcpTimeouts::default()
+            },
+            max_answer_bytes: MAX_ANSWER_BYTES,
+        };
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
             base_url: format!("http://{addr}"),
--- a/crates/oriole_agent/src/upstream/service.rs
+++ b/crates/oriole_agent/src/upstream/service.rs
@@ -39,6 +39,6 @@
         }
         let body = job.body.clone();
         let response = self.client.post("/v1/run", &headers, body).await?;
-        Ok(Answer::plain(response.into_body()))
+        Ok(Answer::plain(response))
     }
 }
--- /dev/null
+++ b/crates/oriole_agent/tests/faulty_upstream.rs
@@ -0,0 +1,94 @@
+//! Upstreams that send bytes without end.
+//!
+//! An agent kept reading as long as bytes came.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use oriole_agent::upstream::client::HttpClient;
+use oriole_agent::upstream::{Answer, UpstreamError};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+
+/// What an agent reads of one answer, and what sockets hold.
+const MAX_TAKEN_BYTES: usize = 32 * 1024 * 1024;
+
+/// Time in which even the largest of these answers is read.
+const MAX_TIME: Duration = Duration::from_secs(20);
+
+/// Starts an upstream that sends `start` and then `unit` without end; without a unit it closes. Also
+/// returns the number of bytes that it sent.
+async fn start_upstream(
+    start: &'static str,
+    unit: &'static [u8],
+) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let sent = Arc::new(AtomicUsize::new(0));
+    let count = sent.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = vec![0; 4096];
+            let _ = stream.read(&mut buf).await;
+            let mut bytes = start.as_bytes().to_vec();
+            while stream.write_all(&bytes).await.is_ok() {
+                count.fetch_add(bytes.len(), Ordering::Relaxed);
+                if unit.is_empty() {
+                    break;
+                }
+                bytes = unit.repeat(64 * 1024 / unit.len());
+            }
+        }
+    });
+    (address, sent)
+}
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Document,
+    Lines,
+}
+
+/// Reads an answer to its end or first error; returns the bytes of a whole one.
+async fn read(address: SocketAddr, kind: Kind) -> Result<usize, UpstreamError> {
+    let client = HttpClient::new(address);
+    let response = client.post("/v1/run", &[], "x".into()).await?;
+    let mut answer = match kind {
+        Kind::Document => Answer::plain(response),
+        Kind::Lines => Answer::lines(response.into_body(), 0),
+    };
+    let mut len = 0;
+    while let Some(items) = answer.next().await? {
+        len += items.data.len();
+    }
+    Ok(len)
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const LENGTH: &str = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+
+#[rstest]
+#[case::head_line("HTTP/1.1 200 OK\r\nname: ", b"x", Kind::Document)]
+#[case::interim_heads("", b"HTTP/1.1 103 Early Hints\r\n\r\n", Kind::Document)]
+#[case::document(HEAD, b"x", Kind::Document)]
+#[case::document_of_length(LENGTH, b"x", Kind::Document)]
+#[case::document_chunk_size(CHUNKED, b"0", Kind::Document)]
+#[case::line(HEAD, b"x", Kind::Lines)]
+#[case::line_in_small_chunks(CHUNKED, b"1\r\nx\r\n", Kind::Lines)]
+#[case::lines_chunk_size(CHUNKED, b"0", Kind::Lines)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn read_endless_answer_ends(
+    #[case] start: &'static str,
+    #[case] unit: &'static [u8],
+    #[case] kind: Kind,
+) {
+    let (address, sent) = start_upstream(start, unit).await;
+    let outcome = tokio::time::timeout(MAX_TIME, read(address, kind)).await;
+    assert!(matches!(outcome, Ok(Err(_))), "{outcome:?}");
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent < MAX_TAKEN_BYTES, "{sent} bytes");
+}
--- a/crates/oriole_gateway/src/forward/events.rs
+++ b/crates/oriole_gateway/src/forward/events.rs
@@ -30,11 +30,13 @@
     /// Appends bytes and returns the newly completed events, without those that the caller already
     /// has.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        // The bytes before hold no end of an event, except for its first half.
+        let searched = self.partial.len().saturating_sub(1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.partial) else {
+        let Some(end) = end_of_last_event(&self.partial[searched..]) else {
             return Bytes::new();
         };
-        let whole = self.partial.split_to(end).freeze();
+        let whole = self.partial.split_to(searched + end).freeze();
         self.without_duplicates(whole)
     }
 
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Handles one request from start to end: its attempts, its response and its event stream.
 
 pub mod body;
+pub mod buffers;
 pub mod events;
 pub mod head_outcome;
 pub mod headers;
@@ -17,16 +18,16 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use oriole_fleet::prelude::*;
 
 use self::body::{ResponseBody, full};
+use self::buffers::BufferError;
 use self::request::{CheckedRequest, RejectedRequest};
 use self::suspects::Trial;
 use self::upstream_attempt::{AttemptEnd, HeadPatience, LiveResponse};
-use crate::decision_log::LogEvent;
+use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
 use crate::traffic::{Pick, PickRequest};
@@ -34,10 +35,6 @@
 /// Most upstreams that a request is sent to, including those that refuse it.
 const MAX_ATTEMPTS: u32 = 4;
 
-/// Largest response that is buffered in full before the caller gets its head, so that one that
-/// breaks off can be retried.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 1024 * 1024;
-
 /// Time that an idempotent request waits for a response head before another upstream is tried, as a
 /// multiple of the route's objective.
 const HEAD_TIMEOUT_OBJECTIVES: u32 = 3;
@@ -227,7 +224,7 @@
             }
             AttemptEnd::Success(live) => {
                 let began_at = live.started_at;
-                if let Some(response) = read_full(gateway, *live).await {
+                if let Some(response) = read_full(gateway, request, *live).await {
                     suspects::on_passed(gateway, request, &pick.instance, began_at);
                     return Ok(response);
                 }
@@ -236,7 +233,7 @@
             }
             AttemptEnd::Failure(live) => {
                 let is_retryable = live.response.status().is_server_error();
-                let response = read_full(gateway, *live).await;
+                let response = read_full(gateway, request, *live).await;
                 if !is_retryable && let Some(response) = response {
                     return Ok(response);
                 }
@@ -457,19 +454,24 @@
 }
 
 /// Reads the whole body of a response; `None` if it breaks off or is too large to buffer.
-async fn read_full(gateway: &Arc<Gateway>, mut live: LiveResponse) -> Option<UpstreamResponse> {
+async fn read_full(
+    gateway: &Arc<Gateway>,
+    request: &CheckedRequest,
+    mut live: LiveResponse,
+) -> Option<UpstreamResponse> {
     let (head, ()) = headers::response_head(&live.response)
         .body(())
         .ok()?
         .into_parts();
-    let body = Limited::new(live.response.body_mut(), MAX_BUFFERED_RESPONSE_BYTES)
-        .collect()
-        .await;
-    let now = gateway.clock.now();
-    let Ok(body) = body else {
-        gateway.traffic().load_mut(&live.instance).record_failure();
-        return None;
+    let body = match live.read_body(&gateway.response_buffers).await {
+        Ok(body) => body,
+        Err(e) => {
+            gateway.traffic().load_mut(&live.instance).record_failure();
+            log_unread(gateway, request, &live, e);
+            return None;
+        }
     };
+    let now = gateway.clock.now();
     if head.status.is_success() {
         let took = now.saturating_sub(live.started_at);
         gateway
@@ -478,10 +480,23 @@
             .record_success(took);
     }
     live.finish(gateway);
-    Some(UpstreamResponse::Full {
-        head,
-        body: body.to_bytes(),
-    })
+    Some(UpstreamResponse::Full { head, body })
+}
+
+fn log_unread(gateway: &Gateway, request: &CheckedRequest, live: &LiveResponse, e: BufferError) {
+    let reason = match e {
+        BufferError::BrokeOff => "response broke off",
+        BufferError::TooLarge => "response too large",
+    };
+    gateway.log.event(&LogEvent::Attempt {
+        request: &request.id,
+        attempt: live.attempt,
+        content: &request.content,
+        instance: &live.instance,
+        outcome: AttemptOutcome::Unknown,
+        reason,
+        took: gateway.clock.now().saturating_sub(live.started_at),
+    });
 }
 
 fn log_answered(gateway: &Gateway, request: &CheckedRequest, progress: &Progress, status: u16) {
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -415,6 +415,7 @@
         Some(Ok(frame)) => match frame.into_data() {
             Ok(data) => {
                 let events = splitter.push(&data);
+                live.on_events(&events);
                 if splitter.partial_len() > MAX_EVENT_BYTES {
                     return RelayStep::Broken(EVENT_TOO_LARGE);
                 }
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode, header};
 use hyper::body::Incoming;
 use oriole_fleet::prelude::*;
 
+use super::buffers::{BufferError, ResponseBuffers};
 use super::head_outcome::{HeadInfo, HeadOutcome, classify_head};
 use super::request::CheckedRequest;
 use super::{headers, limits, notices};
@@ -44,6 +46,8 @@
     pub instance: String,
     /// The response.
     pub response: Response<Incoming>,
+    /// Number of the attempt among those of its request.
+    pub attempt: u32,
     /// Time at which the attempt started.
     pub started_at: Duration,
     connection: Connection,
@@ -65,6 +69,21 @@
         content_type.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
     }
 
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it breaks off or is too large to buffer.
+    pub async fn read_body(&mut self, buffers: &ResponseBuffers) -> Result<Bytes, BufferError> {
+        let allowance = self.connection.allowance();
+        buffers.read(self.response.body_mut(), allowance).await
+    }
+
+    /// Records that events of its stream were received whole.
+    pub fn on_events(&self, events: &[u8]) {
+        self.connection.allowance().earn(events.len());
+    }
+
     /// Returns the connection to the pool after the body was read in full, unless the upstream
     /// closes it.
     pub fn finish(self, gateway: &Arc<Gateway>) {
@@ -150,6 +169,7 @@
             let live = LiveResponse {
                 instance: pick.instance.clone(),
                 response,
+                attempt,
                 started_at,
                 connection,
                 _in_flight: guard,
--- a/crates/oriole_gateway/src/ingress.rs
+++ b/crates/oriole_gateway/src/ingress.rs
@@ -7,6 +7,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use oriole_kernel::bounded_stream::{BoundedStream, FRAMING_FACTOR};
 use oriole_kernel::sockets::TcpTimeouts;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -78,14 +79,22 @@
         let gateway = gateway.clone();
         async move { Ok::<_, Infallible>(forward::serve(gateway, req).await) }
     });
+    let max_head_bytes = limits.max_head_bytes.max(MIN_HEAD_BYTES);
+    let max_body_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    let max_request_bytes = max_body_bytes
+        .saturating_mul(FRAMING_FACTOR)
+        .saturating_add(max_head_bytes);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library also applies this timeout between requests, so the longer limit is used for
         // both.
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(max_head_bytes)
         .half_close(false)
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(
+            TokioIo::new(BoundedStream::new(stream, max_request_bytes)),
+            handler,
+        );
     tokio::select! {
         // If the caller disconnects, its responses are dropped, which ends its requests.
         _ = connection => {}
--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -9,9 +9,17 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use oriole_kernel::bounded_stream::{BoundedStream, ReadAllowance};
 use oriole_kernel::sockets::{self, TcpTimeouts};
 use tokio::task::JoinHandle;
 
+/// Largest head of a response, in bytes. Also the largest part of a body that is read at once.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// Most bytes that an upstream may send that are no part of a body or event. Some parts of a body are
+/// read ahead of those that count.
+const MAX_USELESS_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
 /// Why no response head was received.
 #[derive(Debug)]
 pub enum SendError {
@@ -35,6 +43,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    allowance: ReadAllowance,
     /// Whether it has carried a request before.
     pub is_reused: bool,
     /// Time for which the upstream keeps it open when idle, if it states one.
@@ -57,7 +66,10 @@
             .await
             .map_err(|e| not_sent("connect", &e))?;
         sockets::reset_on_close(&stream).map_err(|e| not_sent("reset on close", &e))?;
+        let stream = BoundedStream::new(stream, MAX_USELESS_BYTES);
+        let allowance = stream.allowance();
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent("handshake", &e))?;
@@ -68,6 +80,7 @@
         Ok(Self {
             sender,
             task,
+            allowance,
             is_reused: false,
             keep_alive: None,
         })
@@ -79,6 +92,11 @@
         self.sender.is_ready() && !self.task.is_finished()
     }
 
+    /// Bytes that the upstream may still send.
+    pub fn allowance(&self) -> &ReadAllowance {
+        &self.allowance
+    }
+
     /// Waits until the last response is read in full and the connection can be reused; returns
     /// whether it can.
     pub async fn wait_until_free(&mut self) -> bool {
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`telemetry`]: the process-wide metrics recorder; [`metrics_port`] serves its metrics over HTTP.
 //! - [`settings`]: reads and validates a daemon's TOML settings.
 //! - [`signals`]: signals for shutdown and reload.
-//! - [`sockets`]: TCP connections that detect an unresponsive peer.
+//! - [`sockets`]: TCP connections that detect an unresponsive peer. [`bounded_stream`]: streams that
+//!   end when the peer sends too much. [`connector`]: connects pooled HTTP clients with both.
 //!
 //! ```
 //! use oriole_kernel::prelude::*;
@@ -32,7 +33,9 @@
 #![forbid(unsafe_code)]
 
 pub mod app;
+pub mod bounded_stream;
 pub mod clock;
+pub mod connector;
 pub mod error;
 pub mod logging;
 pub mod metrics_port;
