--- a/crates/oriole_agent/src/upstream/answer.rs
+++ b/crates/oriole_agent/src/upstream/answer.rs
@@ -1,7 +1,7 @@
 //! Reads an upstream's answer part by part.
 
 use bytes::{Bytes, BytesMut};
-use http::Response;
+use http::{Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -29,8 +29,9 @@
 }
 
 enum AnswerKind {
-    /// One document; `done` once it was read.
-    Plain { done: bool },
+    /// One document; `done` once it was read. `has_length` if its end is marked by a length or a last
+    /// chunk, and not by that of the connection.
+    Plain { done: bool, has_length: bool },
     /// One JSON line per token.
     Lines(TokenLines),
 }
@@ -60,7 +61,13 @@
     /// Creates an answer that is one document.
     #[must_use]
     pub fn plain(response: Response<Incoming>) -> Self {
-        let kind = AnswerKind::Plain { done: false };
+        let headers = response.headers();
+        let has_length = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        let kind = AnswerKind::Plain {
+            done: false,
+            has_length,
+        };
         let body = response.into_body();
         Self { body, kind }
     }
@@ -85,10 +92,14 @@
     /// Fails if the connection breaks, or if the answer is incomplete or too large.
     pub async fn next(&mut self) -> Result<Option<Items>, UpstreamError> {
         match &mut self.kind {
-            AnswerKind::Plain { done: true } => Ok(None),
-            AnswerKind::Plain { done } => {
+            AnswerKind::Plain { done: true, .. } => Ok(None),
+            AnswerKind::Plain { done, has_length } => {
                 *done = true;
                 let data = collect(&mut self.body).await?;
+                // The upstream may have stopped right after the head.
+                if data.is_empty() && !*has_length {
+                    return Err(UpstreamError::Incomplete);
+                }
                 Ok(Some(Items { count: 1, data }))
             }
             AnswerKind::Lines(lines) => lines.next(&mut self.body).await,
--- a/crates/oriole_agent/tests/faulty_upstream.rs
+++ b/crates/oriole_agent/tests/faulty_upstream.rs
@@ -1,6 +1,6 @@
-//! Upstreams that send bytes without end.
+//! Upstreams that send bytes without end, or stop within an answer.
 //!
-//! An agent kept reading as long as bytes came.
+//! An agent kept reading as long as bytes came, and an answer that ended with its head looked whole.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -92,3 +92,30 @@
     let sent = sent.load(Ordering::Relaxed);
     assert!(sent < MAX_TAKEN_BYTES, "{sent} bytes");
 }
+
+#[rstest]
+#[case::within_head("HTTP/1.1 200 OK\r\nConte", Kind::Document)]
+#[case::after_head(HEAD, Kind::Document)]
+#[case::within_length("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", Kind::Document)]
+#[case::within_chunk(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+    Kind::Document
+)]
+#[case::before_last_chunk(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+    Kind::Document
+)]
+#[case::lines_after_head(HEAD, Kind::Lines)]
+#[case::lines_without_last("HTTP/1.1 200 OK\r\n\r\n{\"position\":0}\n", Kind::Lines)]
+#[tokio::test]
+async fn read_cut_answer_is_incomplete(#[case] start: &'static str, #[case] kind: Kind) {
+    let (address, _) = start_upstream(start, b"").await;
+    let outcome = tokio::time::timeout(MAX_TIME, read(address, kind)).await;
+    assert!(matches!(outcome, Ok(Err(_))), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn read_empty_document_of_length_zero_is_whole() {
+    let (address, _) = start_upstream("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", b"").await;
+    assert_eq!(read(address, Kind::Document).await, Ok(0));
+}
--- a/crates/oriole_gateway/src/forward/buffers.rs
+++ b/crates/oriole_gateway/src/forward/buffers.rs
@@ -32,6 +32,8 @@
     BrokeOff,
     /// It is larger than [`MAX_RESPONSE_BYTES`], or the responses of the daemon take too much memory.
     TooLarge,
+    /// It has no body, although nothing but the end of its connection says that it is complete.
+    Empty,
 }
 
 /// A response's bytes, which count as buffered until dropped.
--- a/crates/oriole_gateway/src/forward/headers.rs
+++ b/crates/oriole_gateway/src/forward/headers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use oriole_fleet::bounded;
 use oriole_fleet::prelude::HeaderNames;
@@ -76,6 +76,11 @@
         Self { parts, body }
     }
 
+    /// Method of the request.
+    pub fn method(&self) -> &Method {
+        &self.parts.method
+    }
+
     /// Whether the caller sent a header.
     pub fn has_header(&self, name: &HeaderName) -> bool {
         self.parts.headers.contains_key(name)
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use oriole_fleet::prelude::*;
@@ -464,6 +464,10 @@
         .ok()?
         .into_parts();
     let body = match live.read_body(&gateway.response_buffers).await {
+        Ok(body) if body.is_empty() && lacks_body(request, &live) => Err(BufferError::Empty),
+        read => read,
+    };
+    let body = match body {
         Ok(body) => body,
         Err(e) => {
             gateway.traffic().load_mut(&live.instance).record_failure();
@@ -483,10 +487,21 @@
     Some(UpstreamResponse::Full { head, body })
 }
 
+/// Whether a successful response without a body broke off right after its head: nothing but the end of
+/// the connection ends its body, and a response without one would say so.
+fn lacks_body(request: &CheckedRequest, live: &LiveResponse) -> bool {
+    let status = live.response.status();
+    status.is_success()
+        && status != StatusCode::NO_CONTENT
+        && *request.outgoing.method() != Method::HEAD
+        && !live.has_length()
+}
+
 fn log_unread(gateway: &Gateway, request: &CheckedRequest, live: &LiveResponse, e: BufferError) {
     let reason = match e {
         BufferError::BrokeOff => "response broke off",
         BufferError::TooLarge => "response too large",
+        BufferError::Empty => "response ended with its head",
     };
     gateway.log.event(&LogEvent::Attempt {
         request: &request.id,
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod belief_age;
 mod broken_stream;
+mod cut_answer;
 mod endless;
 mod endpoints;
 mod events;
