--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -16,9 +16,9 @@
 /// Largest head of a response, in bytes. Also the largest part of a body that is read at once.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// Most bytes that an upstream may send that are no part of a body or event. Some parts of a body are
-/// read ahead of those that count.
-const MAX_USELESS_BYTES: usize = 4 * MAX_HEAD_BYTES;
+/// Most bytes that an upstream may send that are no part of a body or event, with room for the largest
+/// event before it is whole and for what is read ahead.
+const MAX_USELESS_BYTES: usize = 8 * MAX_HEAD_BYTES;
 
 /// Why no response head was received.
 #[derive(Debug)]
--- a/crates/oriole_gateway/tests/gateway/endless.rs
+++ b/crates/oriole_gateway/tests/gateway/endless.rs
@@ -293,3 +293,27 @@
         "{response}"
     );
 }
+
+/// Limits on endless answers must not end a large one.
+#[rstest]
+#[case::events(RouteKind::Stream, &format!("{STREAM_HEAD}{}", large_events()))]
+#[case::body_in_small_chunks(
+    RouteKind::AtMostOnce,
+    &format!("{CHUNKED_BODY}{}0\r\n\r\n", format!("8\r\n{}\r\n", "x".repeat(8)).repeat(120_000))
+)]
+#[case::body(RouteKind::AtMostOnce, &format!("{BODY_HEAD}{}", "x".repeat(960_000)))]
+#[tokio::test]
+async fn large_answer_is_passed_on(#[case] kind: RouteKind, #[case] answer: &str) {
+    let answer: &'static str = Box::leak(answer.to_owned().into_boxed_str());
+    let (address, _) = upstream(answer).await;
+    let harness = start(kind, address).await;
+    let response = harness.post("r-1").await;
+    assert!(response.len() >= 960_000, "{} bytes", response.len());
+    harness.log.lines("r-1", "answered").await;
+}
+
+/// Events just below the largest that is relayed.
+fn large_events() -> String {
+    let event = |id| format!("id: {id}\ndata: {}\n\n", "x".repeat(60_000));
+    (1..20).map(event).collect()
+}
