--- a/crates/oriole_gateway/src/forward/buffers.rs
+++ b/crates/oriole_gateway/src/forward/buffers.rs
@@ -72,7 +72,8 @@
 }
 
 impl ResponseBuffers {
-    /// Reads a whole body, which earns its connection the bytes to send it. Its memory counts until the last copy of the bytes is dropped.
+    /// Reads a whole body. Its memory counts until the last copy of the bytes is dropped, and each byte
+    /// extends the allowance of its connection.
     ///
     /// # Errors
     ///
--- a/crates/oriole_gateway/tests/gateway/odd_entry.rs
+++ b/crates/oriole_gateway/tests/gateway/odd_entry.rs
@@ -212,9 +212,8 @@
     assert_eq!(usable(&all, 2.0), ["a"]);
 }
 
-/// Entries of other writers must not hide that the leases of all upstreams expired together.
-#[test]
-fn apply_mass_lapse_beside_odd_entries_is_no_departure() {
+/// Eight upstreams beside forty entries of another writer.
+fn view_with_many_odd_entries() -> FleetView {
     let mut view = configured_view();
     for i in 1..=8 {
         let worker = format!("llm 10.0.0.{i}:80 n ready 1000");
@@ -224,6 +223,13 @@
         let odd = format!("inventory 10.0.1.{i}:80 n ready");
         view.apply(secs(0.0), put(&format!("up/odd-{i}"), &odd, 20 + i));
     }
+    view
+}
+
+/// Entries of other writers must not hide that the leases of all upstreams expired together.
+#[test]
+fn apply_mass_lapse_beside_odd_entries_is_no_departure() {
+    let mut view = view_with_many_odd_entries();
     for i in 1..=8 {
         view.apply(secs(9.0), removed(&format!("up/{i}"), 100 + i));
     }
@@ -233,15 +239,7 @@
 /// Many entries of another writer that vanish together do not excuse a departure.
 #[test]
 fn apply_odd_entries_removed_departure_takes_effect_at_once() {
-    let mut view = configured_view();
-    for i in 1..=8 {
-        let worker = format!("llm 10.0.0.{i}:80 n ready 1000");
-        view.apply(secs(0.0), put(&format!("up/{i}"), &worker, i + 1));
-    }
-    for i in 0..40 {
-        let odd = format!("inventory 10.0.1.{i}:80 n ready");
-        view.apply(secs(0.0), put(&format!("up/odd-{i}"), &odd, 20 + i));
-    }
+    let mut view = view_with_many_odd_entries();
     for i in 0..40 {
         view.apply(secs(9.0), removed(&format!("up/odd-{i}"), 100 + i));
     }
--- a/crates/oriole_gateway/tests/gateway/silent_upstream.rs
+++ b/crates/oriole_gateway/tests/gateway/silent_upstream.rs
@@ -17,6 +17,12 @@
 /// Longer than any silence that makes the daemon look for another upstream, and less than callers wait.
 const PAUSE: Duration = Duration::from_millis(1800);
 
+/// Gap between events after which callers leave.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Most tries until one of two upstreams, which are picked at random, comes first.
+const MAX_PICKS: usize = 40;
+
 const HEAD: &str = "HTTP/1.1 200 OK\r\nattempt: s1\r\nsignature: s\r\n\
      Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n";
 const FIRST: &str = "id: 1\ndata: a\n";
@@ -120,22 +126,29 @@
     }
 }
 
-/// An upstream that never goes on is replaced before the caller leaves.
-#[tokio::test]
-async fn serve_stream_silent_other_continues_in_time() {
-    let stuck = pausing_upstream(vec![format!("{HEAD}{FIRST}\n")], Duration::from_secs(60)).await;
+/// Serves a stream that begins at `first`, until that one is picked first, and asserts that another
+/// upstream continues it before the caller leaves.
+async fn assert_continued_in_time(first: SocketAddr) {
     let (other, _) = upstream(CONTINUATION).await;
-    for _ in 0..6 {
-        let harness = start_with_upstreams(stream_route(true, 2), &[stuck, other]).await;
+    for _ in 0..MAX_PICKS {
+        let harness = start_with_upstreams(stream_route(true, 2), &[first, other]).await;
         let began_at = Instant::now();
         let answer = harness.post("s1").await;
         if answer.contains(FIRST) {
             assert!(is_whole(&answer), "{answer}");
-            assert!(began_at.elapsed() < PAUSE, "{:?}", began_at.elapsed());
+            let took = began_at.elapsed();
+            assert!(took < CALLER_PATIENCE, "{took:?}");
             return;
         }
     }
-    panic!("the silent upstream was never picked first");
+    panic!("the upstream was never picked first");
+}
+
+/// An upstream that never goes on is replaced.
+#[tokio::test]
+async fn serve_stream_silent_other_continues_in_time() {
+    let parts = vec![format!("{HEAD}{FIRST}\n")];
+    assert_continued_in_time(pausing_upstream(parts, Duration::from_secs(60)).await).await;
 }
 
 /// A trickle of bytes without an event counts as silence.
@@ -144,19 +157,7 @@
     let head = HEAD.replace(": 30", ": 300");
     let mut parts = vec![format!("{head}{FIRST}\n")];
     parts.extend((0..40).map(|_| "x".to_owned()));
-    let trickling = pausing_upstream(parts, Duration::from_millis(200)).await;
-    let (other, _) = upstream(CONTINUATION).await;
-    for _ in 0..6 {
-        let harness = start_with_upstreams(stream_route(true, 2), &[trickling, other]).await;
-        let began_at = Instant::now();
-        let answer = harness.post("s1").await;
-        if answer.contains(FIRST) {
-            assert!(is_whole(&answer), "{answer}");
-            assert!(began_at.elapsed() < PAUSE, "{:?}", began_at.elapsed());
-            return;
-        }
-    }
-    panic!("the trickling upstream was never picked first");
+    assert_continued_in_time(pausing_upstream(parts, Duration::from_millis(200)).await).await;
 }
 
 /// An upstream that takes longer than usual for its head is waited for if there is no other.
