--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 use oriole_fleet::prelude::*;
 
 use super::buffers::{BufferError, ResponseBuffers};
-use super::head_outcome::{HeadInfo, HeadOutcome, classify_head};
+use super::head_outcome::{HeadOutcome, judge_head};
 use super::request::CheckedRequest;
 use super::{headers, limits, notices};
 use crate::decision_log::{AttemptOutcome, LogEvent};
@@ -211,10 +211,6 @@
     Ok((connection, response))
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn handle_response(
     gateway: &Arc<Gateway>,
     request: &CheckedRequest,
@@ -223,26 +219,19 @@
 ) -> AttemptEnd {
     let names = gateway.dialect.headers();
     let headers = live.response.headers();
-    let info = HeadInfo {
-        status: live.response.status(),
-        echoed_id: header_text(headers, &names.attempt),
-        is_signed: headers.contains_key(&names.signature),
-        is_marked_not_run: headers.contains_key(&names.not_run),
-        is_reused: live.connection.is_reused,
-        is_encoded: headers.contains_key(header::CONTENT_ENCODING),
-    };
+    let is_reused = live.connection.is_reused;
+    let judged = judge_head(names, &request.id, &live.response, is_reused);
     let took = gateway.clock.now().saturating_sub(live.started_at);
     metrics::histogram!("oriole_upstream_head_seconds").record(took.as_secs_f64());
     gateway
         .traffic()
         .load_mut(&live.instance)
         .record_head_latency(took);
-    let outcome = classify_head(&request.id, &info);
-    limits::on_answer(gateway, pick, &outcome, headers);
-    if info.belongs_to(&request.id) {
-        notices::on_answer(gateway, pick, info.status, headers);
+    limits::on_answer(gateway, pick, &judged.outcome, headers);
+    if judged.is_answer {
+        notices::on_answer(gateway, pick, live.response.status(), headers);
     }
-    match outcome {
+    match judged.outcome {
         HeadOutcome::Success => {
             let now = gateway.clock.now();
             gateway.traffic().record_answer(now, pick);
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod leaving;
 mod log_walkthrough;
 mod members;
+mod not_an_answer;
 mod odd_entry;
 mod outage;
 mod overload;
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`signals`]: signals for shutdown and reload.
 //! - [`sockets`]: TCP connections that detect an unresponsive peer. [`bounded_stream`]: streams that
 //!   end when the peer sends too much. [`connector`]: connects pooled HTTP clients with both.
+//! - [`http_answer`]: which heads of HTTP answers end a request.
 //!
 //! ```
 //! use oriole_kernel::prelude::*;
@@ -37,6 +38,7 @@
 pub mod clock;
 pub mod connector;
 pub mod error;
+pub mod http_answer;
 pub mod logging;
 pub mod metrics_port;
 pub mod registry;
