Count what is no answer as the upstream's failure, not as speed

An upstream that sends garbage at once drew more requests: a switch of protocols or a bare 404 counted as no failure, and every head's time, also that of heads that are no answer, as the upstream's latency.

An invalid answer now lowers the upstream's rank and leaves its latency as it was. A resumed stream whose answer is no stream of events counts the same. Tests: garbage_does_not_look_fast, invalid_answers_in_a_row_avoid_the_upstream.

--- a/crates/oriole_gateway/src/forward/buffers.rs
+++ b/crates/oriole_gateway/src/forward/buffers.rs
@@ -36,6 +36,18 @@
     Empty,
 }
 
+impl BufferError {
+    /// The reason as it is logged.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BrokeOff => "response broke off",
+            Self::TooLarge => "response too large",
+            Self::Empty => "response ended with its head",
+        }
+    }
+}
+
 /// A response's bytes, which count as buffered until dropped.
 struct Buffer {
     bytes: BytesMut,
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -471,7 +471,7 @@
         Ok(body) => body,
         Err(e) => {
             gateway.traffic().load_mut(&live.instance).record_failure();
-            log_unread(gateway, request, &live, e);
+            log_unusable(gateway, request, &live, e.as_str());
             return None;
         }
     };
@@ -497,12 +497,8 @@
         && !live.has_length()
 }
 
-fn log_unread(gateway: &Gateway, request: &CheckedRequest, live: &LiveResponse, e: BufferError) {
-    let reason = match e {
-        BufferError::BrokeOff => "response broke off",
-        BufferError::TooLarge => "response too large",
-        BufferError::Empty => "response ended with its head",
-    };
+/// Logs that a response whose head was valid cannot be used.
+fn log_unusable(gateway: &Gateway, request: &CheckedRequest, live: &LiveResponse, reason: &str) {
     gateway.log.event(&LogEvent::Attempt {
         request: &request.id,
         attempt: live.attempt,
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -15,8 +15,8 @@
 use super::request::CheckedRequest;
 use super::upstream_attempt::{self, AttemptEnd, HeadPatience, LiveResponse};
 use super::{
-    Progress, WaitPolicy, account_name, allows_rerun, has_alternative, headers, pick, suspects,
-    try_spend_retry,
+    Progress, WaitPolicy, account_name, allows_rerun, has_alternative, headers, log_unusable, pick,
+    suspects, try_spend_retry,
 };
 use crate::decision_log::LogEvent;
 use crate::gateway::{CountGuard, Gateway};
@@ -501,7 +501,11 @@
         };
         match result {
             // Its body is no part of the caller's stream, whatever its status says.
-            AttemptEnd::Success(live) if self.declares_events && !live.declares_events() => {}
+            AttemptEnd::Success(live) if self.declares_events && !live.declares_events() => {
+                let reason = "no stream of events";
+                upstream_attempt::record_invalid_answer(gateway, &live.instance, reason);
+                log_unusable(gateway, request, &live, reason);
+            }
             AttemptEnd::Success(live) => return Ok(Some(*live)),
             AttemptEnd::NotRun { .. } => progress.possible_runs -= 1,
             AttemptEnd::Unknown { is_disconnect, .. } => {
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -221,12 +221,14 @@
     let headers = live.response.headers();
     let is_reused = live.connection.is_reused;
     let judged = judge_head(names, &request.id, &live.response, is_reused);
-    let took = gateway.clock.now().saturating_sub(live.started_at);
-    metrics::histogram!("oriole_upstream_head_seconds").record(took.as_secs_f64());
-    gateway
-        .traffic()
-        .load_mut(&live.instance)
-        .record_head_latency(took);
+    if !matches!(judged.outcome, HeadOutcome::Unknown(_)) {
+        let took = gateway.clock.now().saturating_sub(live.started_at);
+        metrics::histogram!("oriole_upstream_head_seconds").record(took.as_secs_f64());
+        gateway
+            .traffic()
+            .load_mut(&live.instance)
+            .record_head_latency(took);
+    }
     limits::on_answer(gateway, pick, &judged.outcome, headers);
     if judged.is_answer {
         notices::on_answer(gateway, pick, live.response.status(), headers);
@@ -265,7 +267,7 @@
             }
         }
         HeadOutcome::Unknown(reason) => {
-            gateway.traffic().load_mut(&live.instance).record_failure();
+            record_invalid_answer(gateway, &live.instance, reason);
             AttemptEnd::Unknown {
                 reason: reason.to_owned(),
                 is_disconnect: false,
@@ -274,6 +276,16 @@
     }
 }
 
+/// Records that an upstream sent something that is no answer to a request.
+pub fn record_invalid_answer(gateway: &Gateway, instance: &str, reason: &'static str) {
+    metrics::counter!("oriole_invalid_answers_total", "reason" => reason).increment(1);
+    let now = gateway.clock.now();
+    gateway
+        .traffic()
+        .load_mut(instance)
+        .record_invalid_answer(now);
+}
+
 fn handle_send_error(gateway: &Gateway, pick: &Pick, e: SendError) -> AttemptEnd {
     let now = gateway.clock.now();
     match e {
--- a/crates/oriole_gateway/src/traffic/load.rs
+++ b/crates/oriole_gateway/src/traffic/load.rs
@@ -82,6 +82,17 @@
         self.failure_rate += AVERAGE_WEIGHT * (1.0 - self.failure_rate);
     }
 
+    /// Records that the upstream sent bytes that are no answer to a request. It may answer the next
+    /// one; only if it does not, it is avoided for a while.
+    pub fn record_invalid_answer(&mut self, now: Duration) {
+        if self.consecutive_failures > 0 {
+            self.record_unreachable(now);
+        } else {
+            self.record_failure();
+            self.consecutive_failures = 1;
+        }
+    }
+
     /// Records that the upstream refused a request without running it.
     pub fn record_refusal(&mut self, now: Duration) {
         self.backoff_until = self.backoff_until.max(now + REFUSAL_BACKOFF);
--- a/crates/oriole_gateway/tests/gateway/not_an_answer.rs
+++ b/crates/oriole_gateway/tests/gateway/not_an_answer.rs
@@ -1,7 +1,7 @@
 //! Upstreams that send bytes which are no answer to the request.
 //!
 //! Callers got a switch of protocols that nobody had asked for, or an error page that no upstream had
-//! marked as its own, although sound upstreams were free.
+//! marked as its own, although sound upstreams were free; and the fast garbage drew more requests.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
+use oriole_gateway::traffic::load::UpstreamLoad;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -185,6 +186,10 @@
     }
 }
 
+async fn sound_upstream(shared: &Shared, kind: Kind) -> SocketAddr {
+    start_upstream(shared, move |_, id| Reply::sound(kind, id)).await
+}
+
 /// Starts two upstreams of which whichever is asked first in the way `on` sends garbage, once.
 async fn upstreams_with_garbage(
     shared: &Shared,
@@ -380,3 +385,51 @@
         assert!(response.ends_with(&format!("\r\n\r\n{body}")), "{response}");
     });
 }
+
+/// Garbage comes faster than answers. It must not draw requests: an upstream that sends it gets fewer
+/// than its share.
+#[rstest]
+#[case::switch("HTTP/1.1 101 X\r\n\r\n")]
+#[case::bare_404("HTTP/1.1 404 X\r\nContent-Length: 1\r\n\r\nx")]
+#[case::status_600("HTTP/1.1 600 X\r\nattempt: ID\r\nsignature: s\r\nContent-Length: 1\r\n\r\nx")]
+#[case::no_http("\u{0}\u{1}\u{2}\r\n\r\n")]
+#[case::encoded(
+    "HTTP/1.1 200 X\r\nattempt: ID\r\nsignature: s\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"
+)]
+#[tokio::test]
+async fn garbage_does_not_look_fast(
+    #[case] garbage: &'static str,
+    #[values(Kind::AtMostOnce, Kind::Stream)] kind: Kind,
+) {
+    let shared = Shared::default();
+    let garbling = start_upstream(&shared, move |_, id| {
+        Reply::garbage(garbage, id, Then::Close)
+    });
+    let upstreams = [garbling.await, sound_upstream(&shared, kind).await];
+    let harness = start_with_upstreams(kind.route(), &upstreams).await;
+    for i in 0..MAX_REQUESTS {
+        harness.post(&format!("q-{i}")).await;
+    }
+    let garbled = shared.lock().unwrap().garbled;
+    assert!(garbled < MAX_REQUESTS / 2, "{garbled} of {MAX_REQUESTS}");
+}
+
+/// One invalid answer only lowers the upstream's rank; while nothing else comes, requests go elsewhere
+/// for longer and longer.
+#[test]
+fn invalid_answers_in_a_row_avoid_the_upstream() {
+    let mut load = UpstreamLoad::new("i-1");
+    let at = Duration::from_secs(1);
+    load.record_invalid_answer(at);
+    assert!(load.failure_rate > 0.0 && !load.is_in_backoff(at));
+    load.record_success(SERVICE_TIME);
+    load.record_invalid_answer(at);
+    assert!(!load.is_in_backoff(at));
+    let pause_of =
+        |load: &UpstreamLoad| (0..).find(|ms| !load.is_in_backoff(at + Duration::from_millis(*ms)));
+    load.record_invalid_answer(at);
+    let first = pause_of(&load);
+    load.record_invalid_answer(at);
+    assert!(first > Some(0) && pause_of(&load) > first);
+    assert_eq!(load.head_latency_s, None);
+}
