Count bytes between requests as the upstream's failure

Bytes after a whole answer reached no caller: the HTTP library ends such a connection, and a late one is told by its id. But nothing noted them, so an upstream that spoils each connection looked sound. The connection's task now tells its upstream's load and the log, also where a request was about to be sent; the answer before the bytes stands.

--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -15,7 +15,7 @@
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::Gateway;
 use crate::traffic::Pick;
-use crate::upstream::{AT_MOST_ONCE_MAX_IDLE, Connection, SendError};
+use crate::upstream::{AT_MOST_ONCE_MAX_IDLE, Connection, SendError, StrayBytesHandler};
 
 /// Counts a request as in flight at an upstream until dropped.
 pub struct InFlightGuard {
@@ -197,7 +197,7 @@
         Some(connection) => connection,
         None => {
             metrics::counter!("oriole_upstream_connections_total").increment(1);
-            Connection::open(pick.address).await?
+            Connection::open(pick.address, stray_bytes_handler(gateway, pick)).await?
         }
     };
     let remaining = request
@@ -286,6 +286,22 @@
         .record_invalid_answer(now);
 }
 
+/// Returns what is done about bytes that an upstream sends between two requests. They belong to no
+/// request, so the answer before them stands.
+fn stray_bytes_handler(gateway: &Arc<Gateway>, pick: &Pick) -> StrayBytesHandler {
+    let (gateway, instance, address) = (gateway.clone(), pick.instance.clone(), pick.address);
+    Arc::new(move || {
+        let reason = "bytes between requests";
+        metrics::counter!("oriole_invalid_answers_total", "reason" => reason).increment(1);
+        gateway.traffic().load_mut(&instance).record_failure();
+        gateway.log.event(&LogEvent::CallFailed {
+            step: "wait for request",
+            peer: Some(address),
+            error: reason,
+        });
+    })
+}
+
 fn handle_send_error(gateway: &Gateway, pick: &Pick, e: SendError) -> AttemptEnd {
     let now = gateway.clock.now();
     match e {
--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -1,6 +1,8 @@
 //! A connection to an upstream.
 
+use std::error::Error as _;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,12 +40,24 @@
     TimedOut,
 }
 
+/// Called when an upstream sends bytes while no request waits for an answer.
+pub type StrayBytesHandler = Arc<dyn Fn() + Send + Sync>;
+
+/// Whether a connection failed because bytes arrived that belong to no request. The HTTP library tells
+/// these only by exclusion: they have no other cause, and the connection neither ended nor was closed
+/// here.
+fn is_stray_bytes(e: &hyper::Error) -> bool {
+    let ended = e.is_incomplete_message() || e.is_canceled() || e.is_closed();
+    e.is_parse() || (e.source().is_none() && !ended)
+}
+
 /// A connection that carries one request at a time. Dropping it resets the TCP connection, so that
 /// the upstream learns that the request was abandoned.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
+    on_stray_bytes: StrayBytesHandler,
     /// Whether it has carried a request before.
     pub is_reused: bool,
     /// Time for which the upstream keeps it open when idle, if it states one.
@@ -56,7 +70,10 @@
     /// # Errors
     ///
     /// Returns [`SendError::NotSent`] if the connection cannot be established.
-    pub async fn open(address: SocketAddr) -> Result<Self, SendError> {
+    pub async fn open(
+        address: SocketAddr,
+        on_stray_bytes: StrayBytesHandler,
+    ) -> Result<Self, SendError> {
         let not_sent = |step: &str, e: &dyn std::fmt::Display| SendError::NotSent {
             reason: format!("{step}: {e}"),
             is_stale_connection: false,
@@ -73,14 +90,20 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| not_sent("handshake", &e))?;
+        let handler = on_stray_bytes.clone();
         let task = tokio::spawn(async move {
-            // A pending request receives the error itself; on an idle connection it has no effect.
-            let _ = connection.await;
+            // A pending request receives the error itself.
+            if let Err(e) = connection.await
+                && is_stray_bytes(&e)
+            {
+                handler();
+            }
         });
         Ok(Self {
             sender,
             task,
             allowance,
+            on_stray_bytes,
             is_reused: false,
             keep_alive: None,
         })
@@ -115,12 +138,16 @@
         let is_stale_connection = self.is_reused;
         self.sender.try_send_request(req).await.map_err(|mut e| {
             let reason = e.error().to_string();
-            match e.take_message() {
-                Some(_) => SendError::NotSent {
-                    reason,
-                    is_stale_connection,
-                },
-                None => SendError::NoResponse(reason),
+            if e.take_message().is_none() {
+                return SendError::NoResponse(reason);
+            }
+            let cause = e.error().source().and_then(|e| e.downcast_ref());
+            if is_stale_connection && cause.is_some_and(is_stray_bytes) {
+                (self.on_stray_bytes)();
+            }
+            SendError::NotSent {
+                reason,
+                is_stale_connection,
             }
         })
     }
--- a/crates/oriole_gateway/src/upstream/mod.rs
+++ b/crates/oriole_gateway/src/upstream/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-pub use self::connection::{Connection, SendError};
+pub use self::connection::{Connection, SendError, StrayBytesHandler};
 
 /// Most idle connections kept per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 4;
--- a/crates/oriole_gateway/tests/gateway/abandoned.rs
+++ b/crates/oriole_gateway/tests/gateway/abandoned.rs
@@ -4,6 +4,7 @@
 //! of a frozen VM and reached its upstream a second after their callers had left.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use oriole_gateway::upstream::Connection;
@@ -20,7 +21,7 @@
 #[tokio::test]
 async fn drop_connection_abandoned_request_is_reset() {
     let (listener, address) = listen().await;
-    let mut connection = Connection::open(address).await.unwrap();
+    let mut connection = Connection::open(address, Arc::new(|| {})).await.unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
     let req = http::Request::post("/a/x")
         .body(http_body_util::Full::default())
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -92,6 +92,15 @@
 }
 
 impl LogBuffer {
+    /// Waits for a line that contains `text`.
+    pub async fn wait_for(&self, text: &str) {
+        let began = tokio::time::Instant::now();
+        while !String::from_utf8_lossy(&self.0.lock().unwrap()).contains(text) {
+            assert!(began.elapsed() < TIMEOUT, "no line with {text:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits for a line of kind `last` about a request; returns kind and text of all lines about
     /// it.
     pub async fn lines(&self, request: &str, last: &str) -> Vec<(String, String)> {
--- a/crates/oriole_gateway/tests/gateway/not_an_answer.rs
+++ b/crates/oriole_gateway/tests/gateway/not_an_answer.rs
@@ -386,6 +386,88 @@
     });
 }
 
+/// What follows a whole answer on its connection.
+const STRAY_BYTES: [&str; 5] = [
+    "\u{0}\u{1}\u{2}\u{3}",
+    "HTTP/1.1 101 X\r\n\r\n",
+    "HTTP/1.1 404 X\r\nContent-Length: 1\r\n\r\nx",
+    "HTTP/1.1 503 X\r\nattempt: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 X\r\nattempt: ID\r\nsignature: s\r\nContent-Length: 5\r\n\r\nagain",
+];
+
+/// When the bytes follow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Follow {
+    AtOnce,
+    Later,
+}
+
+/// Bytes after a whole answer reach no caller, neither with that answer nor with the next one.
+#[rstest]
+fn bytes_after_an_answer_reach_no_caller(
+    #[values(0, 1, 2, 3, 4)] stray: usize,
+    #[values(
+        Kind::Idempotent,
+        Kind::AtMostOnce,
+        Kind::Stream,
+        Kind::ResumableStream
+    )]
+    kind: Kind,
+    #[values(Follow::AtOnce, Follow::Later)] follow: Follow,
+) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let shared = Shared::default();
+        let upstream = start_upstream(&shared, move |_, id| {
+            let mut reply = Reply::sound(kind, id);
+            let stray = STRAY_BYTES[stray].replace("ID", id);
+            match follow {
+                Follow::AtOnce => reply.parts[0] += &stray,
+                Follow::Later => reply.parts.push(stray),
+            }
+            reply
+        });
+        let harness = start_with_upstreams(kind.route(), &[upstream.await]).await;
+        let mut failed = 0;
+        for i in 0..10 {
+            let id = format!("s-{i}");
+            let response = harness.post(&id).await;
+            let is_failed = is_bad_gateway(&response, &id);
+            assert!(is_sound(&response, &id) || is_failed, "{id}: {response:?}");
+            failed += usize::from(is_failed);
+            let runs = shared.lock().unwrap().runs.get(&id).copied();
+            assert!(runs <= Some(1) || kind.may_run_again(), "{id}: {runs:?}");
+        }
+        // Late bytes can meet the next request, after which nothing is known of it.
+        assert!(failed == 0 || follow == Follow::Later, "{failed} failed");
+    });
+}
+
+/// An answer without a body by its kind ends with its head, whatever follows.
+#[rstest]
+#[case::head(
+    "HEAD",
+    "HTTP/1.1 200 X\r\nattempt: ID\r\nsignature: s\r\nContent-Length: 1\r\n\r\nx"
+)]
+#[case::no_content("POST", "HTTP/1.1 204 X\r\nattempt: ID\r\nsignature: s\r\n\r\nx")]
+#[case::not_modified("GET", "HTTP/1.1 304 X\r\nattempt: ID\r\nsignature: s\r\n\r\nx")]
+#[tokio::test]
+async fn bytes_after_a_head_reach_no_caller(#[case] method: &str, #[case] text: &'static str) {
+    let shared = Shared::default();
+    let upstream = start_upstream(&shared, move |_, id| {
+        Reply::garbage(text, id, Then::KeepOpen)
+    });
+    let harness = start_with_upstreams(Kind::AtMostOnce.route(), &[upstream.await]).await;
+    for i in 0..4 {
+        let req = format!(
+            "{method} /a/x HTTP/1.1\r\nHost: a.example\r\nattempt: h-{i}\r\nConnection: close\r\n\r\n"
+        );
+        let response = harness.send_until_ready(&req).await;
+        assert!(response.starts_with(&text[..12]), "{response}");
+        assert!(response.ends_with("\r\n\r\n"), "{response}");
+    }
+}
+
 /// Garbage comes faster than answers. It must not draw requests: an upstream that sends it gets fewer
 /// than its share.
 #[rstest]
@@ -433,3 +515,22 @@
     assert!(first > Some(0) && pause_of(&load) > first);
     assert_eq!(load.head_latency_s, None);
 }
+
+/// Bytes after a whole answer are recorded, and the next request uses another connection.
+#[tokio::test]
+async fn bytes_after_an_answer_count_as_failure() {
+    let (shared, kind) = (Shared::default(), Kind::AtMostOnce);
+    let upstream = start_upstream(&shared, move |n, id| {
+        assert_eq!(n, 0, "the connection is used again");
+        let mut reply = Reply::sound(kind, id);
+        reply.parts[0] += STRAY_BYTES[0];
+        reply
+    });
+    let harness = start_with_upstreams(kind.route(), &[upstream.await]).await;
+    for i in 0..4 {
+        let id = format!("t-{i}");
+        let response = harness.post(&id).await;
+        assert!(is_sound(&response, &id), "{response}");
+    }
+    harness.log.wait_for("bytes between requests").await;
+}
