Keep an upstream's late answer from the agent's next request

Each connection now carries one request; the upstream is on the same VM. Heads that are no answer in HTTP/1.1 end the request as unknown, not as passed on.

--- a/crates/oriole_agent/src/run.rs
+++ b/crates/oriole_agent/src/run.rs
@@ -191,7 +191,7 @@
             work.finished(FinishKind::Cancelled);
             FailureOutcome::NotRun(refusal_reason_of(*status))
         }
-        UpstreamError::Error(_) => {
+        UpstreamError::Error(_) | UpstreamError::Invalid(_) => {
             work.finished(FinishKind::Failed);
             FailureOutcome::Unknown(UnknownReason::UpstreamFailed)
         }
--- a/crates/oriole_agent/src/upstream/client.rs
+++ b/crates/oriole_agent/src/upstream/client.rs
@@ -10,6 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use oriole_kernel::connector::BoundedConnector;
+use oriole_kernel::http_answer;
 use oriole_kernel::sockets::TcpTimeouts;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -28,8 +29,10 @@
 /// Largest JSON document that [`read_json`] accepts, in bytes.
 const DEFAULT_MAX_JSON_BYTES: usize = 16 * 1024;
 
-/// An HTTP client of one upstream with pooled connections. Its errors distinguish whether a request
-/// was sent.
+/// An HTTP client of one upstream. Its errors distinguish whether a request was sent.
+///
+/// Answers do not name their request, so each connection carries one: what arrives on it can only be
+/// the answer to that request.
 pub struct HttpClient {
     client: Client<BoundedConnector, Full<Bytes>>,
     base_url: String,
@@ -48,7 +51,9 @@
             max_answer_bytes: MAX_ANSWER_BYTES,
         };
         Self {
-            client: Client::builder(TokioExecutor::new()).build(connector),
+            client: Client::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build(connector),
             base_url: format!("http://{addr}"),
         }
     }
@@ -110,6 +115,7 @@
                 UpstreamError::Failed(e.to_string())
             }
         })?;
+        http_answer::check_head(&response).map_err(UpstreamError::Invalid)?;
         check_status(response)
     }
 }
--- a/crates/oriole_agent/src/upstream/mod.rs
+++ b/crates/oriole_agent/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use oriole_kernel::http_answer::InvalidHead;
 use oriole_types::catalog::PoolKind;
 use oriole_types::ids::Attempt;
 use oriole_types::request::RequestHead;
@@ -49,6 +50,9 @@
     /// The upstream answered with an error status; the request may have run.
     #[error("the upstream answered with status {0}")]
     Error(u16),
+    /// The upstream sent something that is no answer; the request may have run.
+    #[error("the upstream sent no valid answer: {0}")]
+    Invalid(InvalidHead),
     /// The connection failed after the request was sent; the request may have run.
     #[error("the upstream failed: {0}")]
     Failed(String),
@@ -95,6 +99,7 @@
             Self::NotSent(_) => "not_sent",
             Self::Refused(_) => "refused",
             Self::Error(_) => "error_status",
+            Self::Invalid(_) => "invalid_answer",
             Self::Failed(_) => "connection_failed",
             Self::Incomplete => "incomplete",
         }
--- a/crates/oriole_agent/tests/faulty_upstream.rs
+++ b/crates/oriole_agent/tests/faulty_upstream.rs
@@ -1,6 +1,7 @@
-//! Upstreams that send bytes without end, or stop within an answer.
+//! Upstreams that send bytes without end, stop within an answer, or send bytes that are no answer.
 //!
-//! An agent kept reading as long as bytes came, and an answer that ended with its head looked whole.
+//! An agent kept reading as long as bytes came, an answer that ended with its head looked whole, and a
+//! late copy of an answer was taken for that to the next request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -119,3 +120,60 @@
     let (address, _) = start_upstream("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", b"").await;
     assert_eq!(read(address, Kind::Document).await, Ok(0));
 }
+
+/// Garbage is a failure after which the request may have run, never a refusal.
+#[rstest]
+#[case::switch("HTTP/1.1 101 X\r\n\r\n")]
+#[case::switch_after_interim_head("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 101 X\r\n\r\nx")]
+#[case::status_600("HTTP/1.1 600 X\r\nContent-Length: 1\r\n\r\nx")]
+#[case::version_1_0("HTTP/1.0 200 X\r\nContent-Length: 1\r\n\r\nx")]
+#[case::encoded("HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx")]
+#[case::encoded_refusal("HTTP/1.1 400 X\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx")]
+#[case::transfer_coding("HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n\r\nx")]
+#[case::no_http("\u{0}\u{1}\r\n\r\n")]
+#[tokio::test]
+async fn read_garbage_fails(#[case] garbage: &'static str) {
+    let (address, _) = start_upstream(garbage, b"").await;
+    let outcome = tokio::time::timeout(MAX_TIME, read(address, Kind::Document)).await;
+    let is_failed = matches!(
+        outcome,
+        Ok(Err(UpstreamError::Invalid(_) | UpstreamError::Failed(_)))
+    );
+    assert!(is_failed, "{outcome:?}");
+}
+
+/// Starts an upstream that sends its last answer on a connection once more before the next one. The
+/// bodies count the requests of all connections.
+async fn start_repeating_upstream() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let requests = requests.clone();
+            tokio::spawn(async move {
+                let (mut last, mut buf) = (String::new(), vec![0; 4096]);
+                while let Ok(1..) = stream.read(&mut buf).await {
+                    let number = requests.fetch_add(1, Ordering::Relaxed);
+                    let body = "x".repeat(number);
+                    let answer =
+                        format!("HTTP/1.1 200 X\r\nContent-Length: {number}\r\n\r\n{body}");
+                    let _ = stream.write_all((last + &answer).as_bytes()).await;
+                    last = answer;
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn read_repeated_answer_is_not_that_to_the_next_request() {
+    let address = start_repeating_upstream().await;
+    let client = HttpClient::new(address);
+    for number in 0..5 {
+        let response = client.post("/v1/run", &[], "x".into()).await.unwrap();
+        let items = Answer::plain(response).next().await.unwrap();
+        assert_eq!(items.map(|items| items.data.len()), Some(number));
+    }
+}
