--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -289,8 +289,13 @@
 /// Returns what is done about bytes that an upstream sends between two requests. They belong to no
 /// request, so the answer before them stands.
 fn stray_bytes_handler(gateway: &Arc<Gateway>, pick: &Pick) -> StrayBytesHandler {
-    let (gateway, instance, address) = (gateway.clone(), pick.instance.clone(), pick.address);
+    // The pool, which belongs to the gateway, keeps the handler with its connection.
+    let gateway = Arc::downgrade(gateway);
+    let (instance, address) = (pick.instance.clone(), pick.address);
     Arc::new(move || {
+        let Some(gateway) = gateway.upgrade() else {
+            return;
+        };
         let reason = "bytes between requests";
         metrics::counter!("oriole_invalid_answers_total", "reason" => reason).increment(1);
         gateway.traffic().load_mut(&instance).record_failure();
--- a/crates/oriole_gateway/tests/gateway/not_an_answer.rs
+++ b/crates/oriole_gateway/tests/gateway/not_an_answer.rs
@@ -64,21 +64,28 @@
 
     /// The answer of a sound upstream.
     fn sound_answer(self, id: &str) -> String {
-        let head = format!("HTTP/1.1 200 OK\r\nattempt: {id}\r\nsignature: s\r\n");
         let body = sound_body(id);
         match self {
-            Self::Idempotent | Self::AtMostOnce => {
-                format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
-            }
-            Self::Stream | Self::ResumableStream => format!(
-                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
-                 {:x}\r\n{body}\r\n0\r\n\r\n",
+            Self::Idempotent | Self::AtMostOnce => format!(
+                "HTTP/1.1 200 OK\r\nattempt: {id}\r\nsignature: s\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
             ),
+            Self::Stream | Self::ResumableStream => unfinished_stream(id, &body) + LAST_CHUNK,
         }
     }
 }
 
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// The answer of a stream, up to its last chunk.
+fn unfinished_stream(id: &str, events: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nattempt: {id}\r\nsignature: s\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n",
+        events.len()
+    )
+}
+
 fn sound_body(id: &str) -> String {
     format!("id: 1\ndata: sound {id}\n\n")
 }
@@ -534,3 +541,60 @@
     }
     harness.log.wait_for("bytes between requests").await;
 }
+
+/// Where a stream broke off and garbage comes in place of its rest, the caller gets the rest of another
+/// upstream and nothing else.
+#[rstest]
+#[case::switch("HTTP/1.1 101 X\r\n\r\nid: 2\ndata: garbage\n\n")]
+#[case::switch_signed(
+    "HTTP/1.1 101 X\r\nattempt: ID\r\nsignature: s\r\n\r\nid: 2\ndata: garbage\n\n"
+)]
+#[case::status_600(
+    "HTTP/1.1 600 X\r\nattempt: ID\r\nsignature: s\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: garbage\n\n"
+)]
+#[case::bare_404("HTTP/1.1 404 X\r\nContent-Length: 7\r\n\r\ngarbage")]
+#[case::encoded(
+    "HTTP/1.1 200 X\r\nattempt: ID\r\nsignature: s\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\n\r\nid: 2\ndata: garbage\n\n"
+)]
+#[case::document(
+    "HTTP/1.1 200 X\r\nattempt: ID\r\nsignature: s\r\nContent-Length: 22\r\n\r\nid: 2\ndata: garbage\n\n"
+)]
+#[tokio::test]
+async fn garbage_in_place_of_the_rest_of_a_stream(#[case] garbage: &'static str) {
+    let shared = Shared::default();
+    let count = shared.clone();
+    let reply = move |_: usize, id: &str| {
+        let run = count.lock().unwrap().runs.get(id).copied();
+        let first = sound_body(id);
+        match run.unwrap_or(0) {
+            0 => Reply {
+                parts: vec![unfinished_stream(id, &first)],
+                then: Then::Close,
+                ..Reply::sound(Kind::ResumableStream, id)
+            },
+            1 => Reply::garbage(garbage, id, Then::Close),
+            _ => Reply {
+                parts: vec![unfinished_stream(id, &(first + "id: 2\ndata: rest\n\n")) + LAST_CHUNK],
+                ..Reply::sound(Kind::ResumableStream, id)
+            },
+        }
+    };
+    let mut upstreams = Vec::new();
+    for _ in 0..3 {
+        upstreams.push(start_upstream(&shared, reply.clone()).await);
+    }
+    let route = Route {
+        max_attempts: 4,
+        ..Kind::ResumableStream.route()
+    };
+    let harness = start_with_upstreams(route, &upstreams).await;
+    let response = harness.post("r-0").await;
+    assert_eq!(shared.lock().unwrap().garbled, 1);
+    assert!(!response.contains("garbage"), "{response:?}");
+    let events: Vec<&str> = response
+        .lines()
+        .filter(|l| l.starts_with("data: "))
+        .collect();
+    assert_eq!(events, ["data: sound r-0", "data: rest"], "{response:?}");
+    assert!(response.ends_with(LAST_CHUNK), "{response:?}");
+}
