Give each daemon some cold upstreams that it may send to

Callers saw 503 busy for seconds after a power loss, although upstreams were free. Cause: a cold upstream takes 26 requests a second from the whole fleet (14 x 1.5 + 5). With more than 26 daemons the share of each is the remainder of a division, which went to the first daemons in the order of their names, for every upstream alike. All other daemons could send to no cold upstream at all while a whole service was cold. Change: the order starts at another daemon for each upstream, by the upstream's hash. The sum over daemons stays as it was. Measured: the new test fails on the code before (daemon 26 of 71 and of 340 may send to no upstream).

--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -17,7 +17,7 @@
 use rand::seq::IndexedRandom as _;
 use rand::{Rng, RngExt as _};
 
-use self::cold_limiter::ColdBounds;
+use self::cold_limiter::{ColdBounds, Turn};
 use self::load::UpstreamLoad;
 use self::outage::{OutageAction, OutageTracker};
 use self::retry_budget::{RetryBounds, RetryBudget};
@@ -467,6 +467,7 @@
         };
         let cold_bounds = self.bounds.cold;
         let load = self.load_mut(&known.upstream.instance);
+        let turn = Turn::new(share.ordinal, share.daemons, load.hash);
         let limit =
             f64::from(service.max_connections) * USABLE_CONNECTION_SHARE / share.daemons as f64;
         if f64::from(load.own_in_flight) >= limit.max(1.0) {
@@ -474,13 +475,9 @@
         }
         !known.is_cold(now)
             || service.cold_requests_per_s <= 0.0
-            || load.cold_limiter.allows(
-                now,
-                &cold_bounds,
-                service.cold_requests_per_s,
-                share.daemons,
-                share.ordinal,
-            )
+            || load
+                .cold_limiter
+                .allows(now, &cold_bounds, service.cold_requests_per_s, turn)
     }
 }
 
--- a/crates/oriole_gateway/tests/gateway/fleet_bounds.rs
+++ b/crates/oriole_gateway/tests/gateway/fleet_bounds.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use oriole_gateway::traffic::cold_limiter::{ColdBounds, ColdLimiter};
+use oriole_gateway::traffic::cold_limiter::{ColdBounds, ColdLimiter, Turn};
 use oriole_gateway::traffic::retry_budget::{RetryBounds, RetryBudget};
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::SeedableRng as _;
+use rstest::rstest;
 
 use crate::fake::secs;
 
@@ -52,11 +55,39 @@
     assert!(!retries.is_empty());
 }
 
+/// All upstreams of a service restart at once and are cold, in fleets with more daemons than a cold upstream
+/// takes requests. Guards against daemons that may send to none of them and refuse every request.
+#[rstest]
+#[case::daemons_71(71, 63)]
+#[case::daemons_340(340, 820)]
+fn cold_limiter_whole_service_is_cold_every_daemon_may_send(
+    #[case] daemons: usize,
+    #[case] upstreams: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let hashes: Vec<u64> = (0..upstreams).map(|_| rng.random()).collect();
+    let allowed = |daemon: usize, hash: u64| {
+        let turn = Turn::new(daemon, daemons, hash);
+        ColdLimiter::default().allows(Duration::ZERO, &COLD_BOUNDS, 14.0, turn)
+    };
+    for daemon in 0..daemons {
+        assert!(
+            hashes.iter().any(|hash| allowed(daemon, *hash)),
+            "daemon {daemon} may send to no upstream"
+        );
+    }
+    for hash in &hashes {
+        let senders = (0..daemons).filter(|daemon| allowed(*daemon, *hash));
+        assert_eq!(senders.count(), 26, "14 x 1.5 + 5 requests, one a daemon");
+    }
+}
+
 proptest! {
     #[test]
     fn cold_limiter_sum_stays_within_the_bound(
         daemons in 1..400usize,
         per_s in 0.0..80.0f64,
+        upstream_hash in any::<u64>(),
         attempts in prop::collection::vec((any::<prop::sample::Index>(), 0..30u64), 1..400),
     ) {
         let mut shares: Vec<ColdLimiter> = (0..daemons).map(|_| ColdLimiter::default()).collect();
@@ -65,7 +96,8 @@
         for (daemon, wait) in attempts {
             now += Duration::from_millis(wait);
             let daemon = daemon.index(daemons);
-            if shares[daemon].allows(now, &COLD_BOUNDS, per_s, daemons, daemon) {
+            let turn = Turn::new(daemon, daemons, upstream_hash);
+            if shares[daemon].allows(now, &COLD_BOUNDS, per_s, turn) {
                 shares[daemon].record_sent(now);
                 sent.push(now);
             }
