Let relays watch the store for the other entry daemons

Cause: in a fleet of 69 entry daemons, every daemon sends its watch of a busy prefix again every 300 ms.

Change: in fleets of more than 32, only the first two daemons by name in each failure domain do so. The others pause for 1.4 to 1.75 s on busy prefixes and pull the changes from peers, from the revision up to which their own calls are complete. They retry failed calls less often, and leave the first confirming reads to the relays. Pulled changes are applied under one lock, so that no reply contains a part of them.

--- a/crates/oriole_gateway/src/freshness.rs
+++ b/crates/oriole_gateway/src/freshness.rs
@@ -68,6 +68,16 @@
         READ_STEP.min(MAX_READ_SPREAD / daemons) * self.ordinal as u32
     }
 
+    /// A place in the second half of the order, for a daemon that leaves confirming reads to others
+    /// as long as they make them. The longest delay stays the same.
+    #[must_use]
+    pub fn in_second_half(self) -> Self {
+        Self {
+            ordinal: (self.daemons + self.ordinal) / 2,
+            ..self
+        }
+    }
+
     fn relist_delay(self) -> Duration {
         RELIST_STEP * self.ordinal as u32
     }
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::settings::GatewaySettings;
 use crate::traffic::{DaemonShare, Traffic};
 use crate::upstream::ConnectionPool;
+use crate::watch_relay::WatchRelay;
 
 /// Daemons assumed to exist in addition to the known ones when shares are computed, because new
 /// daemons may have started that this one does not know yet.
@@ -49,6 +50,10 @@
     pub mesh_wake: Notify,
     /// Notifies the tasks that keep the fleet view fresh, by watched prefix.
     pub freshness_wake: Vec<Notify>,
+    /// Ends the pauses of the watchers when this daemon becomes a relay.
+    pub(crate) promotion_wake: Notify,
+    /// Notifies the task that pulls the changes of closed watches that a peer is ahead.
+    pub(crate) pull_wake: Notify,
     /// Number of open connections from callers.
     pub open_connections: AtomicUsize,
     /// Number of requests whose response is not complete.
@@ -57,6 +62,7 @@
     pub waiting_requests: AtomicUsize,
     fleet_view: Mutex<FleetView>,
     freshness: Mutex<FreshnessTracker>,
+    watch_relay: Mutex<WatchRelay>,
     /// Number of listings applied.
     listings: AtomicU64,
     members: Mutex<Members>,
@@ -83,7 +89,10 @@
         let prefixes = dialect.watched_prefixes().len();
         Self {
             freshness: Mutex::new(FreshnessTracker::new(prefixes)),
+            watch_relay: Mutex::new(WatchRelay::new(prefixes)),
             listings: AtomicU64::new(0),
+            promotion_wake: Notify::new(),
+            pull_wake: Notify::new(),
             freshness_wake: (0..prefixes).map(|_| Notify::new()).collect(),
             fleet_view: Mutex::new(FleetView::new(dialect.clone(), cfg.lapse_grace())),
             members: Mutex::new(members),
@@ -115,6 +124,11 @@
         lock(&self.freshness)
     }
 
+    /// Role in watching the store, and pauses between the watches.
+    pub fn watch_relay(&self) -> MutexGuard<'_, WatchRelay> {
+        lock(&self.watch_relay)
+    }
+
     /// Time since the configuration in force was known to be the newest; `None` if it never was.
     pub fn configuration_age(&self) -> Option<Duration> {
         let key = self.dialect.configuration_key();
@@ -207,11 +221,18 @@
 
     /// Applies changes from a peer. Those that are news should have been reported by the watch.
     pub fn apply_from_peer(&self, changes: Vec<Change>) {
-        let before = self.fleet_view().digests().clone();
-        for change in changes {
-            self.apply(change, "peer");
-        }
-        let after = self.fleet_view().digests().clone();
+        let now = self.clock.now();
+        let (changes, version, before, after) = {
+            // Under one lock, so that no reply to another peer contains only a part of the changes.
+            let mut view = self.fleet_view();
+            let before = view.digests().clone();
+            let changes: Vec<FleetChange> = changes
+                .into_iter()
+                .flat_map(|change| view.apply(now, change))
+                .collect();
+            (changes, view.max_revision(), before, view.digests().clone())
+        };
+        self.log_changes(&changes, "peer", version);
         for prefix in 0..after.0.len() {
             if before.0[prefix] != after.0[prefix] {
                 self.on_missed_change(prefix);
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`fleet_view`]: cached configuration, upstreams and evacuations, by revision.
 //! - [`freshness`]: confirmation of the cached view by the store, and which watches are trusted.
+//! - [`watch_relay`]: pauses between watches; which daemons of a large fleet watch at short intervals.
 //! - [`traffic`]: loads, backoff, outages, cold starts and the retry budget; picks an upstream.
 //! - [`mesh`]: liveness of the other entry daemons, their requests in flight and the revisions that
 //!   they hold.
@@ -39,6 +40,7 @@
 pub mod settings;
 pub mod traffic;
 pub mod upstream;
+pub mod watch_relay;
 pub mod watcher;
 
 /// Everything that a binary or a test usually needs.
--- a/crates/oriole_gateway/src/mesh/members.rs
+++ b/crates/oriole_gateway/src/mesh/members.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom as _;
 use rand::{Rng, RngExt as _};
 
 use crate::fleet_view::PrefixRevisions;
+use crate::watch_relay::RelayPosition;
 
 use super::message::{Heartbeat, MemberRecord, Readiness};
 
@@ -213,6 +215,53 @@
             .max_by_key(|m| m.view_revisions.0.iter().sum::<u64>())
     }
 
+    /// A random member to pull newer items from, among those whose view has been ahead for at least
+    /// `min_lead`: one of the failure domain `domain` if there is any. The choice is random so that
+    /// one member does not serve all others.
+    pub fn random_member_ahead(
+        &self,
+        now: Duration,
+        min_lead: Duration,
+        own: &PrefixRevisions,
+        domain: &str,
+        rng: &mut impl Rng,
+    ) -> Option<&Member> {
+        let mut ahead: Vec<&Member> = self
+            .live(now)
+            .filter(|m| m.view_revisions.is_ahead_of(own))
+            .filter(|m| m.ahead_since.is_some_and(|since| now >= since + min_lead))
+            .collect();
+        if ahead.iter().any(|m| m.record.domain == domain) {
+            ahead.retain(|m| m.record.domain == domain);
+        }
+        // Sorted, so that the choice depends on nothing but the random numbers.
+        ahead.sort_unstable_by(|a, b| a.record.name.cmp(&b.record.name));
+        ahead.choose(rng).copied()
+    }
+
+    /// This daemon's position among the live daemons; `domain` is its failure domain.
+    #[must_use]
+    pub fn relay_position(&self, now: Duration, domain: &str) -> RelayPosition {
+        let mut position = RelayPosition {
+            daemons: 1,
+            domain_daemons: 1,
+            ordinal: 0,
+        };
+        for member in self.live(now) {
+            position.daemons += 1;
+            if member.record.domain == domain {
+                position.domain_daemons += 1;
+                position.ordinal += usize::from(member.record.name < self.own_name);
+            }
+        }
+        position
+    }
+
+    fn live(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        let members = self.members.values();
+        members.filter(move |m| now < m.last_heartbeat_at + LIVENESS_TIMEOUT)
+    }
+
     /// Requests that other daemons have in flight, by hash of the instance.
     #[must_use]
     pub fn in_flight(&self, now: Duration) -> HashMap<u64, u32> {
--- a/crates/oriole_gateway/src/mesh/message.rs
+++ b/crates/oriole_gateway/src/mesh/message.rs
@@ -177,4 +177,7 @@
     /// The changed items.
     #[prost(message, repeated, tag = "1")]
     pub items: Vec<PulledItem>,
+    /// How recently the store confirmed the view that the items are from, by watched prefix.
+    #[prost(message, repeated, tag = "2")]
+    pub confirmations: Vec<ConfirmationRecord>,
 }
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 pub mod members;
 pub mod message;
 pub mod pull;
+pub mod relay;
 mod suspects;
 
 use std::collections::HashSet;
@@ -18,6 +19,7 @@
 
 use self::message::{ConfirmationRecord, Heartbeat, InFlight, MemberRecord};
 use crate::decision_log::LogEvent;
+use crate::fleet_view::PrefixDigests;
 use crate::freshness::{Confirmation, ConfirmationId};
 use crate::gateway::Gateway;
 
@@ -75,6 +77,7 @@
         stop.clone(),
     ));
     tokio::spawn(send_heartbeats(gateway.clone(), udp, stop.clone()));
+    tokio::spawn(relay::pull_closed(gateway.clone(), stop.clone()));
     tokio::spawn(pull::serve(gateway.clone(), sockets.tcp, stop.clone()));
 }
 
@@ -111,6 +114,7 @@
 /// Processes a heartbeat of a peer.
 pub fn on_heartbeat(gateway: &Gateway, heartbeat: Heartbeat) {
     take_over_confirmations(gateway, &heartbeat.confirmations);
+    relay::on_heartbeat(gateway, &heartbeat);
     suspects::merge(gateway, &heartbeat);
     limits::merge(gateway, &heartbeat);
     let revisions = gateway.fleet_view().revisions().clone();
@@ -121,7 +125,7 @@
 }
 
 /// A confirmation of a peer also holds for this daemon if both hold the same items.
-fn take_over_confirmations(gateway: &Gateway, records: &[ConfirmationRecord]) {
+pub(crate) fn take_over_confirmations(gateway: &Gateway, records: &[ConfirmationRecord]) {
     let now = gateway.clock.now();
     let digests = gateway.fleet_view().digests().clone();
     for (prefix, digest) in digests.0.into_iter().enumerate() {
@@ -140,14 +144,18 @@
 }
 
 fn own_confirmations(gateway: &Gateway) -> Vec<ConfirmationRecord> {
+    records_of(gateway, &gateway.fleet_view().digests().clone())
+}
+
+/// The own confirmations, for a view with these digests.
+fn records_of(gateway: &Gateway, digests: &PrefixDigests) -> Vec<ConfirmationRecord> {
     let now = gateway.clock.now();
-    let digests = gateway.fleet_view().digests().clone();
     let freshness = gateway.freshness();
-    let records = digests.0.into_iter().enumerate().map(|(prefix, digest)| {
+    let records = digests.0.iter().enumerate().map(|(prefix, digest)| {
         let confirmation = freshness.confirmation(prefix);
         let age = confirmation.map(|c| now.saturating_sub(c.as_of).as_millis());
         ConfirmationRecord {
-            digest,
+            digest: *digest,
             age_ms: age.and_then(|ms| ms.try_into().ok()),
             incarnation: confirmation.map_or(0, |c| c.id.incarnation),
             number: confirmation.map_or(0, |c| c.id.number),
@@ -184,6 +192,7 @@
             now: change.state,
         });
     }
+    gateway.update_watch_role();
     gateway.fleet_view().tick(now);
     gateway.part_screen().tick(now);
     let in_flight = gateway.members().in_flight(now);
@@ -201,7 +210,7 @@
 
 /// Peer address of a daemon that holds newer items than this one for some time.
 pub fn peer_ahead(gateway: &Gateway) -> Option<SocketAddr> {
-    let revisions = gateway.fleet_view().revisions().clone();
+    let revisions = relay::open_revisions(gateway);
     let now = gateway.clock.now();
     let members = gateway.members();
     let member = members.member_ahead(now, PULL_DELAY, &revisions)?;
--- a/crates/oriole_gateway/src/mesh/pull.rs
+++ b/crates/oriole_gateway/src/mesh/pull.rs
@@ -13,7 +13,8 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-use super::message::{PullReply, PullRequest, PulledItem};
+use super::message::{ConfirmationRecord, PullReply, PullRequest, PulledItem};
+use super::records_of;
 use crate::decision_log::LogEvent;
 use crate::fleet_view::PrefixRevisions;
 use crate::gateway::Gateway;
@@ -49,6 +50,16 @@
 /// Pulls the items that this daemon lacks from a peer.
 pub async fn pull(gateway: &Arc<Gateway>, peer: SocketAddr) {
     let since = gateway.fleet_view().revisions().clone();
+    let _ = pull_since(gateway, peer, since).await;
+}
+
+/// Pulls the items that changed after the given revisions from a peer. Returns the
+/// confirmations of the peer's view after the items were applied.
+pub(super) async fn pull_since(
+    gateway: &Arc<Gateway>,
+    peer: SocketAddr,
+    since: PrefixRevisions,
+) -> Option<Vec<ConfirmationRecord>> {
     let outcome = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange(peer, &since)).await;
     let outcome = outcome.unwrap_or(Err(PullError::Timeout));
     match outcome {
@@ -58,13 +69,18 @@
                 since: &since.0,
                 items: reply.items.len(),
             });
+            let confirmations = reply.confirmations.clone();
             apply_reply(gateway, reply);
+            Some(confirmations)
+        }
+        Err(e) => {
+            gateway.log.event(&LogEvent::CallFailed {
+                step: "pull",
+                peer: Some(peer),
+                error: &e.to_string(),
+            });
+            None
         }
-        Err(e) => gateway.log.event(&LogEvent::CallFailed {
-            step: "pull",
-            peer: Some(peer),
-            error: &e.to_string(),
-        }),
     }
 }
 
@@ -77,7 +93,9 @@
 /// The items that a peer lacks.
 #[must_use]
 pub fn reply_to(gateway: &Gateway, req: PullRequest) -> PullReply {
+    // Under one lock, so that the confirmations are for the view that the items are from.
     let view = gateway.fleet_view();
+    let confirmations = records_of(gateway, view.digests());
     let items = view.items_since(&PrefixRevisions(req.since));
     let items = items.into_iter().map(|(key, held)| PulledItem {
         key: key.to_owned(),
@@ -86,6 +104,7 @@
     });
     PullReply {
         items: items.collect(),
+        confirmations,
     }
 }
 
--- a/crates/oriole_gateway/src/observed_store.rs
+++ b/crates/oriole_gateway/src/observed_store.rs
@@ -39,6 +39,12 @@
     }
 }
 
+/// Counts a call; calls of the registration have no prefix.
+fn count_call(prefix: &str, call: &'static str) {
+    metrics::counter!("oriole_store_calls_total", "prefix" => prefix.to_owned(), "call" => call)
+        .increment(1);
+}
+
 #[async_trait]
 impl FleetStore for ObservedStore {
     async fn list(
@@ -47,6 +53,7 @@
         after: Option<&str>,
         freshness: Freshness,
     ) -> Result<ListPage, StoreError> {
+        count_call(prefix, "list");
         let sent_at = self.gateway.clock.now();
         self.record(sent_at, self.inner.list(prefix, after, freshness).await)
     }
@@ -57,6 +64,7 @@
         after: u64,
         wait: Duration,
     ) -> Result<WatchOutcome, StoreError> {
+        count_call(prefix, "watch");
         let outcome = self.inner.watch(prefix, after, wait).await;
         // A failed watch is listed again anyway, and it may have been sent long before the failure.
         if outcome.is_ok() {
@@ -66,16 +74,19 @@
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        count_call("", "grant_lease");
         let sent_at = self.gateway.clock.now();
         self.record(sent_at, self.inner.grant_lease(ttl).await)
     }
 
     async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        count_call("", "renew_lease");
         let sent_at = self.gateway.clock.now();
         self.record(sent_at, self.inner.renew_lease(lease).await)
     }
 
     async fn put(&self, item: PutItem<'_>) -> Result<(), StoreError> {
+        count_call("", "put");
         let sent_at = self.gateway.clock.now();
         self.record(sent_at, self.inner.put(item).await)
     }
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use oriole_fleet::prelude::*;
-use oriole_store::backoff::Backoff;
 use oriole_store::error::StoreError;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -13,17 +12,7 @@
 use crate::decision_log::LogEvent;
 use crate::freshness::FreshnessAction;
 use crate::gateway::{Gateway, Listing};
-
-/// Pauses after failed calls. The longest is short compared with the agreed time for changes to
-/// take effect.
-const BACKOFF: Backoff = Backoff {
-    first: Duration::from_millis(100),
-    max: Duration::from_millis(800),
-};
-
-/// Pause after a watch returned changes, so that changes in quick succession cost one call. Short
-/// compared with the agreed time for changes to take effect.
-const CHANGE_BATCH_PAUSE: Duration = Duration::from_millis(300);
+use crate::watch_relay::RetryAction;
 
 /// Starts the tasks for each watched prefix of the dialect, which run until `stop` is cancelled.
 pub fn spawn(gateway: &Arc<Gateway>, store: &Arc<dyn FleetStore>, stop: &CancellationToken) {
@@ -38,6 +27,7 @@
         let watcher = PrefixWatcher {
             prefix: prefix.clone(),
             revision: None,
+            complete_revision: None,
             failed_calls: 0,
         };
         let confirmer = PrefixConfirmer {
@@ -117,6 +107,8 @@
     prefix: WatchedPrefix,
     /// Revision up to which changes are known; `None` if a listing is needed.
     revision: Option<u64>,
+    /// Revision up to which the last successful calls were complete, also after a failure.
+    complete_revision: Option<u64>,
     failed_calls: u32,
 }
 
@@ -135,14 +127,20 @@
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
-        self.revision = Some(self.prefix.list().await?);
+        self.set_revision(self.prefix.list().await?);
         Ok(())
     }
 
+    fn set_revision(&mut self, revision: u64) {
+        self.revision = Some(revision);
+        self.complete_revision = Some(revision);
+    }
+
     async fn watch(&mut self, revision: u64) -> Result<(), StoreError> {
-        let gateway = &self.prefix.gateway;
+        let gateway = self.prefix.gateway.clone();
         let wait = Duration::from_millis(gateway.cfg.store.watch_ms);
         let (index, now) = (self.prefix.index, gateway.clock.now());
+        gateway.watch_relay().on_watch_sent(now, index);
         gateway.freshness().on_watch_opened(now, index);
         let outcome = tokio::select! {
             outcome = self.prefix.store.watch(self.prefix.name, revision, wait) => Some(outcome),
@@ -166,9 +164,12 @@
                 for change in changes {
                     gateway.apply(change, "store");
                 }
-                self.revision = Some(resume_revision.max(revision));
+                // Changes from peers do not count: they do not prove that none between is missing.
+                let complete = resume_revision.max(revision);
+                self.set_revision(complete);
                 if has_changes {
-                    tokio::time::sleep(CHANGE_BATCH_PAUSE).await;
+                    let pause = gateway.pause_after_changes(index, complete);
+                    gateway.sleep_unless_promoted(pause).await;
                 }
             }
             WatchOutcome::HistoryGone => {
@@ -199,8 +200,16 @@
         self.failed_calls += 1;
         // A watch resumed after a failure may omit changes made meanwhile, so list again.
         self.revision = None;
-        let pause = BACKOFF.pause(self.failed_calls, &mut rand::rng());
-        tokio::time::sleep(pause).await;
+        let (gateway, index) = (&self.prefix.gateway, self.prefix.index);
+        gateway.on_watcher_call_failed(index, self.failed_calls, self.complete_revision);
+        loop {
+            let now = gateway.clock.now();
+            let action = gateway.watch_relay().next_retry(now, index);
+            let RetryAction::WaitUntil(at) = action else {
+                break;
+            };
+            gateway.sleep_unless_promoted(at.saturating_sub(now)).await;
+        }
     }
 }
 
@@ -216,7 +225,7 @@
         let gateway = self.prefix.gateway.clone();
         let wake = &gateway.freshness_wake[self.prefix.index];
         loop {
-            let (now, place) = (gateway.clock.now(), gateway.place());
+            let (now, place) = (gateway.clock.now(), gateway.confirming_place());
             let action = gateway
                 .freshness()
                 .next_action(now, self.prefix.index, place);
@@ -242,6 +251,7 @@
                     self.prefix.log_state("confirmed", "", Some(revision));
                 }
                 self.failed_calls = 0;
+                gateway.watch_relay().on_confirm(self.prefix.index, None);
                 // Peers take over the confirmation and need no read of their own.
                 gateway.mesh_wake.notify_one();
             }
@@ -251,8 +261,13 @@
                     self.prefix.log_state("unconfirmed", &e.to_string(), None);
                 }
                 self.failed_calls += 1;
-                let pause = BACKOFF.pause(self.failed_calls, &mut rand::rng());
                 let now = gateway.clock.now();
+                let pause = {
+                    let mut relay = gateway.watch_relay();
+                    let pause = relay.retry_pause(self.failed_calls, &mut rand::rng());
+                    relay.on_confirm(self.prefix.index, Some(now + pause));
+                    pause
+                };
                 gateway
                     .freshness()
                     .on_confirm_failed(now, self.prefix.index, pause);
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -32,3 +32,6 @@
 mod suspect_content;
 mod suspect_parts;
 mod upstream_notice;
+mod watch_relay;
+mod watch_relay_fleet;
+mod watch_relay_model;
