--- a/crates/oriole_gateway/src/watch_relay.rs
+++ b/crates/oriole_gateway/src/watch_relay.rs
@@ -146,7 +146,7 @@
     closed_since: Option<u64>,
     /// Latest time as of which a peer of the failure domain reported a confirmation.
     peer_confirmed_at: Option<Duration>,
-    /// Time until which the retry of a failed confirming read is due; `None` if it did not fail.
+    /// Time at which the retry of a failed confirming read is due; `None` if it did not fail.
     confirm_retry_at: Option<Duration>,
     retry: Option<Retry>,
 }
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -35,3 +35,4 @@
 mod watch_relay;
 mod watch_relay_fleet;
 mod watch_relay_model;
+mod watch_relay_task;
