Count views that are never confirmed again in the relay model

Cause: the model recorded the time to a confirmation only once there was one.

Change: each check also counts the time without one since the failure.

--- a/crates/oriole_gateway/tests/gateway/watch_relay_model/check.rs
+++ b/crates/oriole_gateway/tests/gateway/watch_relay_model/check.rs
@@ -36,6 +36,14 @@
             longest = longest.max(lag);
             !is_held
         });
+        // A view that is never confirmed again counts as well.
+        let confirmed_at = daemon.freshness.confirmed_at(self.prefix);
+        for failure in failures.into_iter().flatten() {
+            if now >= failure.end && confirmed_at < Some(failure.end) {
+                let recovery = &mut self.outcome.longest_recovery;
+                *recovery = (*recovery).max(now - failure.end);
+            }
+        }
         self.outcome.longest_lag = self.outcome.longest_lag.max(longest);
     }
 }
