Close a promotion race, and age pulled confirmations by the exchange

A pulled confirmation took its age from the arrival of the reply, so that a slow exchange (up to 1,500 ms) made the view look newer than it was. An empty watch restarted the busy window, so that a prefix stayed busy if its next change came within 3 s of a new watch, or always if watch_ms is below 3 s.

Change: register before the role is read; count the age from the time at which the pull was sent; let a watch after an empty one continue the quiet time. New tests: a promotion ends the pause of the running watch task, and a prefix is quiet after several empty watches. The race itself and the age of a pulled confirmation have no test.

--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -113,7 +113,7 @@
 
 /// Processes a heartbeat of a peer.
 pub fn on_heartbeat(gateway: &Gateway, heartbeat: Heartbeat) {
-    take_over_confirmations(gateway, &heartbeat.confirmations);
+    take_over_confirmations(gateway, &heartbeat.confirmations, gateway.clock.now());
     relay::on_heartbeat(gateway, &heartbeat);
     suspects::merge(gateway, &heartbeat);
     limits::merge(gateway, &heartbeat);
@@ -124,16 +124,20 @@
     gateway.traffic().set_peer_loads(&in_flight);
 }
 
-/// A confirmation of a peer also holds for this daemon if both hold the same items.
-pub(crate) fn take_over_confirmations(gateway: &Gateway, records: &[ConfirmationRecord]) {
-    let now = gateway.clock.now();
+/// A confirmation of a peer also holds for this daemon if both hold the same items. The ages in the
+/// records count from `reported_at`.
+pub(crate) fn take_over_confirmations(
+    gateway: &Gateway,
+    records: &[ConfirmationRecord],
+    reported_at: Duration,
+) {
     let digests = gateway.fleet_view().digests().clone();
     for (prefix, digest) in digests.0.into_iter().enumerate() {
         let Some(record) = records.get(prefix).filter(|c| c.digest == digest) else {
             continue;
         };
         let age = record.age_ms.map(|ms| Duration::from_millis(ms.into()));
-        if let Some(as_of) = age.and_then(|age| now.checked_sub(age)) {
+        if let Some(as_of) = age.and_then(|age| reported_at.checked_sub(age)) {
             let id = ConfirmationId {
                 incarnation: record.incarnation,
                 number: record.number,
--- a/crates/oriole_gateway/src/mesh/relay.rs
+++ b/crates/oriole_gateway/src/mesh/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::futures::Notified;
 use tokio_util::sync::CancellationToken;
 
 use super::message::Heartbeat;
@@ -13,7 +14,7 @@
 use crate::fleet_view::PrefixRevisions;
 use crate::freshness::Place;
 use crate::gateway::Gateway;
-use crate::watch_relay::WatchRole;
+use crate::watch_relay::{RetryAction, WatchRole};
 
 /// Time for which a peer must be ahead before items of a closed watch are pulled from it. No own
 /// watch is about to report them; the time lets further peers become candidates.
@@ -64,13 +65,30 @@
         }
     }
 
-    /// The pause after a watch returned changes, with which this daemon's own calls are complete up
-    /// to a revision.
-    pub(crate) fn pause_after_changes(&self, prefix: usize, complete_revision: u64) -> Duration {
+    /// Pauses after a watch returned changes, with which this daemon's own calls are complete up to
+    /// a revision.
+    pub(crate) async fn pause_after_changes(&self, prefix: usize, complete_revision: u64) {
         self.update_watch_role();
+        // Created before the role is read, so that a promotion in between is not missed.
+        let promoted = self.promotion_wake.notified();
         let now = self.clock.now();
-        self.watch_relay()
-            .on_changes(now, prefix, complete_revision, &mut rand::rng())
+        let pause = self
+            .watch_relay()
+            .on_changes(now, prefix, complete_revision, &mut rand::rng());
+        sleep_unless_promoted(pause, promoted).await;
+    }
+
+    /// Waits until the watcher of a prefix may call the store again after a failed call.
+    pub(crate) async fn wait_for_retry(&self, prefix: usize) {
+        loop {
+            let promoted = self.promotion_wake.notified();
+            let now = self.clock.now();
+            let action = self.watch_relay().next_retry(now, prefix);
+            let RetryAction::WaitUntil(at) = action else {
+                return;
+            };
+            sleep_unless_promoted(at.saturating_sub(now), promoted).await;
+        }
     }
 
     /// Records a failed call of the watcher of a prefix.
@@ -91,14 +109,6 @@
         );
     }
 
-    /// Sleeps, but not beyond the time at which this daemon becomes a relay.
-    pub(crate) async fn sleep_unless_promoted(&self, time: Duration) {
-        tokio::select! {
-            () = tokio::time::sleep(time) => {}
-            () = self.promotion_wake.notified() => {}
-        }
-    }
-
     /// The revisions held under the prefixes whose watches are closed, and the highest possible one
     /// for the others; `None` if no watch is closed.
     fn closed_revisions(&self) -> Option<PrefixRevisions> {
@@ -116,6 +126,14 @@
     }
 }
 
+/// Sleeps, but not beyond the time at which this daemon becomes a relay.
+async fn sleep_unless_promoted(time: Duration, promoted: Notified<'_>) {
+    tokio::select! {
+        () = tokio::time::sleep(time) => {}
+        () = promoted => {}
+    }
+}
+
 /// The revisions held, and the highest possible one for prefixes whose watches are closed: their
 /// changes are pulled by [`pull_closed`], from random peers.
 pub(super) fn open_revisions(gateway: &Gateway) -> PrefixRevisions {
@@ -177,10 +195,13 @@
             gateway.pull_wake.notified().await;
             tokio::time::sleep(CLOSED_PULL_DELAY).await;
             if let Some((peer, since)) = closed_pull(&gateway) {
+                let sent_at = gateway.clock.now();
                 let confirmations = pull::pull_since(&gateway, peer, since).await;
                 // On a prefix that changes continuously, the own view seldom equals that of a
                 // heartbeat's sender. After a pull it usually does.
-                take_over_confirmations(&gateway, &confirmations.unwrap_or_default());
+                // The reply may have been on its way for the whole exchange.
+                let confirmations = confirmations.unwrap_or_default();
+                take_over_confirmations(&gateway, &confirmations, sent_at);
                 // A peer's view changes at most once per heartbeat as far as this daemon knows.
                 tokio::time::sleep(HEARTBEAT_INTERVAL - CLOSED_PULL_DELAY).await;
             }
--- a/crates/oriole_gateway/src/watch_relay.rs
+++ b/crates/oriole_gateway/src/watch_relay.rs
@@ -45,9 +45,9 @@
     max: Duration::from_millis(800),
 };
 
-/// Longest pause of a waiting daemon after a failed call; the shortest is three
-/// quarters of it. Relays find
-/// the store again earlier, and their confirmations reach the waiting daemons through peers.
+/// Longest pause of a waiting daemon after a failed call; the shortest is three quarters of it.
+/// Relays find the store again earlier, and their confirmations reach the waiting daemons through
+/// peers.
 const WAITING_RETRY_PAUSE: Duration = Duration::from_millis(1600);
 
 /// Age up to which the confirmation of a peer suspends retries: the agreed time for changes to take
@@ -140,8 +140,10 @@
     /// Times of the batches of changes within the window.
     batches: Vec<Duration>,
     is_busy: bool,
-    /// Time at which the latest watch was sent.
+    /// Time at which the latest watch was sent, or the first of several without changes.
     sent_at: Option<Duration>,
+    /// Whether the latest watch ended without changes, at the end of its waiting time.
+    has_ended_empty: bool,
     /// While the watch is closed on purpose: the revision up to which the own calls were complete.
     closed_since: Option<u64>,
     /// Latest time as of which a peer of the failure domain reported a confirmation.
@@ -224,9 +226,18 @@
 
     /// Records that a watch was sent.
     pub fn on_watch_sent(&mut self, now: Duration, prefix: usize) {
-        self.prefixes[prefix].sent_at = Some(now);
-        self.prefixes[prefix].closed_since = None;
-        self.prefixes[prefix].retry = None;
+        let prefix = &mut self.prefixes[prefix];
+        if !std::mem::take(&mut prefix.has_ended_empty) {
+            prefix.sent_at = Some(now);
+        }
+        prefix.closed_since = None;
+        prefix.retry = None;
+    }
+
+    /// Records that a watch returned no changes. The next one continues it: a waiting time shorter
+    /// than the busy window must not keep a quiet prefix busy.
+    pub fn on_no_changes(&mut self, prefix: usize) {
+        self.prefixes[prefix].has_ended_empty = true;
     }
 
     /// Records that the watcher's call failed. `complete_revision` is the revision up to which the
--- a/crates/oriole_gateway/src/watcher.rs
+++ b/crates/oriole_gateway/src/watcher.rs
@@ -12,7 +12,6 @@
 use crate::decision_log::LogEvent;
 use crate::freshness::FreshnessAction;
 use crate::gateway::{Gateway, Listing};
-use crate::watch_relay::RetryAction;
 
 /// Starts the tasks for each watched prefix of the dialect, which run until `stop` is cancelled.
 pub fn spawn(gateway: &Arc<Gateway>, store: &Arc<dyn FleetStore>, stop: &CancellationToken) {
@@ -168,8 +167,9 @@
                 let complete = resume_revision.max(revision);
                 self.set_revision(complete);
                 if has_changes {
-                    let pause = gateway.pause_after_changes(index, complete);
-                    gateway.sleep_unless_promoted(pause).await;
+                    gateway.pause_after_changes(index, complete).await;
+                } else {
+                    gateway.watch_relay().on_no_changes(index);
                 }
             }
             WatchOutcome::HistoryGone => {
@@ -202,14 +202,7 @@
         self.revision = None;
         let (gateway, index) = (&self.prefix.gateway, self.prefix.index);
         gateway.on_watcher_call_failed(index, self.failed_calls, self.complete_revision);
-        loop {
-            let now = gateway.clock.now();
-            let action = gateway.watch_relay().next_retry(now, index);
-            let RetryAction::WaitUntil(at) = action else {
-                break;
-            };
-            gateway.sleep_unless_promoted(at.saturating_sub(now)).await;
-        }
+        gateway.wait_for_retry(index).await;
     }
 }
 
--- a/crates/oriole_gateway/tests/gateway/watch_relay.rs
+++ b/crates/oriole_gateway/tests/gateway/watch_relay.rs
@@ -136,6 +136,27 @@
     assert_eq!(relay.on_changes(now, 0, 41, &mut rng), CHANGE_BATCH_PAUSE);
 }
 
+/// Guards against a prefix that stays busy for good because the waiting time of its watches, a
+/// setting, is shorter than the busy window.
+#[test]
+fn busy_prefix_quiet_after_several_empty_watches() {
+    let (mut relay, mut rng) = (closed(), rng());
+    let mut now = secs(12.0);
+    for _ in 0..3 {
+        relay.on_watch_sent(now, 0);
+        now += secs(1.0);
+        relay.on_no_changes(0);
+    }
+    relay.on_watch_sent(now, 0);
+    assert_eq!(relay.on_changes(now, 0, 31, &mut rng), CHANGE_BATCH_PAUSE);
+    // A watch after one with changes counts anew.
+    relay.on_changes(now, 0, 32, &mut rng);
+    relay.on_changes(now, 0, 33, &mut rng);
+    relay.on_watch_sent(now, 0);
+    now += secs(2.9);
+    assert!(relay.on_changes(now, 0, 34, &mut rng) >= WAITING_PAUSE);
+}
+
 #[test]
 fn pause_of_relay_is_short_on_busy_prefix() {
     let (mut relay, mut rng) = (WatchRelay::new(1), rng());
--- a/crates/oriole_gateway/tests/gateway/watch_relay_task.rs
+++ b/crates/oriole_gateway/tests/gateway/watch_relay_task.rs
@@ -109,16 +109,8 @@
     }
 }
 
-/// Guards against watch tasks that do not follow the role, and against a watch that resumes from a
-/// revision which only a peer reported: changes between would be skipped.
-#[rstest]
-#[case::small_fleet(31, 30..=36)]
-#[case::large_fleet(32, 6..=9)]
-#[tokio::test(start_paused = true)]
-async fn watch_calls_follow_role(
-    #[case] peers: usize,
-    #[case] expected: std::ops::RangeInclusive<usize>,
-) {
+/// Starts the watch tasks of a daemon with this number of peers in its failure domain.
+fn start(peers: usize) -> (Arc<Gateway>, Arc<BusyStore>, CancellationToken) {
     let mut cfg = harness::settings();
     cfg.name = "m".to_owned();
     let log = slog::Logger::root(slog::Discard, slog::o!());
@@ -135,6 +127,20 @@
     let observed: Arc<dyn FleetStore> = Arc::new(ObservedStore::new(&gateway, store.clone()));
     let stop = CancellationToken::new();
     watcher::spawn(&gateway, &observed, &stop);
+    (gateway, store, stop)
+}
+
+/// Guards against watch tasks that do not follow the role, and against a watch that resumes from a
+/// revision which only a peer reported: changes between would be skipped.
+#[rstest]
+#[case::small_fleet(31, 30..=36)]
+#[case::large_fleet(32, 6..=9)]
+#[tokio::test(start_paused = true)]
+async fn watch_calls_follow_role(
+    #[case] peers: usize,
+    #[case] expected: std::ops::RangeInclusive<usize>,
+) {
+    let (gateway, store, stop) = start(peers);
     for number in 2..12 {
         sleep(secs(1.0)).await;
         for i in 0..peers {
@@ -151,3 +157,25 @@
     assert!(expected.contains(&watches), "{watches}");
     assert!(store.resumed_from.load(Ordering::Relaxed) > 0);
 }
+
+/// Guards against a daemon that waits on in a closed watch after it became a relay.
+#[tokio::test(start_paused = true)]
+async fn promotion_ends_pause_of_closed_watch() {
+    const PEERS: usize = 40;
+    let (gateway, store, stop) = start(PEERS);
+    let is_closed = || gateway.watch_relay().closed_since().any(|s| s.is_some());
+    while !is_closed() {
+        assert!(store.started_at.elapsed() < secs(2.0), "no watch is closed");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let before = store.watches.load(Ordering::Relaxed);
+    for i in 0..PEERS {
+        let mut heartbeat = heartbeat(i, 2);
+        heartbeat.from.as_mut().unwrap().domain = "south".to_owned();
+        mesh::on_heartbeat(&gateway, heartbeat);
+    }
+    gateway.update_watch_role();
+    sleep(Duration::from_millis(10)).await;
+    assert_eq!(store.watches.load(Ordering::Relaxed), before + 1);
+    stop.cancel();
+}
