Charge what the gateway holds to a memory budget

Cause: each body was collected separately, up to max_body_bytes; a chunk of one byte kept a whole read buffer; buffered responses had a fixed 32 MiB on VMs of any size; idle and half-sent connections kept new callers out until the idle timeout; and a caller that reads slowly held up its upstream at once (docs/design/hard-load.md, A1).

Change: memory_mb (default 512) sets a budget of half of the VM's memory. Bodies and responses are kept in blocks that are charged before they are allocated. A body that is cut off or refused gets 503 with Retry-After before anything was sent to an upstream. A new caller replaces the connection without a running request that has waited longest. The task of a connection reads its stream up to 256 KiB ahead of the caller. A response without memory is a 502, since its request has run, and is not held against the upstream. Bodies in chunks of one byte may take six bytes on the wire per byte; a body near the limit was cut off before.

Result: cargo test -p oriole_memory -p oriole_gateway passes (1,166 gateway tests).

With parts switched off one at a time, these tests fail: bytes read ahead, framing of one-byte chunks, closing of waiting connections, the budget itself, release of holders (all 15), dropping the rest of a refused body, and the response without memory. running_request_keeps_its_connection passes even when the budget alone picks running connections, since the connection's task still serves the request; oriole_memory's own test covers that choice.

--- a/crates/oriole_gateway/src/daemon.rs
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 
 use crate::decision_log::LogEvent;
 use crate::gateway::Gateway;
+use crate::memory;
 use crate::mesh::{self, MeshSockets};
 use crate::observed_store::ObservedStore;
 use crate::settings::GatewaySettings;
@@ -65,9 +66,19 @@
         gateway.log.event(&LogEvent::Started {
             incarnation: gateway.incarnation,
         });
+        gateway.log.event(&LogEvent::Memory {
+            memory_mb: gateway.cfg.memory_mb,
+            limits: &memory::budget_config(&gateway.cfg),
+        });
         Ok(Self { gateway, stop })
     }
 
+    /// Bytes that the daemon holds for callers and upstreams.
+    #[must_use]
+    pub fn memory_held(&self) -> u64 {
+        self.gateway.memory.totals().0
+    }
+
     /// Logs the outcome of a reload of the settings file.
     pub fn reloaded(&self, outcome: &str) {
         self.gateway.log.event(&LogEvent::Reloaded { outcome });
@@ -105,7 +116,10 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
-                () = tokio::time::sleep(POLL_INTERVAL * 10) => gateway.pool.tick(gateway.clock.now()),
+                () = tokio::time::sleep(POLL_INTERVAL * 10) => {
+                    gateway.pool.tick(gateway.clock.now());
+                    gateway.memory.update_gauges();
+                }
             }
         }
     });
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -10,6 +10,7 @@
 
 use metrics::counter;
 use oriole_kernel::clock::Clock;
+use oriole_memory::prelude::BudgetConfig;
 use oriole_types::digest::Digest;
 use slog::{Logger, info, warn};
 
@@ -50,6 +51,47 @@
         /// Random number of this run.
         incarnation: u64,
     },
+    /// The limits on memory.
+    Memory {
+        /// Memory of the VM, in MB.
+        memory_mb: u64,
+        /// The limits.
+        limits: &'a BudgetConfig,
+    },
+    /// Something that the daemon holds was cut off for memory.
+    MemoryCutOff {
+        /// Attempt id given by the caller; empty if there is no request.
+        request: &'a str,
+        /// What was cut off.
+        kind: &'a str,
+        /// Why it was chosen.
+        reason: &'a str,
+        /// Bytes that it held.
+        bytes: u64,
+        /// Bytes held by all.
+        held: u64,
+        /// Bytes that all may hold.
+        budget: u64,
+        /// Time since its last byte.
+        age: Duration,
+    },
+    /// There was no memory for something.
+    MemoryRefused {
+        /// Attempt id given by the caller; empty if there is no request.
+        request: &'a str,
+        /// What asked for memory.
+        kind: &'a str,
+        /// The limit that was reached.
+        reason: &'a str,
+        /// Bytes that it held.
+        bytes: u64,
+        /// Bytes held by all.
+        held: u64,
+        /// Bytes that all may hold.
+        budget: u64,
+        /// Time since its last byte.
+        age: Duration,
+    },
     /// The process was asked to stop.
     Stopping {
         /// Requests in progress.
@@ -263,6 +305,9 @@
     fn kind(&self) -> &'static str {
         match self {
             LogEvent::Started { .. } => "started",
+            LogEvent::Memory { .. } => "memory",
+            LogEvent::MemoryCutOff { .. } => "memory_cut_off",
+            LogEvent::MemoryRefused { .. } => "memory_refused",
             LogEvent::Stopping { .. } => "stopping",
             LogEvent::Stopped { .. } => "stopped",
             LogEvent::Reloaded { .. } => "reloaded",
@@ -353,6 +398,36 @@
             LogEvent::Started { incarnation } => {
                 info!(log, "started"; "incarnation" => format!("{incarnation:016x}"));
             }
+            LogEvent::Memory { memory_mb, limits } => {
+                info!(log, "memory"; "memory_mb" => memory_mb, "budget" => limits.budget,
+                    "large_part" => limits.large_part, "connections" => limits.max_connections);
+            }
+            LogEvent::MemoryCutOff {
+                request,
+                kind,
+                reason,
+                bytes,
+                held,
+                budget,
+                age,
+            } => {
+                info!(log, "memory cut off"; "request" => request, "kind" => kind,
+                    "reason" => reason, "bytes" => bytes, "held" => held, "budget" => budget,
+                    "age_ms" => millis(*age));
+            }
+            LogEvent::MemoryRefused {
+                request,
+                kind,
+                reason,
+                bytes,
+                held,
+                budget,
+                age,
+            } => {
+                info!(log, "memory refused"; "request" => request, "kind" => kind,
+                    "reason" => reason, "bytes" => bytes, "held" => held, "budget" => budget,
+                    "age_ms" => millis(*age));
+            }
             LogEvent::Stopping { in_flight } => info!(log, "stopping"; "in_flight" => in_flight),
             LogEvent::Stopped { in_flight } => info!(log, "stopped"; "in_flight" => in_flight),
             LogEvent::Reloaded { outcome } => info!(log, "reloaded"; "outcome" => outcome),
--- a/crates/oriole_gateway/src/forward/headers.rs
+++ b/crates/oriole_gateway/src/forward/headers.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, header};
-use http_body_util::Full;
 use oriole_fleet::bounded;
 use oriole_fleet::prelude::HeaderNames;
+use oriole_memory::prelude::Blocks;
+
+use super::body::BlockBody;
 
 /// Headers that apply to a single connection, in addition to those that `Connection` lists.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -39,14 +40,14 @@
 pub struct OutgoingRequest {
     /// Method, target and all headers that are the same for every attempt.
     parts: http::request::Parts,
-    body: Bytes,
+    body: Blocks,
 }
 
 impl OutgoingRequest {
     /// Prepares a caller's request: removes its key and adds the name of its account.
     pub fn new(
         mut parts: http::request::Parts,
-        body: Bytes,
+        body: Blocks,
         names: &HeaderNames,
         account: Option<&str>,
         priority: u8,
@@ -93,8 +94,8 @@
         instance: &str,
         remaining: Option<Duration>,
         last_event_id: Option<u64>,
-    ) -> Request<Full<Bytes>> {
-        let mut req = Request::from_parts(self.parts.clone(), Full::new(self.body.clone()));
+    ) -> Request<BlockBody> {
+        let mut req = Request::from_parts(self.parts.clone(), BlockBody::new(self.body.clone()));
         let headers = req.headers_mut();
         if let Ok(value) = HeaderValue::from_str(instance) {
             headers.insert(names.expect_instance.clone(), value);
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -7,6 +7,7 @@
 pub mod headers;
 pub mod limits;
 mod notices;
+pub mod read_ahead;
 pub mod request;
 mod stream;
 mod suspects;
@@ -18,17 +19,19 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use oriole_fleet::prelude::*;
 
-use self::body::{ResponseBody, full};
-use self::buffers::BufferError;
+use self::body::{BlockBody, ResponseBody, full};
+use self::buffers::{BufferError, BufferedResponse};
 use self::request::{CheckedRequest, RejectedRequest};
 use self::suspects::Trial;
 use self::upstream_attempt::{AttemptEnd, HeadPatience, LiveResponse};
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::{CountGuard, Gateway};
+use crate::memory::connection::CallerConnection;
 use crate::refusal::Refusal;
 use crate::traffic::{Pick, PickRequest};
 
@@ -93,11 +96,15 @@
 }
 
 /// Serves one request of a caller.
-pub async fn serve(gateway: Arc<Gateway>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn serve(
+    caller: &Arc<CallerConnection>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let gateway = caller.gateway().clone();
     let guard = CountGuard::new(&gateway, |g| &g.active_requests);
     let received_at = gateway.clock.now();
     gateway.wait_until_started().await;
-    let accepted = request::read(&gateway, req).await.and_then(|request| {
+    let accepted = request::read(caller, req).await.and_then(|request| {
         if accepts(&gateway, &request) {
             Ok(request)
         } else {
@@ -110,7 +117,12 @@
     });
     let mut response = match accepted {
         Ok(request) => forward(&gateway, request, guard).await,
-        Err(rejected) => reject(&gateway, received_at, &rejected),
+        Err(rejected) => {
+            if matches!(rejected.refusal, Refusal::TooLarge | Refusal::Memory) {
+                caller.on_body_refused();
+            }
+            reject(&gateway, received_at, &rejected)
+        }
     };
     if gateway.departure().is_some() {
         let close = HeaderValue::from_static("close");
@@ -145,7 +157,9 @@
     match result {
         Ok(UpstreamResponse::Full { head, body }) => {
             log_answered(gateway, &request, &progress, head.status.as_u16());
-            Response::from_parts(head, full(body))
+            request.caller.hand_over(body.holding);
+            let body = BlockBody::new(body.blocks).map_err(|e| match e {});
+            Response::from_parts(head, body.boxed_unsync())
         }
         Ok(UpstreamResponse::Stream(live)) => {
             stream::respond(gateway.clone(), request, progress, *live, guard)
@@ -159,7 +173,7 @@
     /// The whole body was read.
     Full {
         head: http::response::Parts,
-        body: Bytes,
+        body: BufferedResponse,
     },
     /// The body is relayed as it arrives.
     Stream(Box<LiveResponse>),
@@ -224,16 +238,24 @@
             }
             AttemptEnd::Success(live) => {
                 let began_at = live.started_at;
-                if let Some(response) = read_full(gateway, request, *live).await {
-                    suspects::on_passed(gateway, request, &pick.instance, began_at);
-                    return Ok(response);
+                match read_full(gateway, request, *live).await {
+                    Ok(response) => {
+                        suspects::on_passed(gateway, request, &pick.instance, began_at);
+                        return Ok(response);
+                    }
+                    // Another attempt would need the same memory.
+                    Err(BufferError::NoMemory) => {
+                        return fallback.ok_or(Refusal::UpstreamFailed.into());
+                    }
+                    Err(_) => {
+                        suspects::on_disconnect(gateway, request, &pick.instance).await;
+                        progress.tried.push(pick.instance);
+                    }
                 }
-                suspects::on_disconnect(gateway, request, &pick.instance).await;
-                progress.tried.push(pick.instance);
             }
             AttemptEnd::Failure(live) => {
                 let is_retryable = live.response.status().is_server_error();
-                let response = read_full(gateway, request, *live).await;
+                let response = read_full(gateway, request, *live).await.ok();
                 if !is_retryable && let Some(response) = response {
                     return Ok(response);
                 }
@@ -453,26 +475,34 @@
     is_allowed
 }
 
-/// Reads the whole body of a response; `None` if it breaks off or is too large to buffer.
+/// Reads the whole body of a response.
+///
+/// # Errors
+///
+/// Fails if it breaks off or is too large to buffer, or if there is no memory for it.
 async fn read_full(
     gateway: &Arc<Gateway>,
     request: &CheckedRequest,
     mut live: LiveResponse,
-) -> Option<UpstreamResponse> {
+) -> Result<UpstreamResponse, BufferError> {
     let (head, ()) = headers::response_head(&live.response)
         .body(())
-        .ok()?
+        // The head was copied from a received response, so it is valid and this is not expected.
+        .map_err(|_| BufferError::BrokeOff)?
         .into_parts();
-    let body = match live.read_body(&gateway.response_buffers).await {
-        Ok(body) if body.is_empty() && lacks_body(request, &live) => Err(BufferError::Empty),
+    let body = match live.read_body(&request.caller).await {
+        Ok(body) if body.blocks.is_empty() && lacks_body(request, &live) => Err(BufferError::Empty),
         read => read,
     };
     let body = match body {
         Ok(body) => body,
         Err(e) => {
-            gateway.traffic().load_mut(&live.instance).record_failure();
+            // A lack of memory here says nothing about the upstream.
+            if e != BufferError::NoMemory {
+                gateway.traffic().load_mut(&live.instance).record_failure();
+            }
             log_unusable(gateway, request, &live, e.as_str());
-            return None;
+            return Err(e);
         }
     };
     let now = gateway.clock.now();
@@ -484,7 +514,7 @@
             .record_success(took);
     }
     live.finish(gateway);
-    Some(UpstreamResponse::Full { head, body })
+    Ok(UpstreamResponse::Full { head, body })
 }
 
 /// Whether a successful response without a body broke off right after its head: nothing but the end of
@@ -591,7 +621,10 @@
             headers.insert(header::RETRY_AFTER, value);
         }
     }
-    if matches!(failure.refusal, Refusal::Malformed | Refusal::TooLarge) {
+    if matches!(
+        failure.refusal,
+        Refusal::Malformed | Refusal::TooLarge | Refusal::Memory
+    ) {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/oriole_gateway/src/forward/request.rs
+++ b/crates/oriole_gateway/src/forward/request.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
 use oriole_fleet::bounded;
 use oriole_fleet::prelude::*;
+use oriole_memory::prelude::{BlockBuffer, Blocks};
 use oriole_types::digest::Digest;
 use rand::RngExt as _;
 
 use super::headers::OutgoingRequest;
 use crate::gateway::Gateway;
+use crate::memory::Holding;
+use crate::memory::connection::CallerConnection;
 use crate::refusal::Refusal;
 
 /// Most shared parts of one prompt that are looked at; bounds the work on a request.
@@ -21,6 +22,10 @@
 
 /// A valid request with everything needed to send it to upstreams.
 pub struct CheckedRequest {
+    /// Connection of the caller.
+    pub caller: Arc<CallerConnection>,
+    /// Memory of the request, which is held until no attempt needs its body any more.
+    _holding: Holding,
     /// Attempt id given by the caller.
     pub id: String,
     /// Client account; `None` if the route is public or no accounts are configured.
@@ -67,9 +72,10 @@
 ///
 /// Returns why the request is refused. It has not run in that case.
 pub async fn read(
-    gateway: &Gateway,
+    caller: &Arc<CallerConnection>,
     req: Request<Incoming>,
 ) -> Result<CheckedRequest, RejectedRequest> {
+    let gateway = caller.gateway();
     let received_at = gateway.clock.now();
     let names = gateway.dialect.headers();
     let header_text = |name| -> Option<String> {
@@ -107,9 +113,20 @@
     let last_event_id = header_text(&names.last_event_id).and_then(|v| v.trim().parse().ok());
     let shared_parts = shared_part_digests(gateway, &req);
     let (parts, body) = req.into_parts();
-    let body = read_body(body, cfg.limits.max_body_bytes, route.timeout)
-        .await
-        .map_err(|refusal| reject(&route.name, refusal))?;
+    let max_body_bytes = cfg.limits.max_body_bytes;
+    if body.size_hint().lower() > max_body_bytes {
+        return Err(reject(&route.name, Refusal::TooLarge));
+    }
+    let reject_unread = |refusal| reject(&route.name, refusal);
+    let holder = account.as_ref().map(|a| a.name.as_str());
+    let holding = caller.open_request(&id, holder, head_bytes(&parts)).await;
+    let holding = holding.map_err(reject_unread)?;
+    let reading = read_body(caller, &holding, body, max_body_bytes);
+    let body = match tokio::time::timeout(route.timeout, reading).await {
+        Ok(read) => read.map_err(reject_unread)?,
+        Err(_) => return Err(reject_unread(Refusal::BodyTimeout)),
+    };
+    caller.on_request_read(&holding).map_err(reject_unread)?;
     let priority = account
         .as_ref()
         .and_then(|a| a.priority)
@@ -119,6 +136,8 @@
     let outgoing = OutgoingRequest::new(parts, body, names, account_name, priority);
     let service = route.pick_service(rand::rng().random()).to_owned();
     Ok(CheckedRequest {
+        caller: caller.clone(),
+        _holding: holding,
         id,
         account,
         service,
@@ -145,30 +164,46 @@
     parts: &http::request::Parts,
     host: &str,
     account: Option<&str>,
-    body: &[u8],
+    body: &Blocks,
 ) -> Digest {
     let target = parts.uri.path_and_query().map_or("", |t| t.as_str());
-    Digest::of_fields(&[
+    let fields = [
         parts.method.as_str().as_bytes(),
         host.as_bytes(),
         target.as_bytes(),
         account.unwrap_or_default().as_bytes(),
-        body,
-    ])
+    ];
+    Digest::of_fields_and_parts(&fields, body.len(), body.iter().map(AsRef::as_ref))
 }
 
-async fn read_body(body: Incoming, limit: u64, timeout: Duration) -> Result<Bytes, Refusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit {
-        return Err(Refusal::TooLarge);
-    }
-    let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::BodyTimeout),
+/// Bytes of a head that are kept with the request.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    let headers = parts.headers.iter();
+    let headers: usize = headers.map(|(n, v)| n.as_str().len() + v.len()).sum();
+    headers + parts.uri.path_and_query().map_or(0, |t| t.as_str().len())
+}
+
+/// Reads a body into blocks, which are charged before they are allocated.
+async fn read_body(
+    caller: &CallerConnection,
+    holding: &Holding,
+    mut body: Incoming,
+    limit: u64,
+) -> Result<Blocks, Refusal> {
+    let mut buf = BlockBuffer::with_length(body.size_hint().exact());
+    while let Some(frame) = caller.next_frame(&mut body).await? {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if (buf.len() + data.len()) as u64 > limit {
+            return Err(Refusal::TooLarge);
+        }
+        let missing = buf.missing_capacity(data.len());
+        if missing > 0 {
+            let charged = holding.charge(missing).await;
+            charged.map_err(|_| Refusal::Memory)?;
+        }
+        buf.extend(&data);
     }
+    Ok(buf.freeze())
 }
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -6,12 +6,12 @@
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
-use http_body_util::{BodyExt as _, StreamBody};
-use hyper::body::Frame;
+use http_body_util::BodyExt as _;
 use metrics::{counter, histogram};
 
 use super::body::{ResponseBody, ResponseInterrupted, full};
 use super::events::EventSplitter;
+use super::read_ahead::{ReadAhead, ReadAheadBody};
 use super::request::CheckedRequest;
 use super::upstream_attempt::{self, AttemptEnd, HeadPatience, LiveResponse};
 use super::{
@@ -84,11 +84,14 @@
         progress,
         _guard: guard,
     };
-    let frames = stream::unfold(relay, |mut relay| async {
-        let frame = relay.next().await?;
-        Some((frame.map(Frame::data), relay))
+    let caller = relay.request.caller.clone();
+    let events = stream::unfold(relay, |mut relay| async {
+        let events = relay.next().await?;
+        Some((events, relay))
     });
-    let body = StreamBody::new(frames).boxed_unsync();
+    let read_ahead = ReadAhead::new(Box::pin(events));
+    caller.set_read_ahead(read_ahead.clone());
+    let body = ReadAheadBody(read_ahead).boxed_unsync();
     // The head was copied from a received response, so it is valid and this branch is not expected.
     builder.body(body).unwrap_or_else(|_| {
         let mut response = Response::new(full(Bytes::new()));
@@ -530,6 +533,8 @@
         let has_stopped = departure.is_some_and(|departure| now >= departure.exits_at());
         self.break_off(if has_stopped {
             "daemon stopped"
+        } else if self.request.caller.is_aborted() {
+            "caller reads too slowly"
         } else {
             "caller left"
         });
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -3,17 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 use oriole_fleet::prelude::*;
 
-use super::buffers::{BufferError, ResponseBuffers};
+use super::buffers::{self, BufferError, BufferedResponse};
 use super::head_outcome::{HeadOutcome, judge_head};
 use super::request::CheckedRequest;
 use super::{headers, limits, notices};
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::Gateway;
+use crate::memory::connection::CallerConnection;
 use crate::traffic::Pick;
 use crate::upstream::{AT_MOST_ONCE_MAX_IDLE, Connection, SendError, StrayBytesHandler};
 
@@ -73,10 +73,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if it breaks off or is too large to buffer.
-    pub async fn read_body(&mut self, buffers: &ResponseBuffers) -> Result<Bytes, BufferError> {
+    /// Fails if it breaks off or is too large to buffer, or if there is no memory for it.
+    pub async fn read_body(
+        &mut self,
+        caller: &Arc<CallerConnection>,
+    ) -> Result<BufferedResponse, BufferError> {
         let allowance = self.connection.allowance();
-        buffers.read(self.response.body_mut(), allowance).await
+        buffers::read(caller, self.response.body_mut(), allowance).await
     }
 
     /// Records that events of its stream were received whole.
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -12,8 +12,8 @@
 use crate::decision_log::{DecisionLog, LogEvent};
 use crate::departure::Departure;
 use crate::fleet_view::{FleetChange, FleetView};
-use crate::forward::buffers::ResponseBuffers;
 use crate::freshness::{Confirmation, ConfirmationId, FreshnessTracker, Place};
+use crate::memory::{self, Memory};
 use crate::mesh::members::Members;
 use crate::mesh::message::Readiness;
 use crate::settings::GatewaySettings;
@@ -43,8 +43,8 @@
     pub incarnation: u64,
     /// Idle connections to upstreams.
     pub pool: ConnectionPool,
-    /// Memory of buffered responses.
-    pub response_buffers: ResponseBuffers,
+    /// What is held for callers and upstreams.
+    pub memory: Memory,
     /// Triggers a heartbeat at once, for example when readiness changes.
     pub mesh_wake: Notify,
     /// Notifies the tasks that keep the fleet view fresh, by watched prefix.
@@ -90,7 +90,7 @@
             traffic: Mutex::new(Traffic::new(cfg.traffic_bounds())),
             part_screen: Mutex::default(),
             pool: ConnectionPool::default(),
-            response_buffers: ResponseBuffers::default(),
+            memory: Memory::new(memory::budget_config(&cfg)),
             log: DecisionLog::new(log, clock),
             incarnation: rand::random(),
             mesh_wake: Notify::new(),
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //!
 //! - [`watcher`]: watches the store. [`observed_store`]: records which calls are answered.
 //!   [`registration`]: keeps this daemon's address in the store.
+//! - [`memory`]: carries out the decisions of the memory budget.
 //! - [`ingress`]: connections from callers. [`service_port`]: readiness and endpoint queries.
 //! - [`daemon`]: starts and stops all tasks. [`settings`]: settings read at the start.
 //! - [`decision_log`]: one log line per decision, with limits per second.
@@ -31,6 +32,7 @@
 pub mod freshness;
 pub mod gateway;
 pub mod ingress;
+pub mod memory;
 pub mod mesh;
 pub mod observed_store;
 pub mod refusal;
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -7,6 +7,11 @@
 /// Usual time until a group that lost a rank is formed anew, or a restarted upstream is back.
 pub const GROUP_RECOVERY_TIME: Duration = Duration::from_millis(1500);
 
+/// Time after which a request that was refused for memory may come again: half of the time after which
+/// stalled bodies give way, and within the third of their time that callers of the shortest routes
+/// (1.5 s) wait.
+const MEMORY_RETRY_TIME: Duration = Duration::from_millis(500);
+
 /// Why a request ended without a response from an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
@@ -40,6 +45,8 @@
     SuspectPart,
     /// It is suspected of crashing upstreams as a whole.
     SuspectRequest,
+    /// There is no memory for it.
+    Memory,
     /// The caller did not send its body in time.
     BodyTimeout,
     /// The time limit passed before the request ran.
@@ -72,6 +79,7 @@
             | Self::UpstreamPaused
             | Self::SuspectPart
             | Self::SuspectRequest
+            | Self::Memory
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
@@ -91,6 +99,7 @@
             | Self::BudgetSpent
             | Self::UpstreamPaused => Some(GROUP_RECOVERY_TIME),
             Self::Busy => Some(Duration::from_millis(200)),
+            Self::Memory => Some(MEMORY_RETRY_TIME),
             _ => None,
         }
     }
@@ -114,6 +123,7 @@
             Self::UpstreamPaused => "upstream_paused",
             Self::SuspectPart => "suspect_part",
             Self::SuspectRequest => "suspect_request",
+            Self::Memory => "memory",
             Self::BodyTimeout => "body_timeout",
             Self::ExpiredUnrun => "expired_unrun",
             Self::Expired => "expired",
--- a/crates/oriole_gateway/src/settings.rs
+++ b/crates/oriole_gateway/src/settings.rs
@@ -101,6 +101,10 @@
     pub log_level: String,
     /// Limit on the process's open file descriptors.
     pub max_descriptors: u32,
+    /// Memory of the VM, in MB. Half of it is the budget for what the daemon holds for callers and
+    /// upstreams.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Addresses on which the daemon listens.
     pub listen: ListenSettings,
     /// How entry daemons reach each other.
@@ -119,6 +123,11 @@
     "info".to_owned()
 }
 
+/// Memory of the largest VMs that run the daemon so far.
+fn default_memory_mb() -> u64 {
+    512
+}
+
 /// Well above the few milliseconds that a call takes, and short compared with the agreed time for
 /// changes to take effect.
 fn default_store_timeout_ms() -> u64 {
@@ -144,6 +153,7 @@
             self.max_descriptors.into(),
             256..=1 << 20,
         )?;
+        check_range("memory_mb", self.memory_mb, 32..=1 << 20)?;
         check_range("store.timeout_ms", self.store.timeout_ms, 50..=10_000)?;
         check_range("store.watch_ms", self.store.watch_ms, 100..=30_000)?;
         let bounds = &self.bounds;
--- a/crates/oriole_gateway/src/upstream/connection.rs
+++ b/crates/oriole_gateway/src/upstream/connection.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -15,6 +13,8 @@
 use oriole_kernel::sockets::{self, TcpTimeouts};
 use tokio::task::JoinHandle;
 
+use crate::forward::body::BlockBody;
+
 /// Largest head of a response, in bytes. Also the largest part of a body that is read at once.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
@@ -54,7 +54,7 @@
 /// A connection that carries one request at a time. Dropping it resets the TCP connection, so that
 /// the upstream learns that the request was abandoned.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BlockBody>,
     task: JoinHandle<()>,
     allowance: ReadAllowance,
     on_stray_bytes: StrayBytesHandler,
@@ -131,10 +131,7 @@
     /// # Errors
     ///
     /// Returns whether any part of the request was written.
-    pub async fn send(
-        &mut self,
-        req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(&mut self, req: Request<BlockBody>) -> Result<Response<Incoming>, SendError> {
         let is_stale_connection = self.is_reused;
         self.sender.try_send_request(req).await.map_err(|mut e| {
             let reason = e.error().to_string();
--- a/crates/oriole_gateway/tests/gateway/abandoned.rs
+++ b/crates/oriole_gateway/tests/gateway/abandoned.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriole_gateway::forward::body::BlockBody;
 use oriole_gateway::upstream::Connection;
+use oriole_memory::prelude::Blocks;
 use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 
@@ -24,7 +26,7 @@
     let mut connection = Connection::open(address, Arc::new(|| {})).await.unwrap();
     let (mut stream, _) = listener.accept().await.unwrap();
     let req = http::Request::post("/a/x")
-        .body(http_body_util::Full::default())
+        .body(BlockBody::new(Blocks::default()))
         .unwrap();
     let sent = tokio::time::timeout(Duration::from_millis(100), connection.send(req)).await;
     assert!(sent.is_err(), "the upstream should not answer");
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -195,6 +195,7 @@
         platform: "fake".to_owned(),
         log_level: "info".to_owned(),
         max_descriptors: 512,
+        memory_mb: 512,
         listen: ListenSettings {
             callers: free_address(),
             ready: free_address(),
@@ -279,18 +280,80 @@
     start_with(cfg, route, store).await
 }
 
+/// Starts a daemon with one upstream, on a VM with little memory.
+pub async fn start_with_memory(route: Route, upstream: SocketAddr, memory_mb: u64) -> Harness {
+    let cfg = GatewaySettings {
+        memory_mb,
+        ..settings()
+    };
+    start_with_settings(cfg, route, &[upstream]).await
+}
+
+/// Starts a daemon with some upstreams and these settings.
+pub async fn start_with_settings(
+    cfg: GatewaySettings,
+    route: Route,
+    upstreams: &[SocketAddr],
+) -> Harness {
+    let mut items = vec![item("cfg/0", "3", 1)];
+    for (i, upstream) in upstreams.iter().enumerate() {
+        let value = format!("llm {upstream} north ready");
+        items.push(item(&format!("up/i-{}", i + 1), &value, i as u64 + 2));
+    }
+    let store = FakeStore {
+        items,
+        peer_refusals: Mutex::new(0),
+        list_delay: Duration::ZERO,
+    };
+    start_with(cfg, route, store).await
+}
+
 async fn start_with_store(route: Route, store: FakeStore) -> Harness {
     start_with(settings(), route, store).await
 }
 
+/// Starts a daemon with one upstream and a limit on bodies.
+pub async fn start_with_max_body(
+    route: Route,
+    upstream: SocketAddr,
+    max_body_bytes: u64,
+) -> Harness {
+    let value = format!("llm {upstream} north ready");
+    let store = FakeStore {
+        items: vec![item("cfg/0", "3", 1), item("up/i-1", &value, 2)],
+        peer_refusals: Mutex::new(0),
+        list_delay: Duration::ZERO,
+    };
+    let configuration = Configuration {
+        limits: RequestLimits {
+            max_body_bytes,
+            ..RequestLimits::default()
+        },
+        ..configuration(route)
+    };
+    start_with_configuration(settings(), configuration, store).await
+}
+
+fn configuration(route: Route) -> Configuration {
+    Configuration {
+        routes: RouteTable::new(vec![route]),
+        services: services(),
+        ..Configuration::default()
+    }
+}
+
 async fn start_with(cfg: GatewaySettings, route: Route, store: FakeStore) -> Harness {
+    start_with_configuration(cfg, configuration(route), store).await
+}
+
+async fn start_with_configuration(
+    cfg: GatewaySettings,
+    configuration: Configuration,
+    store: FakeStore,
+) -> Harness {
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
-        configuration: Some(Configuration {
-            routes: RouteTable::new(vec![route]),
-            services: services(),
-            ..Configuration::default()
-        }),
+        configuration: Some(configuration),
         ..FakeDialect::default()
     };
     let log = LogBuffer::default();
@@ -312,6 +375,16 @@
         self.callers
     }
 
+    /// Waits until the daemon holds nothing for callers and upstreams.
+    pub async fn wait_until_nothing_is_held(&self) {
+        let began = tokio::time::Instant::now();
+        while self.daemon.memory_held() > 0 {
+            let held = self.daemon.memory_held();
+            assert!(began.elapsed() < TIMEOUT, "{held} bytes are still held");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Shuts the daemon down in a task, which ends when it has stopped.
     pub fn shut_down(self) -> JoinHandle<()> {
         tokio::spawn(self.daemon.shutdown())
--- a/crates/oriole_types/src/digest.rs
+++ b/crates/oriole_types/src/digest.rs
@@ -46,6 +46,33 @@
         Self(hasher.finalize().into())
     }
 
+    /// Computes the same digest as [`Digest::of_fields`] with one more field that is given in parts,
+    /// `len` bytes together.
+    ///
+    /// ```
+    /// use oriole_types::digest::Digest;
+    /// let whole = Digest::of_fields(&[b"key", b"body"]);
+    /// let parts: [&[u8]; 2] = [b"bo", b"dy"];
+    /// assert_eq!(Digest::of_fields_and_parts(&[b"key"], 4, parts), whole);
+    /// ```
+    #[must_use]
+    pub fn of_fields_and_parts<'a>(
+        fields: &[&[u8]],
+        len: usize,
+        parts: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut hasher = Sha256::new();
+        for field in fields {
+            hasher.update((field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        hasher.update((len as u64).to_be_bytes());
+        for part in parts {
+            hasher.update(part);
+        }
+        Self(hasher.finalize().into())
+    }
+
     /// Compares in constant time, for digests of secrets.
     #[must_use]
     pub fn constant_time_eq(&self, other: &Self) -> bool {
