Bound the listeners for readiness, endpoints, metrics and peers

Cause: these listeners kept every connection for 15 s without a limit on their number, with up to some 400 KB of buffer for a head. Four silent connections to the peers' port kept all peers from their items, and a request of theirs could announce 8 MiB.

Change: oriole_kernel::bounded_listener, a state machine for the connections of a listener (256; 3 s for a request, 15 s idle, 15 s for a response), used by service_port, metrics_port and mesh/pull. When all connections are taken, the one without a request that was unused longest is closed, or else one whose response was not read for 2 s. Heads have at most 8 KiB, bodies at most 64 KiB. Clients that don't read share one rendering of the metrics. Peers wait for a slot for their reply instead of being disconnected.

--- a/crates/oriole_gateway/src/daemon.rs
+++ b/crates/oriole_gateway/src/daemon.rs
@@ -53,9 +53,8 @@
         let gateway = Arc::new(Gateway::new(cfg, dialect, log));
         let stop = CancellationToken::new();
         ingress::spawn(&gateway, callers, &stop);
-        for listener in [ready, endpoints] {
-            service_port::spawn(&gateway, listener, &stop);
-        }
+        service_port::spawn(&gateway, ready, "ready", &stop);
+        service_port::spawn(&gateway, endpoints, "endpoints", &stop);
         metrics_port::spawn(metrics, stop.clone());
         mesh::spawn(&gateway, peers, &stop);
         let store: Arc<dyn FleetStore> = Arc::new(ObservedStore::new(&gateway, store));
--- a/crates/oriole_gateway/src/mesh/pull.rs
+++ b/crates/oriole_gateway/src/mesh/pull.rs
@@ -7,9 +7,12 @@
 use bytes::Bytes;
 use futures::{SinkExt as _, StreamExt as _};
 use oriole_fleet::prelude::{Change, Item};
+use oriole_kernel::bounded_listener::slots::{CloseReason, ConnectionLimits};
+use oriole_kernel::bounded_listener::{self, Tracker};
 use oriole_kernel::sockets::TcpTimeouts;
 use prost::Message as _;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
@@ -24,7 +27,12 @@
 /// Largest frame, in bytes: enough for the largest configuration and all upstreams.
 const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
-/// Most replies sent at the same time; bounds the daemon's memory.
+/// Largest request, in bytes. It holds one number of at most 10 bytes for each watched prefix, of which
+/// there are fewer than ten.
+const MAX_REQUEST_BYTES: usize = 1024;
+
+/// Most replies sent at the same time; bounds the daemon's memory. Further peers wait for their reply
+/// within the time limit of an exchange.
 const MAX_CONCURRENT_REPLIES: usize = 4;
 
 /// Why an exchange with a peer failed.
@@ -38,11 +46,13 @@
     Closed,
     #[error("time is up")]
     Timeout,
+    #[error("limit of the listener: {0}")]
+    Closing(#[from] CloseReason),
 }
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+fn framed(stream: TcpStream, max_frame_bytes: usize) -> Framed<TcpStream, LengthDelimitedCodec> {
     LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
+        .max_frame_length(max_frame_bytes)
         .new_framed(stream)
 }
 
@@ -105,7 +115,7 @@
 
 async fn exchange(peer: SocketAddr, since: &PrefixRevisions) -> Result<PullReply, PullError> {
     let stream = TcpTimeouts::default().connect(peer).await?;
-    let mut frames = framed(stream);
+    let mut frames = framed(stream, MAX_FRAME_BYTES);
     let req = PullRequest {
         since: since.0.clone(),
     };
@@ -117,47 +127,55 @@
 
 /// Serves pull requests from peers until `stop` is cancelled.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, stop: CancellationToken) {
-    let slots = Arc::new(tokio::sync::Semaphore::new(MAX_CONCURRENT_REPLIES));
-    loop {
-        let accepted = tokio::select! {
-            () = stop.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let (stream, from) = match accepted {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                gateway.log.event(&LogEvent::CallFailed {
-                    step: "accept",
-                    peer: None,
-                    error: &e.to_string(),
-                });
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
+    let reply_slots = Arc::new(Semaphore::new(MAX_CONCURRENT_REPLIES));
+    let limits = ConnectionLimits {
+        idle_timeout: EXCHANGE_TIMEOUT,
+        request_timeout: EXCHANGE_TIMEOUT,
+        response_timeout: EXCHANGE_TIMEOUT,
+        ..ConnectionLimits::default()
+    };
+    let log_accept_error = |e: &std::io::Error| {
+        gateway.log.event(&LogEvent::CallFailed {
+            step: "accept",
+            peer: None,
+            error: &e.to_string(),
+        });
+    };
+    let serve_one = |stream, from, tracker: Tracker| {
+        let (gateway, reply_slots) = (gateway.clone(), reply_slots.clone());
+        async move {
+            let exchange = answer(&gateway, stream, &tracker, &reply_slots);
+            let outcome = tracker.run(exchange).await;
+            if let Err(reason) = &outcome {
+                bounded_listener::count_closed("peers", *reason);
             }
-        };
-        let Ok(slot) = slots.clone().try_acquire_owned() else {
-            continue;
-        };
-        let gateway = gateway.clone();
-        tokio::spawn(async move {
-            let outcome = tokio::time::timeout(EXCHANGE_TIMEOUT, answer(&gateway, stream)).await;
-            if let Err(e) = outcome.unwrap_or(Err(PullError::Timeout)) {
+            if let Err(e) = outcome.unwrap_or_else(|reason| Err(reason.into())) {
                 gateway.log.event(&LogEvent::CallFailed {
                     step: "answer pull",
                     peer: Some(from),
                     error: &e.to_string(),
                 });
             }
-            drop(slot);
-        });
-    }
+        }
+    };
+    bounded_listener::accept(listener, limits, stop, log_accept_error, serve_one).await;
 }
 
-async fn answer(gateway: &Gateway, stream: TcpStream) -> Result<(), PullError> {
-    let mut frames = framed(stream);
+async fn answer(
+    gateway: &Gateway,
+    stream: TcpStream,
+    tracker: &Tracker,
+    reply_slots: &Semaphore,
+) -> Result<(), PullError> {
+    let mut frames = framed(stream, MAX_REQUEST_BYTES);
     let frame = frames.next().await.ok_or(PullError::Closed)??;
     let req = PullRequest::decode(frame)?;
+    tracker.request();
+    // Never closed.
+    let _slot = reply_slots.acquire().await.map_err(|_| PullError::Closed)?;
+    tracker.progress();
     let reply = reply_to(gateway, req);
+    frames.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
     frames.send(Bytes::from(reply.encode_to_vec())).await?;
     Ok(())
 }
--- a/crates/oriole_gateway/src/service_port.rs
+++ b/crates/oriole_gateway/src/service_port.rs
@@ -1,17 +1,14 @@
 //! Answers readiness and endpoint queries.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::request::Parts;
+use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use oriole_kernel::bounded_listener;
+use oriole_kernel::bounded_listener::slots::ConnectionLimits;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -19,50 +16,28 @@
 use crate::gateway::Gateway;
 use crate::mesh::message::Readiness;
 
-/// Time for which a connection may stay idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Accepts connections and answers queries until `stop` is cancelled.
-pub fn spawn(gateway: &Arc<Gateway>, listener: TcpListener, stop: &CancellationToken) {
-    let (gateway, stop) = (gateway.clone(), stop.clone());
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            let gateway = gateway.clone();
-            let stop = stop.clone();
-            tokio::spawn(async move {
-                let handler = service_fn(move |req| {
-                    let response = response(&gateway, &req);
-                    async move { Ok::<_, Infallible>(response) }
-                });
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(IDLE_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), handler);
-                tokio::select! {
-                    _ = connection => {}
-                    () = stop.cancelled() => {}
-                }
-            });
-        }
-    });
+/// Accepts connections and answers queries until `stop` is cancelled. `name` is the listener's name in
+/// metrics.
+pub fn spawn(
+    gateway: &Arc<Gateway>,
+    listener: TcpListener,
+    name: &'static str,
+    stop: &CancellationToken,
+) {
+    let gateway = gateway.clone();
+    let handler = Arc::new(move |head: &Parts| response(&gateway, head));
+    let limits = ConnectionLimits::default();
+    bounded_listener::spawn_http(listener, name, limits, handler, stop);
 }
 
-fn response(gateway: &Gateway, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    if gateway.dialect.is_readiness_query(req.uri()) {
+fn response(gateway: &Gateway, head: &Parts) -> Response<Full<Bytes>> {
+    if gateway.dialect.is_readiness_query(&head.uri) {
         return status(match gateway.readiness() {
             Readiness::Ready => StatusCode::OK,
             Readiness::Starting | Readiness::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         });
     }
-    if let Some(query) = gateway.dialect.endpoint_query(req.uri()) {
+    if let Some(query) = gateway.dialect.endpoint_query(&head.uri) {
         return endpoint_response(gateway, &query.domain);
     }
     status(StatusCode::NOT_FOUND)
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -221,6 +221,10 @@
 /// A running daemon and its log.
 pub struct Harness {
     callers: SocketAddr,
+    /// Addresses of the daemon's listeners.
+    pub listen: ListenSettings,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
     /// Log lines written so far.
     pub log: LogBuffer,
     daemon: GatewayDaemon,
@@ -285,6 +289,7 @@
 
 async fn start_with(cfg: GatewaySettings, route: Route, store: FakeStore) -> Harness {
     let callers = cfg.listen.callers;
+    let (listen, peers) = (cfg.listen.clone(), cfg.peers.listen);
     let dialect = FakeDialect {
         configuration: Some(Configuration {
             routes: RouteTable::new(vec![route]),
@@ -301,6 +306,8 @@
         .unwrap();
     Harness {
         callers,
+        listen,
+        peers,
         log,
         daemon,
     }
--- a/crates/oriole_gateway/tests/gateway/main.rs
+++ b/crates/oriole_gateway/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod head_outcome;
 mod kept_connection;
 mod leaving;
+mod listeners;
 mod log_walkthrough;
 mod members;
 mod not_an_answer;
--- a/crates/oriole_kernel/src/lib.rs
+++ b/crates/oriole_kernel/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`signals`]: signals for shutdown and reload.
 //! - [`sockets`]: TCP connections that detect an unresponsive peer. [`bounded_stream`]: streams that
 //!   end when the peer sends too much. [`connector`]: connects pooled HTTP clients with both.
+//! - [`bounded_listener`]: listeners for short queries that clients cannot exhaust.
 //! - [`http_answer`]: which heads of HTTP answers end a request.
 //!
 //! ```
@@ -34,6 +35,7 @@
 #![forbid(unsafe_code)]
 
 pub mod app;
+pub mod bounded_listener;
 pub mod bounded_stream;
 pub mod clock;
 pub mod connector;
--- a/crates/oriole_kernel/src/metrics_port.rs
+++ b/crates/oriole_kernel/src/metrics_port.rs
@@ -1,62 +1,80 @@
 //! HTTP endpoint for the metrics, in Prometheus text format.
 
-use std::convert::Infallible;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::request::Parts;
+use http::{Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::bounded_listener::slots::ConnectionLimits;
+use crate::bounded_listener::{self, QueryHandler};
 use crate::telemetry;
 
 /// HTTP path of the metrics.
 pub const METRICS_PATH: &str = "/metrics";
 
-/// Maximum time that a connection may stay idle.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Pause after a failed accept, to avoid a busy loop.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a response that a client has not taken yet is also sent to others, so that clients
+/// that do not read cannot make the process hold a copy each.
+const SHARED_FOR: Duration = Duration::from_secs(1);
 
 /// Starts to serve the metrics until `stop` is cancelled.
 pub fn spawn(listener: TcpListener, stop: CancellationToken) {
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let Ok((stream, _)) = accepted else {
-                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
-            };
-            let stop = stop.clone();
-            tokio::spawn(async move {
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(IDLE_TIMEOUT)
-                    .serve_connection(TokioIo::new(stream), service_fn(handle_request));
-                tokio::select! {
-                    _ = connection => {}
-                    () = stop.cancelled() => {}
-                }
+    let handler = Arc::new(MetricsHandler::default());
+    let limits = ConnectionLimits::default();
+    bounded_listener::spawn_http(listener, "metrics", limits, handler, &stop);
+}
+
+/// Answers queries for the metrics.
+#[derive(Default)]
+struct MetricsHandler {
+    /// The last response, as long as a connection holds it.
+    last: Mutex<Weak<Rendered>>,
+}
+
+/// The metrics at one time.
+struct Rendered {
+    text: String,
+    at: Instant,
+}
+
+/// A share of a rendering, as the owner of a response's bytes.
+struct SharedText(Arc<Rendered>);
+
+impl AsRef<[u8]> for SharedText {
+    fn as_ref(&self) -> &[u8] {
+        self.0.text.as_bytes()
+    }
+}
+
+impl MetricsHandler {
+    fn render(&self) -> Bytes {
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let recent = last.upgrade().filter(|r| r.at.elapsed() < SHARED_FOR);
+        let rendered = recent.unwrap_or_else(|| {
+            let rendered = Arc::new(Rendered {
+                text: telemetry::render(),
+                at: Instant::now(),
             });
-        }
-    });
+            *last = Arc::downgrade(&rendered);
+            rendered
+        });
+        Bytes::from_owner(SharedText(rendered))
+    }
 }
 
-async fn handle_request(req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-    let mut response = Response::new(Full::default());
-    if req.uri().path() == METRICS_PATH {
-        *response.body_mut() = Full::new(telemetry::render().into());
-    } else {
-        *response.status_mut() = StatusCode::NOT_FOUND;
+impl QueryHandler for MetricsHandler {
+    fn answer(&self, head: &Parts) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::default());
+        if head.uri.path() == METRICS_PATH {
+            *response.body_mut() = Full::new(self.render());
+        } else {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        response
     }
-    Ok(response)
 }
