Bound unauthenticated connections and unfinished frames of the peer port

Cause: connections without a handshake took the slots of peers: 2,048 silent ones kept every peer out. Frames that never complete could take 2 MiB on each of 2,048 connections.

Change: connections without a handshake have 256 slots of their own, in which a new one replaces the oldest; authenticated ones keep 2,048. Frames of more than 16 KiB that have arrived in part count toward 64 MiB. When there is no room, frames without progress for 1 s are given up with their connections, longest stalled first; otherwise the new frame is refused with its connection. The limits on time (3 s) and length were there.

--- a/crates/oriole_wire/src/codec.rs
+++ b/crates/oriole_wire/src/codec.rs
@@ -9,6 +9,7 @@
 
 use crate::error::WireError;
 use crate::frame::Frame;
+use crate::unfinished::CountedFrame;
 
 /// Maximum size of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -17,6 +18,9 @@
 /// occupy before it is authenticated.
 pub const MAX_HANDSHAKE_FRAME_BYTES: usize = 1024;
 
+/// Size of the length that precedes a frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// Encodes and decodes frames, each preceded by its length in four bytes.
 ///
 /// Use it with [`tokio_util::codec::Framed`]. It fails on a frame that exceeds the size limit or cannot
@@ -26,6 +30,12 @@
     buf: BytesMut,
     /// Whether the first bytes of a frame have arrived, but not all.
     partial_frame: Arc<AtomicBool>,
+    /// Whether the length of a frame was received, but not the whole frame.
+    in_frame: bool,
+    /// Bytes of the frame that had arrived when it was last decoded.
+    received: usize,
+    /// Counts unfinished frames; `None` if they are not limited together.
+    counted: Option<CountedFrame>,
 }
 
 impl Default for FrameCodec {
@@ -57,6 +67,11 @@
         Arc::clone(&self.partial_frame)
     }
 
+    /// Counts frames that have arrived only in part from now on.
+    pub(crate) fn count_unfinished(&mut self, counted: CountedFrame) {
+        self.counted = Some(counted);
+    }
+
     fn with_limit(max: usize) -> Self {
         let inner = LengthDelimitedCodec::builder()
             .max_frame_length(max)
@@ -65,6 +80,9 @@
             inner,
             buf: BytesMut::new(),
             partial_frame: Arc::default(),
+            in_frame: false,
+            received: 0,
+            counted: None,
         }
     }
 
@@ -73,11 +91,43 @@
         WireError::Oversized { max }.into()
     }
 
+    /// Counts a frame when its length has arrived, and refuses it if there is no room.
+    fn count_partial_frame(&mut self, src: &BytesMut) -> Result<(), FrameError> {
+        if self.in_frame {
+            if src.len() > self.received
+                && let Some(counted) = &self.counted
+            {
+                counted.progress();
+            }
+            self.received = src.len();
+            return Ok(());
+        }
+        let Some((len, received)) = src.split_first_chunk::<LENGTH_BYTES>() else {
+            return Ok(());
+        };
+        let len = u32::from_be_bytes(*len) as usize;
+        if received.len() >= len || len > self.inner.max_frame_length() {
+            return Ok(());
+        }
+        self.in_frame = true;
+        self.received = received.len();
+        let counted = self.counted.as_mut();
+        if counted.is_none_or(|counted| counted.begin(len)) {
+            return Ok(());
+        }
+        Err(WireError::UnfinishedFrames.into())
+    }
+
     fn decode_frame_bytes(&mut self, src: &mut BytesMut) -> Result<Option<BytesMut>, FrameError> {
         let had_bytes = !src.is_empty();
+        self.count_partial_frame(src)?;
         match self.inner.decode(src) {
             Ok(Some(data)) => {
                 self.partial_frame.store(false, Ordering::Relaxed);
+                self.in_frame = false;
+                if let Some(counted) = &mut self.counted {
+                    counted.finish();
+                }
                 Ok(Some(data))
             }
             Ok(None) => {
--- a/crates/oriole_wire/src/error.rs
+++ b/crates/oriole_wire/src/error.rs
@@ -29,6 +29,15 @@
     /// The peer sent a part of a frame and did not complete it in time.
     #[error("the peer did not complete a frame in time")]
     SlowSender,
+    /// Unfinished frames of all peers take too much memory.
+    #[error("too many bytes of unfinished frames")]
+    UnfinishedFrames,
+    /// All unauthenticated connections were taken, and this was the oldest.
+    #[error("too many connections without a handshake")]
+    TooManyUnauthenticated,
+    /// All connections are taken.
+    #[error("too many connections")]
+    TooManyConnections,
     /// The peer did not read sent frames in time.
     #[error("the peer did not read sent frames in time")]
     SlowReader,
@@ -55,6 +64,9 @@
             Self::Malformed(_) => "malformed",
             Self::CreditExceeded => "credit_exceeded",
             Self::SlowSender => "slow_sender",
+            Self::UnfinishedFrames => "unfinished_frames",
+            Self::TooManyUnauthenticated => "too_many_unauthenticated",
+            Self::TooManyConnections => "too_many_connections",
             Self::SlowReader => "slow_reader",
             Self::TooManyPeerConnections => "peer_connections",
             Self::CallRefused(_) => "call_refused",
--- a/crates/oriole_wire/src/lib.rs
+++ b/crates/oriole_wire/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`channel`] and [`exchange`]: the client side.
 //! - [`server`] and [`reply`]: the server side.
 //! - [`reader`]: receives frames, with a timeout per frame.
+//! - [`unfinished`]: bounds the memory of frames that have arrived only in part.
 //! - [`checksum`]: running checksum that verifies that an answer is complete.
 //! - [`error`]: errors of connections and calls.
 //!
@@ -31,6 +32,7 @@
 pub mod reply;
 pub mod secret;
 pub mod server;
+pub mod unfinished;
 
 /// The types that daemons usually need.
 pub mod prelude {
--- a/crates/oriole_wire/src/reader.rs
+++ b/crates/oriole_wire/src/reader.rs
@@ -27,6 +27,8 @@
     ticks: Interval,
     /// Whether the current frame had already arrived in part at the last tick.
     partial_at_last_tick: bool,
+    /// Cancelled when an unfinished frame is given up for those of other connections.
+    given_up: CancellationToken,
 }
 
 impl<S> FrameReader<S>
@@ -41,15 +43,22 @@
             partial_frame,
             ticks,
             partial_at_last_tick: false,
+            given_up: CancellationToken::new(),
         }
     }
 
+    /// Ends the connection when `given_up` is cancelled.
+    pub fn until_given_up(self, given_up: CancellationToken) -> Self {
+        Self { given_up, ..self }
+    }
+
     /// Waits for the next frame; returns `None` after the connection has ended on either side.
     pub async fn next(&mut self, closed: &CancellationToken) -> Result<Option<Frame>, WireError> {
         loop {
             tokio::select! {
                 biased;
                 () = closed.cancelled() => return Ok(None),
+                () = self.given_up.cancelled() => return Err(WireError::UnfinishedFrames),
                 next = self.frames.next() => {
                     self.partial_at_last_tick = false;
                     return Ok(next.transpose()?);
--- a/crates/oriole_wire/src/server.rs
+++ b/crates/oriole_wire/src/server.rs
@@ -8,6 +8,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::StreamExt;
+use oriole_kernel::bounded_listener::slots::{CloseReason, ConnectionLimits};
+use oriole_kernel::bounded_listener::{self, Tracker};
 use oriole_types::outcome::RefusalReason;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,9 +28,11 @@
 use crate::reader::FrameReader;
 use crate::reply::Reply;
 use crate::secret::FleetSecrets;
+use crate::unfinished::{CountedFrame, FrameLedger, MAX_UNFINISHED_BYTES};
 
-/// Pause after a failed accept, to avoid a busy loop while file descriptors are exhausted.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a connection without a handshake is closed by the listener at the latest. The
+/// handshake's own timeout comes first.
+const UNAUTHENTICATED_TIMEOUT: Duration = HANDSHAKE_TIMEOUT.saturating_mul(2);
 
 /// Identity of the client that sent a frame.
 pub type PeerInfo = Identity;
@@ -52,8 +56,14 @@
     pub secrets: FleetSecrets,
     /// Maximum number of concurrent exchanges, and also of concurrent calls, per connection.
     pub max_exchanges: usize,
-    /// Maximum number of connections.
+    /// Maximum number of authenticated connections.
     pub max_connections: usize,
+    /// Maximum number of connections whose handshake is not done. When all are taken, the oldest is
+    /// closed for a new one.
+    pub max_unauthenticated: usize,
+    /// Maximum sum of the sizes of frames that have arrived only in part, in bytes, without small
+    /// ones (see [`crate::unfinished::SMALL_FRAME_BYTES`]).
+    pub max_unfinished_bytes: usize,
     /// Maximum number of connections per client process (name and incarnation).
     pub max_peer_connections: usize,
 }
@@ -67,6 +77,8 @@
             secrets,
             max_exchanges: 8192,
             max_connections: 2048,
+            max_unauthenticated: 256,
+            max_unfinished_bytes: MAX_UNFINISHED_BYTES,
             max_peer_connections: 64,
         }
     }
@@ -87,8 +99,9 @@
     stop_accepting: CancellationToken,
     close_connections: CancellationToken,
     exchanges: TaskTracker,
-    connection_slots: Arc<Semaphore>,
+    connection_slots: Semaphore,
     connections_by_peer: Mutex<HashMap<PeerKey, usize>>,
+    unfinished_frames: Arc<FrameLedger>,
 }
 
 /// Name and incarnation of a client. After a restart, connections of the previous process do not count
@@ -98,7 +111,8 @@
 impl Acceptor {
     fn new(cfg: WireServerConfig, handler: Arc<dyn Handler>) -> Arc<Self> {
         Arc::new(Self {
-            connection_slots: Arc::new(Semaphore::new(cfg.max_connections)),
+            connection_slots: Semaphore::new(cfg.max_connections),
+            unfinished_frames: FrameLedger::new(cfg.max_unfinished_bytes),
             cfg,
             handler,
             stop_accepting: CancellationToken::new(),
@@ -155,7 +169,7 @@
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    serve_and_count_errors(stream, &Acceptor::new(cfg, handler)).await
+    serve_and_count_errors(stream, None, &Acceptor::new(cfg, handler)).await
 }
 
 impl WireServer {
@@ -206,57 +220,84 @@
 }
 
 async fn accept_connections(listener: TcpListener, acceptor: Arc<Acceptor>) {
-    loop {
-        let accepted = tokio::select! {
-            () = acceptor.stop_accepting.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(stream, &acceptor),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
+    let limits = ConnectionLimits {
+        max_connections: acceptor.cfg.max_unauthenticated,
+        idle_timeout: UNAUTHENTICATED_TIMEOUT,
+        ..ConnectionLimits::default()
+    };
+    let stop = acceptor.stop_accepting.clone();
+    let serve_one = |stream: TcpStream, _, tracker| {
+        // Only affects latency, so an error can be ignored.
+        let _ = stream.set_nodelay(true);
+        let acceptor = Arc::clone(&acceptor);
+        async move {
+            // Errors have been counted.
+            let _ = serve_and_count_errors(stream, Some(tracker), &acceptor).await;
         }
-    }
-}
-
-fn spawn_connection(stream: TcpStream, acceptor: &Arc<Acceptor>) {
-    let Ok(slot) = Arc::clone(&acceptor.connection_slots).try_acquire_owned() else {
-        metrics::counter!("oriole_wire_closed_total", "reason" => "too_many_connections")
-            .increment(1);
-        return;
     };
-    // Only affects latency, so an error can be ignored.
-    let _ = stream.set_nodelay(true);
-    let acceptor = Arc::clone(acceptor);
-    tokio::spawn(async move {
-        // Errors have been counted.
-        let _ = serve_and_count_errors(stream, &acceptor).await;
-        drop(slot);
-    });
+    let on_error = |_: &std::io::Error| {};
+    bounded_listener::accept(listener, limits, stop, on_error, serve_one).await;
 }
 
-async fn serve_and_count_errors<S>(stream: S, acceptor: &Arc<Acceptor>) -> Result<(), WireError>
+async fn serve_and_count_errors<S>(
+    stream: S,
+    tracker: Option<Tracker>,
+    acceptor: &Arc<Acceptor>,
+) -> Result<(), WireError>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    serve(stream, acceptor).await.inspect_err(count_closed)
+    serve(stream, tracker, acceptor)
+        .await
+        .inspect_err(count_closed)
+}
+
+/// Runs the handshake, during which the connection counts as unauthenticated.
+async fn authenticate<S>(
+    io: &mut Framed<S, FrameCodec>,
+    tracker: Option<Tracker>,
+    cfg: &WireServerConfig,
+) -> Result<PeerInfo, WireError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let pending_handshake = handshake::accept(io, &cfg.identity, &cfg.secrets);
+    let pending_handshake = timeout(HANDSHAKE_TIMEOUT, pending_handshake);
+    let handshake = match tracker {
+        Some(tracker) => tracker.run(pending_handshake).await,
+        None => Ok(pending_handshake.await),
+    };
+    let handshake = handshake.map_err(|reason| match reason {
+        CloseReason::Replaced => WireError::TooManyUnauthenticated,
+        _ => WireError::Timeout,
+    })?;
+    handshake.map_err(|_| WireError::Timeout)?
 }
 
 /// Serves one connection until it ends.
-async fn serve<S>(stream: S, acceptor: &Arc<Acceptor>) -> Result<(), WireError>
+async fn serve<S>(
+    stream: S,
+    tracker: Option<Tracker>,
+    acceptor: &Arc<Acceptor>,
+) -> Result<(), WireError>
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
     let cfg = &acceptor.cfg;
     let mut io = Framed::new(stream, FrameCodec::for_handshake());
-    let pending_handshake = handshake::accept(&mut io, &cfg.identity, &cfg.secrets);
-    let peer = timeout(HANDSHAKE_TIMEOUT, pending_handshake)
-        .await
-        .map_err(|_| WireError::Timeout)??;
+    let peer = authenticate(&mut io, tracker, cfg).await?;
+    let _connection_slot = acceptor
+        .connection_slots
+        .try_acquire()
+        .map_err(|_| WireError::TooManyConnections)?;
     let _slot = acceptor.admit(&peer)?;
     io.codec_mut().raise_frame_limit();
+    let counted = CountedFrame::new(Arc::clone(&acceptor.unfinished_frames));
+    let given_up = counted.given_up();
+    io.codec_mut().count_unfinished(counted);
     let partial_frame = io.codec().partial_frame_flag();
     let (sink, frames) = io.split();
-    let mut frames = FrameReader::new(frames, partial_frame);
+    let mut frames = FrameReader::new(frames, partial_frame).until_given_up(given_up);
     let (out, out_rx) = mpsc::channel(OUT_QUEUE_FRAMES);
     let closed = acceptor.close_connections.child_token();
     let _close_on_end = closed.clone().drop_guard();
