Charge request bodies of the entry to its memory budget

Cause: an entry read each body up to the limit of its catalog entry, and nothing accounted for all of them together. 96 bodies of 256 KiB that stop short were all held for 10 s.

Change: setting memory_mb (default 512, 32 to 1,048,576). Each request is a holder of oriole_memory's budget from the check of its head to its end. Its body is read into blocks that are charged before they are allocated. A request that is cut off or refused for memory gets not_run with the new reason `memory`, 503 and Retry-After. A body whose announced length is over the limit is refused before it is read.

--- a/crates/oriole_entry/src/api/headers.rs
+++ b/crates/oriole_entry/src/api/headers.rs
@@ -69,6 +69,13 @@
     }
 }
 
+/// Length of the body that the caller announced; `None` if it sent none.
+#[must_use]
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Whether the caller accepts a streamed answer.
 #[must_use]
 pub fn wants_stream(headers: &HeaderMap) -> bool {
--- a/crates/oriole_entry/src/api/requests.rs
+++ b/crates/oriole_entry/src/api/requests.rs
@@ -4,6 +4,7 @@
 use dropshot::{Body, HttpError, Path, RequestContext, StreamingBody, endpoint};
 use futures::{StreamExt, pin_mut};
 use http::{HeaderValue, Response, header};
+use oriole_memory::prelude::{BlockBuffer, Blocks};
 use oriole_types::catalog::PoolKind;
 use oriole_types::ids::RequestId;
 use oriole_types::outcome::{Outcome, RefusalReason, UnknownReason};
@@ -15,6 +16,7 @@
 use super::{Context, errors, headers};
 use crate::answer::{AnswerEvent, Refusal};
 use crate::intake::CheckedHead;
+use crate::memory::HeldRequest;
 
 /// Longest time without new data while a request's body is read.
 const BODY_IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
@@ -45,11 +47,21 @@
         Ok(head) => head,
         Err(refusal) => return Ok(state.refusal_response(request, &refusal)),
     };
-    let body = match read_body(body, head.max_body_bytes()).await {
+    let memory = match head.hold_memory() {
+        Ok(memory) => memory,
+        Err(refusal) => return Ok(state.refusal_response(request, &refusal)),
+    };
+    let length = headers::content_length(req_headers);
+    let max_bytes = head.max_body_bytes();
+    let body = tokio::select! {
+        read = read_body(body, length, max_bytes, &memory) => read,
+        refusal = memory.cut_off() => Err(refusal),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(refusal) => return Ok(state.refusal_response(request, &refusal)),
     };
-    let accepted = match head.accept(body) {
+    let accepted = match head.accept(body, memory) {
         Ok(accepted) => accepted,
         Err(refusal) => return Ok(state.refusal_response(request, &refusal)),
     };
@@ -62,14 +74,24 @@
     })
 }
 
-async fn read_body(body: StreamingBody, max: usize) -> Result<Bytes, Refusal> {
+/// Reads a body into memory that is charged before it is allocated.
+async fn read_body(
+    body: StreamingBody,
+    length: Option<u64>,
+    max: usize,
+    memory: &HeldRequest,
+) -> Result<Bytes, Refusal> {
     let too_large = || {
         let message = format!("the body is larger than {max} bytes");
         Refusal::new(RefusalReason::BodyTooLarge, message)
     };
+    if length.is_some_and(|length| length > max as u64) {
+        return Err(too_large());
+    }
     let stream = body.into_stream();
     pin_mut!(stream);
-    let mut buf = BytesMut::new();
+    let mut buf = BlockBuffer::with_length(length);
+    let mut charged = 0;
     loop {
         let part = tokio::time::timeout(BODY_IDLE_TIMEOUT, stream.next())
             .await
@@ -78,7 +100,7 @@
                 Refusal::new(RefusalReason::RequestInvalid, "the body came too slowly")
             })?;
         let Some(part) = part else {
-            return Ok(buf.freeze());
+            return join_blocks(buf.freeze(), charged, memory).await;
         };
         let part = part.map_err(|e| {
             if e.external_message.contains("exceeded maximum size") {
@@ -90,10 +112,36 @@
         if buf.len() + part.len() > max {
             return Err(too_large());
         }
-        buf.extend_from_slice(&part);
+        memory.on_received();
+        let missing = buf.missing_capacity(part.len());
+        if missing > 0 {
+            memory.charge(missing).await?;
+            charged += missing;
+        }
+        // Copied, since the part keeps a whole read buffer of the HTTP library alive.
+        buf.extend(&part);
     }
 }
 
+/// Joins a body, for whose blocks `charged` bytes were charged.
+async fn join_blocks(
+    blocks: Blocks,
+    charged: usize,
+    memory: &HeldRequest,
+) -> Result<Bytes, Refusal> {
+    let mut parts = blocks.iter();
+    let (Some(first), None) = (parts.next(), parts.next()) else {
+        memory.charge(blocks.len()).await?;
+        let mut joined = BytesMut::with_capacity(blocks.len());
+        for block in blocks {
+            joined.extend_from_slice(&block);
+        }
+        memory.release(charged);
+        return Ok(joined.freeze());
+    };
+    Ok(first.clone())
+}
+
 /// Streams the answer. A request that fails before its first item gets an ordinary error response.
 async fn streamed_response(
     request: RequestId,
--- a/crates/oriole_entry/src/daemon.rs
+++ b/crates/oriole_entry/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::fleet::FleetView;
 use crate::groups::GroupStatuses;
 use crate::liveness::LivenessMonitor;
+use crate::memory::RequestMemory;
 use crate::peer_handler::PeerHandler;
 use crate::poison::PoisonTracker;
 use crate::routing::Routing;
@@ -195,6 +196,7 @@
             poison: PoisonTracker::new(clock),
             ticket_secret: TicketSecret::rotating(secrets),
             routing: Routing::new(clock, self.settings.domain.clone()),
+            memory: RequestMemory::new(self.settings.memory_mb, clock, self.log.clone()),
             channels,
             endpoints: EndpointSelector::new(endpoint_config),
             running_requests: AtomicUsize::new(0),
--- a/crates/oriole_entry/src/intake.rs
+++ b/crates/oriole_entry/src/intake.rs
@@ -10,6 +10,7 @@
 
 use crate::answer::Refusal;
 use crate::api::headers;
+use crate::memory::HeldRequest;
 use crate::routing::PermitGuard;
 use crate::state::EntryState;
 
@@ -31,6 +32,8 @@
     pub deadline: Duration,
     /// Counts the request against its limits until dropped.
     pub permit: PermitGuard,
+    /// Counts the request and its body toward the memory budget until dropped.
+    pub memory: HeldRequest,
 }
 
 /// A request whose head was checked and whose body has not been read yet.
@@ -89,6 +92,15 @@
         })
     }
 
+    /// Counts the request toward the memory budget, before its body is read.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if there is no room for it.
+    pub fn hold_memory(&self) -> Result<HeldRequest, Refusal> {
+        self.state.memory.open(self.request, &self.account)
+    }
+
     /// Largest body of the request, in bytes.
     #[must_use]
     pub fn max_body_bytes(&self) -> usize {
@@ -99,9 +111,9 @@
     ///
     /// # Errors
     ///
-    /// Refuses a body that is not JSON, and a request that is blocked, quarantined or over a
-    /// limit.
-    pub fn accept(self, body: Bytes) -> Result<AcceptedRequest, Refusal> {
+    /// Refuses a body that is not JSON, and a request that is blocked, quarantined, over a limit or
+    /// cut off.
+    pub fn accept(self, body: Bytes, memory: HeldRequest) -> Result<AcceptedRequest, Refusal> {
         check_json(&body)?;
         let entry = self.entry_name.as_str().as_bytes();
         let content = Digest::of_fields(&[entry, &body]);
@@ -112,6 +124,7 @@
             &self.entry_name,
             self.key.as_ref(),
         )?;
+        memory.start_running()?;
         let account = self.catalog.accounts.get(&self.account);
         let timeout = Duration::from_millis(u64::from(self.timeout_ms));
         let head = RequestHead {
@@ -134,6 +147,7 @@
             weight: account.map_or(1, |a| a.weight),
             deadline: self.state.clock.now() + timeout,
             permit,
+            memory,
         })
     }
 }
--- a/crates/oriole_entry/src/lib.rs
+++ b/crates/oriole_entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! Other modules:
 //!
 //! - [`settings`]: the daemon's TOML settings.
+//! - [`memory`]: charges requests and their bodies to the memory budget.
 //! - [`state`]: state that handlers and tasks share.
 //! - [`fleet`]: the process's view of upstreams and other entries.
 //! - [`groups`]: model group status, as reported by the coordinators.
@@ -32,6 +33,7 @@
 pub mod groups;
 pub mod intake;
 pub mod liveness;
+pub mod memory;
 pub mod peer_handler;
 pub mod poison;
 pub mod routing;
--- a/crates/oriole_entry/src/settings.rs
+++ b/crates/oriole_entry/src/settings.rs
@@ -23,6 +23,7 @@
 /// "#;
 /// let settings: EntrySettings = parse("entry.toml".as_ref(), text).unwrap();
 /// assert_eq!(settings.vm_list_period_ms, 1000);
+/// assert_eq!(settings.memory_mb, 512);
 /// ```
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -49,6 +50,9 @@
     /// Time for which callers may cache an endpoint answer, in milliseconds.
     #[serde(default = "default_endpoint_ttl_ms")]
     pub endpoint_ttl_ms: u32,
+    /// Memory of the VM, in MB. Half of it is the budget for requests and their bodies.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Lowest level that is logged: `critical`, `error`, `warning`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -62,6 +66,11 @@
     10_000
 }
 
+/// The largest VM of the deployments so far.
+fn default_memory_mb() -> u64 {
+    512
+}
+
 fn default_log_level() -> String {
     "info".into()
 }
@@ -86,6 +95,7 @@
             self.endpoint_ttl_ms.into(),
             500..=300_000,
         )?;
+        check_range("memory_mb", self.memory_mb, 32..=1_048_576)?;
         oriole_kernel::logging::parse_level(&self.log_level)
             .map(|_| ())
             .map_err(|e| format!("log_level: {e}"))
--- a/crates/oriole_entry/src/state.rs
+++ b/crates/oriole_entry/src/state.rs
@@ -24,6 +24,7 @@
 use crate::groups::GroupStatuses;
 use crate::intake::AcceptedRequest;
 use crate::liveness::LivenessMonitor;
+use crate::memory::RequestMemory;
 use crate::poison::PoisonTracker;
 use crate::routing::Routing;
 use crate::sharers::LimitSharers;
@@ -68,6 +69,8 @@
     pub ticket_secret: TicketSecret,
     /// Router, limits, queues and retry budget.
     pub routing: Routing,
+    /// Memory budget of requests and their bodies.
+    pub memory: Arc<RequestMemory>,
     /// Channels to agents and other entries.
     pub channels: Arc<ChannelPool>,
     /// Selects the entries that endpoint answers name.
--- a/crates/oriole_local/src/deployment.rs
+++ b/crates/oriole_local/src/deployment.rs
@@ -306,6 +306,7 @@
         fleet_secrets: vec![cx.secret.to_owned()],
         vm_list_period_ms: cx.spec.vm_list_period_ms,
         endpoint_ttl_ms: cx.spec.endpoint_ttl_ms,
+        memory_mb: cx.spec.entry_memory_mb,
         log_level: "warning".into(),
     };
     let vm = Vm::start(cx.spec.daemon_threads, start_entry(&settings, cx.log)).await?;
--- a/crates/oriole_local/src/spec.rs
+++ b/crates/oriole_local/src/spec.rs
@@ -127,6 +127,8 @@
     pub vm_list_lag: Duration,
     /// Interval at which each daemon reads the VM list, in milliseconds.
     pub vm_list_period_ms: u64,
+    /// Memory of the entry VMs that their budget is derived from, in MB.
+    pub entry_memory_mb: u64,
     /// Worker threads of each daemon.
     pub daemon_threads: usize,
     /// Engine pool whose upstreams are the ranks of the model group; `None` runs no group.
@@ -166,6 +168,7 @@
             service: ServiceConfig::default(),
             vm_list_lag: Duration::from_millis(500),
             vm_list_period_ms: 300,
+            entry_memory_mb: 512,
             daemon_threads: 1,
             group_pool: None,
             endpoint_ttl_ms: 2_000,
--- a/crates/oriole_types/src/outcome.rs
+++ b/crates/oriole_types/src/outcome.rs
@@ -115,6 +115,8 @@
         KeyInProgress = 29, "key_in_progress";
         /// The upstream gets as many requests per second as it announced that it takes.
         UpstreamLimit = 30, "upstream_limit";
+        /// The process has too little memory for the request.
+        Memory = 31, "memory";
     }
 }
 
