--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -222,6 +222,10 @@
 /// A running daemon and its log.
 pub struct Harness {
     callers: SocketAddr,
+    /// Addresses of the daemon's listeners.
+    pub listen: ListenSettings,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
     /// Log lines written so far.
     pub log: LogBuffer,
     daemon: GatewayDaemon,
@@ -352,6 +356,7 @@
     store: FakeStore,
 ) -> Harness {
     let callers = cfg.listen.callers;
+    let (listen, peers) = (cfg.listen.clone(), cfg.peers.listen);
     let dialect = FakeDialect {
         configuration: Some(configuration),
         ..FakeDialect::default()
@@ -364,6 +369,8 @@
         .unwrap();
     Harness {
         callers,
+        listen,
+        peers,
         log,
         daemon,
     }
