Admit the streams of ordered services by priority and pace

Cause: as in oriole_overload; the gateway sent streams to a group that stands still, moved running ones within it after 1.3 s, and gave slots to all priorities alike.

Change: routes have target_gap, group memberships their epoch. Gateway::streams() holds pace, limit and admission of ordered services, fed by events and a repeated field of heartbeats. Services that are not ordered decide as before.

--- a/crates/oriole_fleet/src/routes.rs
+++ b/crates/oriole_fleet/src/routes.rs
@@ -48,6 +48,8 @@
         pub timeout: Duration,
         /// Target for the time to the answer or, for a stream, to its first event.
         pub latency_objective: Duration,
+        /// Longest pause between two events of a stream that is on time; `None` if it has no target.
+        pub target_gap: Option<Duration>,
         /// Priority; zero is the most urgent.
         pub priority: u8,
         /// Whether callers may send requests without an account key.
@@ -120,6 +122,11 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// All routes, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
     /// Number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/oriole_fleet/src/upstream.rs
+++ b/crates/oriole_fleet/src/upstream.rs
@@ -22,6 +22,8 @@
         pub group: String,
         /// Rank in the group.
         pub rank: usize,
+        /// Run of the group; zero if the entry does not have it.
+        pub epoch: u64,
         /// Whether the group runs. A group that lost a rank refuses requests until it is formed
         /// again.
         pub group_running: bool,
--- a/crates/oriole_gateway/src/decision_log.rs
+++ b/crates/oriole_gateway/src/decision_log.rs
@@ -138,6 +138,38 @@
         /// Longest time that the request waits.
         max_wait: Duration,
     },
+    /// A stream waits or is refused, because of its group's pace or a standstill.
+    StreamHeld {
+        /// Attempt id given by the caller.
+        request: &'a str,
+        /// `waits` or `refused`.
+        now: &'static str,
+        /// `pace` or `standstill`.
+        reason: &'static str,
+        /// Streams of the service that run at all daemons.
+        running: u32,
+        /// Limit on them.
+        limit: u32,
+        /// Mean pause between events.
+        pause: Duration,
+        /// Longest pause for which a response is on time.
+        target: Duration,
+        /// Time since the last event that is known.
+        age: Duration,
+        /// Place of its priority among those seen; zero is the most urgent.
+        rank: usize,
+        /// Requests that start before it.
+        position: usize,
+    },
+    /// A group stands still, or goes on.
+    GroupPace {
+        /// Name of the group.
+        group: &'a str,
+        /// `stands still` or `goes on`.
+        now: &'static str,
+        /// Time without an event.
+        lasted: Duration,
+    },
     /// An attempt ended without a success.
     Attempt {
         /// Attempt id given by the caller.
@@ -274,6 +306,8 @@
             LogEvent::CallFailed { .. } => "call_failed",
             LogEvent::Picked { .. } => "picked",
             LogEvent::Waits { .. } => "waits",
+            LogEvent::StreamHeld { .. } => "stream held",
+            LogEvent::GroupPace { .. } => "group pace",
             LogEvent::Attempt { .. } => "attempt",
             LogEvent::Disconnected { .. } => "disconnected",
             LogEvent::Resume { .. } => "resume",
@@ -402,6 +436,27 @@
                 info!(log, "waits"; "request" => request, "reason" => reason,
                     "longest_ms" => millis(*max_wait));
             }
+            LogEvent::StreamHeld {
+                request,
+                now,
+                reason,
+                running,
+                limit,
+                pause,
+                target,
+                age,
+                rank,
+                position,
+            } => {
+                info!(log, "stream held"; "request" => request, "now" => now, "reason" => reason,
+                    "running" => running, "limit" => limit, "pause_ms" => millis(*pause),
+                    "target_ms" => millis(*target), "age_ms" => millis(*age),
+                    "rank" => rank, "position" => position);
+            }
+            LogEvent::GroupPace { group, now, lasted } => {
+                info!(log, "group pace"; "group" => group, "now" => now,
+                    "lasted_ms" => millis(*lasted));
+            }
             LogEvent::Attempt {
                 request,
                 attempt,
--- a/crates/oriole_gateway/src/forward/mod.rs
+++ b/crates/oriole_gateway/src/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod limits;
 mod notices;
 pub mod request;
+mod standstill;
 mod stream;
 mod suspects;
 mod upstream_attempt;
@@ -21,15 +22,18 @@
 use hyper::body::Incoming;
 use metrics::{counter, histogram};
 use oriole_fleet::prelude::*;
+use oriole_overload::prelude::HoldReason;
 
 use self::body::{ResponseBody, full};
 use self::buffers::BufferError;
 use self::request::{CheckedRequest, RejectedRequest};
+use self::standstill::{awaits_slot, is_stopped, needs_admission, queue_wait, wait_for_progress};
 use self::suspects::Trial;
 use self::upstream_attempt::{AttemptEnd, HeadPatience, LiveResponse};
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::{CountGuard, Gateway};
 use crate::refusal::Refusal;
+use crate::streams::{self, Admission, Held};
 use crate::traffic::{Pick, PickRequest};
 
 /// Most upstreams that a request is sent to, including those that refuse it.
@@ -74,6 +78,18 @@
     }
 }
 
+impl From<Held> for RequestFailure {
+    fn from(held: Held) -> Self {
+        Self {
+            refusal: match held.reason {
+                HoldReason::Pace => Refusal::Pace,
+                HoldReason::Standstill => Refusal::Standstill,
+            },
+            retry_after: Some(held.retry_after),
+        }
+    }
+}
+
 /// Why no upstream could be picked.
 struct PickFailure {
     failure: RequestFailure,
@@ -90,6 +106,8 @@
     possible_runs: u32,
     /// Instances that were tried.
     tried: Vec<String>,
+    /// Its admission, if its service is ordered.
+    admission: Option<Admission>,
 }
 
 /// Serves one request of a caller.
@@ -183,10 +201,16 @@
                 Err(failure) => return Err(failure),
             };
         }
+        if progress.possible_runs > 0 {
+            wait_for_progress(gateway, request).await;
+        } else if needs_admission(gateway, request, progress) {
+            progress.admission = None;
+            progress.admission = streams::admit(gateway, request).await?;
+        }
         let policy = if waiting.is_some() {
             WaitPolicy::Late
         } else {
-            WaitPolicy::Queue(request.route.latency_objective.mul_f64(QUEUE_WAIT_SHARE))
+            WaitPolicy::Queue(queue_wait(gateway, request))
         };
         let pick = match pick(gateway, request, progress, policy, trial.as_ref()) {
             Ok(pick) => pick,
@@ -194,6 +218,10 @@
                 tokio::time::sleep(WAIT_POLL_INTERVAL).await;
                 continue;
             }
+            Err(e) if awaits_slot(gateway, request, progress, &e) => {
+                tokio::time::sleep(WAIT_POLL_INTERVAL).await;
+                continue;
+            }
             // Prefer an upstream's failure response to one generated here.
             Err(e) => return fallback.ok_or(e.failure),
         };
@@ -299,11 +327,14 @@
     let is_within_budget = traffic.allows_retry(now, &request.service, share);
     drop(traffic);
     let view = gateway.fleet_view();
+    let stopped = gateway.streams().stopped_groups(&request.service);
     let mut usable = view.usable_upstreams(now, &request.service);
     is_within_budget
         && usable.any(|known| {
             let instance = &known.upstream.instance;
-            instance != current && !progress.tried.contains(instance)
+            instance != current
+                && !progress.tried.contains(instance)
+                && !is_stopped(known.group(), &stopped)
         })
 }
 
@@ -344,11 +375,24 @@
         may_probe: progress.attempts == 0,
         is_late: matches!(policy, WaitPolicy::Late),
         priority: request.priority,
+        slot_share: gateway
+            .streams()
+            .slot_use(now, &request.service, request.priority)
+            .and_then(|slot_use| slot_use.slot_share),
     };
+    let stopped = gateway.streams().stopped_groups(&request.service);
     let view = gateway.fleet_view();
     let group = trial.and_then(|trial| view.running_group_of(now, trial.crashed.as_str()));
     let usable = view.usable_upstreams(now, &request.service);
     let usable = usable.filter(|known| group.is_none() || known.group() == group);
+    // A request that may have run is not sent to a group that stands still; others only if there is no
+    // other group, as a probe.
+    let avoids_stopped = !stopped.is_empty()
+        && (progress.possible_runs > 0
+            || view
+                .usable_upstreams(now, &request.service)
+                .any(|known| !is_stopped(known.group(), &stopped)));
+    let usable = usable.filter(|k| !avoids_stopped || !is_stopped(k.group(), &stopped));
     let picked = gateway
         .traffic()
         .pick(now, share, &req, usable, &mut rand::rng());
--- a/crates/oriole_gateway/src/forward/stream.rs
+++ b/crates/oriole_gateway/src/forward/stream.rs
@@ -13,6 +13,7 @@
 use super::body::{ResponseBody, ResponseInterrupted, full};
 use super::events::EventSplitter;
 use super::request::CheckedRequest;
+use super::standstill::{all_stopped, wait_for_progress};
 use super::upstream_attempt::{self, AttemptEnd, HeadPatience, LiveResponse};
 use super::{
     Progress, WaitPolicy, account_name, allows_rerun, has_alternative, headers, log_unusable, pick,
@@ -44,6 +45,7 @@
 const RESUMED: &str = "resumed";
 const NOT_RESUMABLE: &str = "not resumable";
 const NO_UPSTREAM: &str = "no upstream";
+const STANDSTILL: &str = "group stands still";
 
 /// Reason of a stream whose connection broke.
 const CONNECTION_BROKE: &str = "connection broke";
@@ -203,6 +205,12 @@
             self.record_resume(NOT_RESUMABLE, SILENCE);
             return RelayStep::Silent;
         }
+        if all_stopped(&self.gateway, &self.request) {
+            self.record_resume(STANDSTILL, SILENCE);
+            // Its silence is judged anew from now on.
+            self.resumed_at = self.gateway.clock.now();
+            return RelayStep::Events(Bytes::new());
+        }
         let Some(mut silent) = self.live.take() else {
             return RelayStep::Broken(NO_UPSTREAM);
         };
@@ -466,6 +474,7 @@
         let Ok(trial) = suspects::admit(gateway, request).await else {
             return Err("suspect part");
         };
+        wait_for_progress(gateway, request).await;
         if gateway.clock.now() >= request.respond_by {
             return Err("time is up");
         }
--- a/crates/oriole_gateway/src/forward/upstream_attempt.rs
+++ b/crates/oriole_gateway/src/forward/upstream_attempt.rs
@@ -14,6 +14,7 @@
 use super::{headers, limits, notices};
 use crate::decision_log::{AttemptOutcome, LogEvent};
 use crate::gateway::Gateway;
+use crate::streams::StreamPace;
 use crate::traffic::Pick;
 use crate::upstream::{AT_MOST_ONCE_MAX_IDLE, Connection, SendError, StrayBytesHandler};
 
@@ -51,6 +52,8 @@
     /// Time at which the attempt started.
     pub started_at: Duration,
     connection: Connection,
+    /// Reports its events, if it is a stream of an ordered service.
+    pace: Option<StreamPace>,
     _in_flight: InFlightGuard,
 }
 
@@ -80,7 +83,12 @@
     }
 
     /// Records that events of its stream were received whole.
-    pub fn on_events(&self, events: &[u8]) {
+    pub fn on_events(&mut self, events: &[u8]) {
+        if let Some(pace) = &mut self.pace
+            && !events.is_empty()
+        {
+            pace.on_event();
+        }
         self.connection.allowance().earn(events.len());
     }
 
@@ -172,6 +180,7 @@
                 attempt,
                 started_at,
                 connection,
+                pace: StreamPace::open(gateway, &request.service, pick),
                 _in_flight: guard,
             };
             handle_response(gateway, request, pick, live)
--- a/crates/oriole_gateway/src/gateway.rs
+++ b/crates/oriole_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::mesh::members::Members;
 use crate::mesh::message::Readiness;
 use crate::settings::GatewaySettings;
+use crate::streams::Streams;
 use crate::traffic::{DaemonShare, Traffic};
 use crate::upstream::ConnectionPool;
 
@@ -62,6 +63,7 @@
     members: Mutex<Members>,
     traffic: Mutex<Traffic>,
     part_screen: Mutex<PartScreen>,
+    streams: Streams,
     departure: Mutex<Option<Departure>>,
     ready: watch::Sender<bool>,
 }
@@ -89,6 +91,7 @@
             members: Mutex::new(members),
             traffic: Mutex::new(Traffic::new(cfg.traffic_bounds())),
             part_screen: Mutex::default(),
+            streams: Streams::default(),
             pool: ConnectionPool::default(),
             response_buffers: ResponseBuffers::default(),
             log: DecisionLog::new(log, clock),
@@ -138,6 +141,11 @@
         lock(&self.part_screen)
     }
 
+    /// Pace and admission of the streams of ordered services.
+    pub fn streams(&self) -> &Streams {
+        &self.streams
+    }
+
     /// Whether callers may use this daemon.
     pub fn readiness(&self) -> Readiness {
         if self.departure().is_some() {
--- a/crates/oriole_gateway/src/lib.rs
+++ b/crates/oriole_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`fleet_view`]: cached configuration, upstreams and evacuations, by revision.
 //! - [`freshness`]: confirmation of the cached view by the store, and which watches are trusted.
 //! - [`traffic`]: loads, backoff, outages, cold starts and the retry budget; picks an upstream.
+//! - [`streams`]: pace and standstill of groups, and admission of streams by priority.
 //! - [`mesh`]: liveness of the other entry daemons, their requests in flight and the revisions that
 //!   they hold.
 //! - [`forward`]: handling of one request: attempts, response and event stream.
@@ -37,6 +38,7 @@
 pub mod registration;
 pub mod service_port;
 pub mod settings;
+pub mod streams;
 pub mod traffic;
 pub mod upstream;
 pub mod watcher;
--- a/crates/oriole_gateway/src/mesh/members.rs
+++ b/crates/oriole_gateway/src/mesh/members.rs
@@ -32,7 +32,7 @@
 
 /// Most members that a heartbeat is sent to. The others learn of this daemon through relayed
 /// records.
-const MAX_FANOUT: usize = 40;
+pub const MAX_FANOUT: usize = 40;
 
 /// Another entry daemon.
 #[derive(Clone, Debug)]
--- a/crates/oriole_gateway/src/mesh/message.rs
+++ b/crates/oriole_gateway/src/mesh/message.rs
@@ -79,6 +79,29 @@
     /// The sender's idea of the time that all daemons share, in milliseconds.
     #[prost(uint64, tag = "9")]
     pub fleet_time_ms: u64,
+    /// Pace of groups as the sender's own streams show it.
+    #[prost(message, repeated, tag = "10")]
+    pub pace: Vec<PaceRecord>,
+}
+
+/// Pace of one group as the streams of one daemon show it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PaceRecord {
+    /// Hash of the group's name and epoch.
+    #[prost(fixed64, tag = "1")]
+    pub group: u64,
+    /// Mean pause between events over the last 500 ms, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub pause_ms: u32,
+    /// Number of pauses in the mean.
+    #[prost(uint32, tag = "3")]
+    pub pauses: u32,
+    /// Time since the last event in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub last_event_age_ms: u32,
+    /// Streams that have had an event.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
 }
 
 /// A limit that an upstream announces, or its end.
--- a/crates/oriole_gateway/src/mesh/mod.rs
+++ b/crates/oriole_gateway/src/mesh/mod.rs
@@ -1,5 +1,6 @@
 //! Communication between entry daemons: heartbeats by datagram, and store items on request.
 
+mod groups;
 mod limits;
 pub mod members;
 pub mod message;
@@ -113,6 +114,7 @@
     take_over_confirmations(gateway, &heartbeat.confirmations);
     suspects::merge(gateway, &heartbeat);
     limits::merge(gateway, &heartbeat);
+    groups::merge(gateway, &heartbeat);
     let revisions = gateway.fleet_view().revisions().clone();
     let now = gateway.clock.now();
     gateway.members().on_heartbeat(now, heartbeat, &revisions);
@@ -160,6 +162,7 @@
     let mut number = 0;
     loop {
         number += 1;
+        gateway.streams().update(&gateway);
         send_heartbeat(&gateway, &udp, number).await;
         if number.is_multiple_of(HOUSEKEEPING_HEARTBEATS) {
             housekeeping(&gateway);
@@ -232,9 +235,11 @@
         claims: Vec::new(),
         limits: Vec::new(),
         fleet_time_ms: 0,
+        pace: Vec::new(),
     };
     suspects::fill(gateway, number, &mut heartbeat);
     limits::fill(gateway, number, &mut heartbeat);
+    groups::fill(gateway, number, &mut heartbeat);
     targets.retain(|target| *target != gateway.cfg.peers.listen);
     (targets, heartbeat)
 }
--- a/crates/oriole_gateway/src/refusal.rs
+++ b/crates/oriole_gateway/src/refusal.rs
@@ -40,6 +40,10 @@
     SuspectPart,
     /// It is suspected of crashing upstreams as a whole.
     SuspectRequest,
+    /// The limit on streams of its service leaves no room for its priority.
+    Pace,
+    /// The group of its service stands still.
+    Standstill,
     /// The caller did not send its body in time.
     BodyTimeout,
     /// The time limit passed before the request ran.
@@ -72,6 +76,8 @@
             | Self::UpstreamPaused
             | Self::SuspectPart
             | Self::SuspectRequest
+            | Self::Pace
+            | Self::Standstill
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Expired => StatusCode::GATEWAY_TIMEOUT,
             Self::UpstreamFailed => StatusCode::BAD_GATEWAY,
@@ -89,7 +95,9 @@
             | Self::GroupDown
             | Self::Rejected
             | Self::BudgetSpent
-            | Self::UpstreamPaused => Some(GROUP_RECOVERY_TIME),
+            | Self::UpstreamPaused
+            | Self::Pace
+            | Self::Standstill => Some(GROUP_RECOVERY_TIME),
             Self::Busy => Some(Duration::from_millis(200)),
             _ => None,
         }
@@ -114,6 +122,8 @@
             Self::UpstreamPaused => "upstream_paused",
             Self::SuspectPart => "suspect_part",
             Self::SuspectRequest => "suspect_request",
+            Self::Pace => "pace",
+            Self::Standstill => "standstill",
             Self::BodyTimeout => "body_timeout",
             Self::ExpiredUnrun => "expired_unrun",
             Self::Expired => "expired",
--- a/crates/oriole_gateway/src/traffic/mod.rs
+++ b/crates/oriole_gateway/src/traffic/mod.rs
@@ -94,6 +94,8 @@
     pub is_late: bool,
     /// Priority of the request; zero is the most urgent.
     pub priority: u8,
+    /// Share of an upstream's slots that the request may use; `None` for all.
+    pub slot_share: Option<f64>,
 }
 
 /// The upstream of an attempt, with the figures that it was picked by.
@@ -208,6 +210,12 @@
         self.loads.iter().map(|(k, v)| (k.as_str(), v))
     }
 
+    /// Requests of all daemons in flight at an upstream.
+    #[must_use]
+    pub fn in_flight(&self, instance: &str) -> u32 {
+        self.loads.get(instance).map_or(0, UpstreamLoad::in_flight)
+    }
+
     /// Replaces the peers' requests in flight, given by hash of the instance.
     pub fn set_peer_loads(&mut self, in_flight: &HashMap<u64, u32>) {
         for load in self.loads.values_mut() {
@@ -334,7 +342,13 @@
                 return Err(e);
             }
         }
-        let candidates = if healthy.is_empty() { allowed } else { healthy };
+        let mut candidates = if healthy.is_empty() { allowed } else { healthy };
+        if let Some(slot_share) = req.slot_share {
+            candidates.retain(|k| {
+                let usable = f64::from(k.upstream.capacity) * slot_share;
+                f64::from(self.loads[&k.upstream.instance].in_flight()) < usable
+            });
+        }
         if req.is_late && !self.has_late_slot(share, &candidates) {
             // Requests that have piled up take about as long again to work off.
             return Err(busy_error(GROUP_RECOVERY_TIME));
--- a/crates/oriole_gateway/tests/gateway/fake.rs
+++ b/crates/oriole_gateway/tests/gateway/fake.rs
@@ -57,6 +57,7 @@
         group_membership: words.next().map(|group| GroupMembership {
             group: group.to_owned(),
             rank: 0,
+            epoch: 0,
             group_running: words.next() == Some("open"),
         }),
     })
--- a/crates/oriole_gateway/tests/gateway/harness.rs
+++ b/crates/oriole_gateway/tests/gateway/harness.rs
@@ -92,10 +92,15 @@
 }
 
 impl LogBuffer {
+    /// Whether a line contains `text`.
+    pub fn contains(&self, text: &str) -> bool {
+        String::from_utf8_lossy(&self.0.lock().unwrap()).contains(text)
+    }
+
     /// Waits for a line that contains `text`.
     pub async fn wait_for(&self, text: &str) {
         let began = tokio::time::Instant::now();
-        while !String::from_utf8_lossy(&self.0.lock().unwrap()).contains(text) {
+        while !self.contains(text) {
             assert!(began.elapsed() < TIMEOUT, "no line with {text:?}");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -172,6 +177,7 @@
         max_attempts: 2,
         timeout: Duration::from_secs(5),
         latency_objective: Duration::from_secs(1),
+        target_gap: None,
         priority: 1,
         public: true,
     }
@@ -279,15 +285,29 @@
     start_with(cfg, route, store).await
 }
 
+/// Starts a daemon with several routes, whose store holds `items`.
+pub async fn start_with_routes(routes: Vec<Route>, items: Vec<Item>) -> Harness {
+    let store = FakeStore {
+        items,
+        peer_refusals: Mutex::new(0),
+        list_delay: Duration::ZERO,
+    };
+    start_daemon(settings(), routes, store).await
+}
+
 async fn start_with_store(route: Route, store: FakeStore) -> Harness {
     start_with(settings(), route, store).await
 }
 
 async fn start_with(cfg: GatewaySettings, route: Route, store: FakeStore) -> Harness {
+    start_daemon(cfg, vec![route], store).await
+}
+
+async fn start_daemon(cfg: GatewaySettings, routes: Vec<Route>, store: FakeStore) -> Harness {
     let callers = cfg.listen.callers;
     let dialect = FakeDialect {
         configuration: Some(Configuration {
-            routes: RouteTable::new(vec![route]),
+            routes: RouteTable::new(routes),
             services: services(),
             ..Configuration::default()
         }),
--- a/crates/oriole_gateway/tests/gateway/members.rs
+++ b/crates/oriole_gateway/tests/gateway/members.rs
@@ -35,6 +35,7 @@
         claims: Vec::new(),
         limits: Vec::new(),
         fleet_time_ms: 0,
+        pace: Vec::new(),
     }
 }
 
--- a/crates/oriole_gateway/tests/gateway/outage.rs
+++ b/crates/oriole_gateway/tests/gateway/outage.rs
@@ -31,6 +31,7 @@
     may_probe: true,
     is_late: false,
     priority: 0,
+    slot_share: None,
 };
 
 /// Two groups of four ranks.
@@ -38,6 +39,7 @@
     let membership = |i: usize| GroupMembership {
         group: format!("g{}", i % 2),
         rank: i / 2,
+        epoch: 0,
         group_running,
     };
     let with_membership = |i| {
--- a/crates/oriole_gateway/tests/gateway/overload.rs
+++ b/crates/oriole_gateway/tests/gateway/overload.rs
@@ -44,6 +44,7 @@
     may_probe: true,
     is_late: false,
     priority: 0,
+    slot_share: None,
 };
 
 struct Fleet {
--- a/crates/oriole_overload/src/group_progress.rs
+++ b/crates/oriole_overload/src/group_progress.rs
@@ -210,6 +210,12 @@
         Some(now.saturating_sub(latest))
     }
 
+    /// Whether the group stands still.
+    #[must_use]
+    pub fn stands_still(&self) -> bool {
+        self.stopped_since.is_some()
+    }
+
     /// Time without an event of a group that stands still; `None` while it goes on.
     #[must_use]
     pub fn standstill(&self, now: Duration) -> Option<Duration> {
@@ -218,7 +224,7 @@
     }
 
     /// Judges whether the group stands still. `in_flight` is the number of its requests of all
-    /// daemons, including those without an event.
+    /// daemons, including those without an event; without any, it does not.
     pub fn tick(&mut self, now: Duration, in_flight: u32) -> Option<Transition> {
         self.peers
             .retain(|_, peer| now < peer.received_at + RECORD_TTL);
@@ -233,7 +239,7 @@
                 None
             }
             None => {
-                let last = self.last_evidence(now)?;
+                let last = self.last_evidence(now).filter(|_| in_flight > 0)?;
                 let is_silent = now.saturating_sub(last) > self.threshold()?;
                 if !is_silent || !self.has_witnesses(now) {
                     return None;
--- a/crates/oriole_overload/src/lib.rs
+++ b/crates/oriole_overload/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod class_window;
 pub mod group_progress;
+mod rate;
 pub mod stream_admission;
 mod stream_demand;
 pub mod stream_limit;
--- a/crates/oriole_overload/src/stream_admission.rs
+++ b/crates/oriole_overload/src/stream_admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::class_window::ClassWindow;
+use crate::rate::Rate;
 pub use crate::stream_demand::{
     Conditions, Decision, HoldReason, START_SHARE, Standstill, StreamDemand,
 };
@@ -27,9 +28,6 @@
 /// Requests that may start above the limit per second, over all daemons, as a share of the limit.
 const ABOVE_LIMIT_PER_S: f64 = 0.05;
 
-/// Time constant of the moving averages of rates, in seconds.
-const RATE_AVERAGING_S: f64 = 1.0;
-
 /// Time after arrival, and after the begin of a standstill, for which requests wait for the group.
 /// Callers leave after about two seconds without an event.
 pub const STANDSTILL_WAIT: Duration = Duration::from_millis(1500);
@@ -107,26 +105,6 @@
     }
 }
 
-/// Moving average of events per second.
-#[derive(Debug, Default)]
-struct Rate {
-    per_s: f64,
-    updated_at: Duration,
-}
-
-impl Rate {
-    fn current(&self, now: Duration) -> f64 {
-        let since = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.per_s * (-since / RATE_AVERAGING_S).exp()
-    }
-
-    fn record(&mut self, now: Duration) -> f64 {
-        self.per_s = self.current(now) + 1.0 / RATE_AVERAGING_S;
-        self.updated_at = now;
-        self.per_s
-    }
-}
-
 /// Admission of the streams of one service in one daemon.
 #[derive(Debug, Default)]
 pub struct StreamAdmission {
@@ -156,15 +134,14 @@
             return self.offer_in_standstill(now, demand, standstill, cx);
         }
         let position = self.position(&demand);
-        let is_first = position == 0;
-        if (is_first && self.has_room(now, demand.priority, cx))
+        if (position == 0 && self.has_room(now, demand.priority, cx))
             || self.allows_above_limit(now, demand.priority, cx)
         {
             return self.admit(now, &demand, false);
         }
         let remaining = demand.start_by().saturating_sub(now).as_secs_f64();
         let can_start =
-            is_first || position as f64 + 1.0 <= self.admissions.current(now) * remaining;
+            position == 0 || position as f64 + 1.0 <= self.admissions.current(now) * remaining;
         if remaining > 0.0 && can_start && self.enqueue(demand) {
             return Decision::Wait {
                 reason: HoldReason::Pace,
@@ -291,21 +268,18 @@
     fn record_arrival(&mut self, now: Duration, priority: u8) {
         self.classes
             .retain(|c| c.priority == priority || now < c.seen_at + CLASS_RETENTION);
-        let class = match self.classes.iter().position(|c| c.priority == priority) {
-            Some(i) => &mut self.classes[i],
-            None => {
-                self.classes.push(Class {
-                    priority,
-                    seen_at: now,
-                    window: ClassWindow::default(),
-                    credit: MAX_CREDIT,
-                });
-                let last = self.classes.len() - 1;
-                &mut self.classes[last]
-            }
-        };
-        class.seen_at = now;
-        class.window.record_arrival(now);
+        if self.class_mut(priority).is_none() {
+            self.classes.push(Class {
+                priority,
+                seen_at: now,
+                window: ClassWindow::default(),
+                credit: MAX_CREDIT,
+            });
+        }
+        if let Some(class) = self.class_mut(priority) {
+            class.seen_at = now;
+            class.window.record_arrival(now);
+        }
     }
 
     fn class_mut(&mut self, priority: u8) -> Option<&mut Class> {
@@ -468,8 +442,8 @@
             (admitted + a, refused + r)
         });
         let pressure = f64::from(refused) / f64::from((admitted + refused).max(1));
-        let after = RETRY_MIN_S + RETRY_PRESSURE_S * pressure + RETRY_SPREAD_S * cx.point;
-        Duration::from_secs_f64(after)
+        let spread = RETRY_SPREAD_S * cx.point;
+        Duration::from_secs_f64(RETRY_MIN_S + RETRY_PRESSURE_S * pressure + spread)
     }
 
     /// Adds a request to the queue; `false` if it is full of requests that go first. Otherwise the
--- a/crates/oriole_ranks/tests/group_addresses.rs
+++ b/crates/oriole_ranks/tests/group_addresses.rs
@@ -26,6 +26,7 @@
         group_membership: Some(GroupMembership {
             group: "g".to_owned(),
             rank: 3,
+            epoch: 0,
             group_running: true,
         }),
     }
