--- a/crates/oriole_gateway/src/streams/admit.rs
+++ b/crates/oriole_gateway/src/streams/admit.rs
@@ -74,7 +74,8 @@
     fn conditions(&self) -> Conditions {
         Conditions {
             running: self.limit.expected(self.running),
-            limit: self.limit.limit(),
+            // Without slots it is the pick that knows whether to wait or to refuse.
+            limit: self.limit.limit().filter(|_| self.slots > 0),
             slots: self.slots,
             standstill: self.standstill,
             view_age: self.view_age,
--- a/crates/oriole_gateway/src/streams/mod.rs
+++ b/crates/oriole_gateway/src/streams/mod.rs
@@ -78,6 +78,7 @@
 #[derive(Default)]
 struct ServiceCount {
     running: u32,
+    /// Slots of the upstreams whose group runs.
     slots: u32,
     /// Whether some upstream belongs to no group.
     has_single: bool,
@@ -215,7 +216,9 @@
             for known in view.usable_upstreams(now, &name) {
                 let running = traffic.in_flight(&known.upstream.instance);
                 count.running += running;
-                count.slots += known.upstream.capacity;
+                if known.group_reported_running() {
+                    count.slots += known.upstream.capacity;
+                }
                 let Some(membership) = &known.upstream.group_membership else {
                     count.has_single = true;
                     continue;
--- a/crates/oriole_gateway/tests/gateway/stream_admission.rs
+++ b/crates/oriole_gateway/tests/gateway/stream_admission.rs
@@ -172,6 +172,18 @@
     urgent.abort();
 }
 
+/// Without an upstream in service a request is refused at once and for that reason.
+#[tokio::test]
+async fn serve_no_upstream_is_refused_as_before() {
+    let value = "llm 127.0.0.1:9 north draining 1 g1 open";
+    let items = vec![item("cfg/0", "3", 1), item("up/i-0", value, 2)];
+    let routes = vec![stream_route("urgent", 0), stream_route("later", 2)];
+    let harness = start_with_routes(routes, items).await;
+    let answer = send(&harness, "later", "s0").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.ends_with("no_upstream"), "{answer}");
+}
+
 fn configuration(routes: Vec<Route>) -> Configuration {
     Configuration {
         routes: RouteTable::new(routes),
--- a/crates/oriole_overload/tests/overload/progress.rs
+++ b/crates/oriole_overload/tests/overload/progress.rs
@@ -127,6 +127,14 @@
     assert_eq!(group.tick(ms(2000), 1), None);
 }
 
+/// A group without requests is idle.
+#[test]
+fn standstill_nothing_in_flight_is_none() {
+    let mut group = running_group();
+    assert_eq!(group.tick(ms(2000), 0), None);
+    assert!(!group.stands_still());
+}
+
 /// Slow passes must not count as a standstill each.
 #[test]
 fn standstill_slow_rank_is_declared_once() {
