--- a/crates/oriole_overload/src/stream_admission.rs
+++ b/crates/oriole_overload/src/stream_admission.rs
@@ -255,8 +255,7 @@
         if position == 0 && self.takes_probe(now, cx) {
             return self.admit(now, &demand, true);
         }
-        let is_over = standstill.lasted >= STANDSTILL_WAIT;
-        if !is_over && self.enqueue(demand) {
+        if standstill.lasted < STANDSTILL_WAIT && self.enqueue(demand) {
             return Decision::Wait {
                 reason: HoldReason::Standstill,
                 position,
