Print the reason of the entry's refusal in the test of short bodies

Cause: bodies_that_stop_short_are_bounded failed once, and its message did not say why the ordinary request was refused.

--- a/crates/oriole_local/tests/whole/bodies.rs
+++ b/crates/oriole_local/tests/whole/bodies.rs
@@ -126,7 +126,8 @@
     assert!(count(Fate::Held) <= MAX_HELD, "{fates:?}");
     let req = request("stock-lookups", LOOKUP);
     let answer = session.caller.send(session.entry, &req).await;
-    assert_eq!(answer.expect("answer").outcome, "complete");
+    let answer = answer.expect("answer");
+    assert_eq!(answer.outcome, "complete", "{answer:?}");
 }
 
 /// A body of the maximum size is served when nothing else is held, also by the smallest VM.
