--- a/crates/oriole_gateway/tests/gateway/fleet_bounds.rs
+++ b/crates/oriole_gateway/tests/gateway/fleet_bounds.rs
@@ -5,8 +5,8 @@
 use oriole_gateway::traffic::cold_limiter::{ColdBounds, ColdLimiter, Turn};
 use oriole_gateway::traffic::retry_budget::{RetryBounds, RetryBudget};
 use proptest::prelude::*;
-use rand::rngs::StdRng;
 use rand::SeedableRng as _;
+use rand::rngs::StdRng;
 use rstest::rstest;
 
 use crate::fake::secs;
