Give a new holder an index other than those cut off for it

MemoryBudget::open closed the holders that it cuts off before it inserted the new one, so the new holder got the index of one of them. Memory::accept sets the new connection in its table by index before it looks up the holders to be cut off. It then found the new connection there, closed that one, and left the old one open and uncounted, so that idle connections could exceed the limit.

The new holder is now inserted first. Both cases of the new test fail without the change; the tests of oriole_memory pass with it. The tests of oriole_gateway were not run.

--- a/crates/oriole_memory/src/budget.rs
+++ b/crates/oriole_memory/src/budget.rs
@@ -228,7 +228,8 @@
     }
 
     /// Opens a holder with a fixed cost. The caller cuts off the holders that are returned, and lets
-    /// them free their memory before it allocates its own.
+    /// them free their memory before it allocates its own. The index of the new holder is none of
+    /// theirs, so a table by index still has their entries after that of the new holder is set.
     ///
     /// # Errors
     ///
@@ -259,6 +260,7 @@
             progressed_at: now,
             seq: self.next_seq,
         });
+        self.close_all(&cut_off);
         Ok(Opened { id, cut_off })
     }
 
@@ -285,6 +287,7 @@
         };
         let mut cut_off = Vec::new();
         self.make_room(now, &ask, &mut cut_off)?;
+        self.close_all(&cut_off);
         self.set_body(id, body);
         Ok(cut_off)
     }
@@ -384,9 +387,15 @@
         }
     }
 
-    /// Makes room for a charge, or cuts off nothing. `cut_off` holds what is cut off in any case.
+    fn close_all(&mut self, cut_off: &[CutOff]) {
+        for victim in cut_off {
+            self.close(victim.id);
+        }
+    }
+
+    /// Chooses what is cut off to make room for a charge. `cut_off` holds what is cut off in any case.
     fn make_room(
-        &mut self,
+        &self,
         now: Duration,
         ask: &Ask,
         cut_off: &mut Vec<CutOff>,
@@ -399,9 +408,6 @@
             self.choose_victims(now, ask, deficit, cut_off)
                 .map_err(|rest| rest.unwrap_or(shortage))?;
         }
-        for victim in &*cut_off {
-            self.close(victim.id);
-        }
         Ok(())
     }
 
--- a/crates/oriole_memory/tests/budget.rs
+++ b/crates/oriole_memory/tests/budget.rs
@@ -85,6 +85,25 @@
     assert_eq!(budget.held_by_holder(old), 0);
 }
 
+/// A new holder must not get the index of a holder that is cut off for it: the daemon would look up the
+/// new connection in its table, and close that one instead of the old one.
+#[rstest]
+#[case::connections(2 * BLOCK, 1)]
+#[case::memory(7 * BLOCK, 5 * BLOCK)]
+fn index_of_new_holder_is_none_of_those_cut_off(#[case] old: u64, #[case] new: u64) {
+    let mut budget = budget();
+    for _ in 0..2 {
+        open(&mut budget, NOW, Kind::Connection, old);
+    }
+    open(&mut budget, NOW, Kind::Connection, 1);
+    let owner = Owner::of(Kind::Connection);
+    let opened = budget.open(NOW + STALL_TIME, owner, new).unwrap();
+    assert_ne!(opened.cut_off, []);
+    let mut cut_off = opened.cut_off.iter();
+    assert!(cut_off.all(|c| c.id.index() != opened.id.index()));
+    assert_eq!(budget.connections(), 4 - opened.cut_off.len());
+}
+
 /// Bodies that stopped coming in must give way, the longest stalled first, and before one that is only
 /// large.
 #[test]
