Close unread connections for new callers, and let refused ones read on

Cause: a connection counted as running until its answer was flushed, whatever the caller did; a cut request closed its connection before the rest of its body was drained; a stream without memory asked for it at each poll.

--- a/crates/oriole_gateway/src/forward/read_ahead.rs
+++ b/crates/oriole_gateway/src/forward/read_ahead.rs
@@ -30,6 +30,9 @@
     pub age: Duration,
 }
 
+/// Time between two attempts to get memory for events. Each attempt looks at all holders.
+const CHARGE_RETRY_TIME: Duration = Duration::from_millis(100);
+
 type Events = Pin<Box<dyn Stream<Item = Result<Bytes, ResponseInterrupted>> + Send>>;
 
 struct State {
@@ -39,6 +42,8 @@
     blocks: VecDeque<BytesMut>,
     /// Events for which there was no memory. While there are any, nothing is read.
     uncharged: Option<Bytes>,
+    /// Time at which memory is asked for again.
+    charge_at: Duration,
     /// Whether the stream broke off.
     is_interrupted: bool,
     /// Whether the caller has taken everything, so that the HTTP library polls the relay itself.
@@ -66,6 +71,7 @@
                 events: Some(events),
                 blocks: VecDeque::new(),
                 uncharged: None,
+                charge_at: Duration::ZERO,
                 is_interrupted: false,
                 is_awaited: true,
                 holding: None,
@@ -126,7 +132,9 @@
 impl State {
     /// Whether more may be read. Events for which there was no memory are charged again first.
     fn has_room(&mut self, connection: &Arc<CallerConnection>) -> bool {
-        if let Some(events) = self.uncharged.take() {
+        if connection.gateway().clock.now() >= self.charge_at
+            && let Some(events) = self.uncharged.take()
+        {
             self.push(events, connection);
         }
         self.uncharged.is_none() && self.blocks.len() < MAX_BLOCKS
@@ -137,6 +145,7 @@
         let missing = events.len().saturating_sub(room).div_ceil(BLOCK_BYTES);
         if missing > 0 && !self.try_charge(missing * BLOCK_BYTES, connection) {
             self.uncharged = Some(events);
+            self.charge_at = connection.gateway().clock.now() + CHARGE_RETRY_TIME;
             return;
         }
         let mut rest = &events[..];
@@ -175,7 +184,12 @@
                 age: now.saturating_sub(since),
             });
         }
-        let deadline = tokio::time::Instant::now() + remaining;
+        let until_charge = self.charge_at.saturating_sub(now);
+        let wait = match self.uncharged {
+            Some(_) => remaining.min(until_charge.max(Duration::from_millis(1))),
+            None => remaining,
+        };
+        let deadline = tokio::time::Instant::now() + wait;
         let timer = self
             .timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
--- a/crates/oriole_gateway/src/memory/connection.rs
+++ b/crates/oriole_gateway/src/memory/connection.rs
@@ -123,8 +123,10 @@
         let read_ahead = state.read_ahead.clone();
         drop(state);
         let stream = read_ahead.and_then(|r| r.holder());
-        if response.is_some() || stream.is_some() {
-            let ids = response.into_iter().chain(stream);
+        let is_answered = response.is_some() || self.is_answer_done.load(Ordering::Relaxed);
+        if is_answered || stream.is_some() {
+            let connection = is_answered.then_some(self.holder);
+            let ids = response.into_iter().chain(stream).chain(connection);
             self.gateway.memory.progressed(now, ids);
         }
     }
@@ -145,6 +147,15 @@
     /// Records that the body of a response was handed to the HTTP library to its end, or dropped.
     pub fn on_answer_done(&self) {
         self.is_answer_done.store(true, Ordering::Relaxed);
+        self.await_reader();
+    }
+
+    /// Records that nothing but the caller's reading ends the request.
+    fn await_reader(&self) {
+        let now = self.gateway.clock.now();
+        self.gateway
+            .memory
+            .set_class(now, self.holder, Class::Unread);
     }
 
     fn end_answer(&self) {
@@ -153,12 +164,14 @@
         state.request = None;
         let finished = (state.response.take(), state.read_ahead.take());
         let is_cut = std::mem::take(&mut state.is_request_cut);
-        if is_cut {
+        // After a refusal the HTTP library closes the connection, once the caller has stopped sending.
+        let is_closing = is_cut && !state.is_body_refused;
+        if is_closing {
             state.end.get_or_insert(End::Close);
         }
         drop(state);
         drop(finished);
-        if is_cut {
+        if is_closing {
             self.waker.wake();
         }
         let now = self.gateway.clock.now();
@@ -284,6 +297,7 @@
     /// Hands a buffered response over to the caller. It is charged until the caller has taken it.
     pub fn hand_over(&self, response: Holding) {
         response.set_class(Class::Unread);
+        self.await_reader();
         let before = self.lock().response.replace(response);
         drop(before);
     }
@@ -326,6 +340,8 @@
             Kind::Connection | Kind::Request if state.phase == Phase::Receiving => {
                 state.is_request_cut = true;
             }
+            // Its caller left the answer unread.
+            Kind::Connection if state.phase == Phase::Running => state.end = Some(End::Abort),
             Kind::Connection | Kind::Request => state.end = state.end.or(Some(End::Close)),
             Kind::Response | Kind::Stream => state.end = Some(End::Abort),
         }
--- a/crates/oriole_gateway/tests/gateway/memory.rs
+++ b/crates/oriole_gateway/tests/gateway/memory.rs
@@ -134,6 +134,27 @@
     assert_eq!(lens, [2, 250_000]);
 }
 
+/// A body that is cut off for a smaller one must be refused so that its caller, who goes on sending, reads
+/// the refusal. A connection that is closed at once would be reset by the caller's next bytes.
+#[tokio::test]
+async fn largest_body_is_cut_off_while_sending_caller_reads_refusal() {
+    let (address, _) = recording_upstream().await;
+    let harness = start_with_memory(route(RouteKind::AtMostOnce), address, MEMORY_MB).await;
+    harness.post("ready").await;
+    let mut largest = send_part(&harness, "largest", 320_000, 250_000).await;
+    let mut other = send_part(&harness, "other", 200_000, 200_000).await;
+    for _ in 0..3 {
+        let written = largest.write_all(&body(10_000)).await;
+        written.expect("the rest should be received");
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    assert_refused_for_memory(&read_to_end(largest).await);
+    let answer = read_ok(&mut other).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(other);
+    harness.wait_until_nothing_is_held().await;
+}
+
 /// A body that does not fit must be refused when that is known, not collected until the process is
 /// killed.
 #[tokio::test]
@@ -301,6 +322,10 @@
     }
     let answer = timeout(TIMEOUT, harness.post("new")).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    // The oldest are really closed, so that descriptors are bounded: 12 connections stay at most.
+    for old in waiting.drain(..28) {
+        read_to_end(old).await;
+    }
     drop(waiting);
     harness.wait_until_nothing_is_held().await;
 }
--- a/crates/oriole_memory/src/budget.rs
+++ b/crates/oriole_memory/src/budget.rs
@@ -238,10 +238,10 @@
         let mut cut_off = Vec::new();
         let is_connection = owner.kind == Kind::Connection;
         if is_connection && self.connections >= self.cfg.max_connections {
-            let longest = self.longest_waiting_connection();
+            let replaced = self.replaceable_connection(now);
             cut_off.push(self.cut_off_entry(
                 now,
-                longest.ok_or(Shortage::Connections)?,
+                replaced.ok_or(Shortage::Connections)?,
                 CutOffReason::Connections,
             ));
         }
@@ -485,12 +485,21 @@
         }
     }
 
-    fn longest_waiting_connection(&self) -> Option<HolderId> {
-        let is_waiting =
-            |h: &Holder| h.owner.kind == Kind::Connection && h.owner.class == Class::Unfinished;
+    /// The connection without a running request that has waited longest for its next bytes; if there is
+    /// none, the one whose caller has left its answer unread for longest. Otherwise callers that read
+    /// nothing would keep all connections, and others would wait without end.
+    fn replaceable_connection(&self, now: Duration) -> Option<HolderId> {
+        let is_replaceable = |h: &Holder| {
+            h.owner.kind == Kind::Connection
+                && match h.owner.class {
+                    Class::Unfinished => true,
+                    Class::Unread => now.saturating_sub(h.progressed_at) >= UNREAD_TIME,
+                    Class::Running => false,
+                }
+        };
         self.holders()
-            .filter(|(_, h)| is_waiting(h))
-            .min_by_key(|(_, h)| (h.progressed_at, h.seq))
+            .filter(|(_, h)| is_replaceable(h))
+            .min_by_key(|(_, h)| (h.owner.class == Class::Unread, h.progressed_at, h.seq))
             .map(|(id, _)| id)
     }
 
--- a/crates/oriole_memory/tests/budget.rs
+++ b/crates/oriole_memory/tests/budget.rs
@@ -104,6 +104,29 @@
     assert_eq!(budget.connections(), 4 - opened.cut_off.len());
 }
 
+/// Callers that leave their answers unread must not keep all connections: others would wait without end.
+#[rstest]
+#[case::just_answered(UNREAD_TIME / 2, false)]
+#[case::unread(UNREAD_TIME, true)]
+fn connection_with_unread_answer_is_replaced(#[case] age: Duration, #[case] is_replaced: bool) {
+    let mut budget = budget();
+    let connections: Vec<HolderId> = (0..3)
+        .map(|_| open(&mut budget, NOW, Kind::Connection, 1))
+        .collect();
+    for id in &connections {
+        budget.set_class(NOW, *id, Class::Running);
+    }
+    budget.set_class(NOW, connections[1], Class::Unread);
+    let opened = budget.open(NOW + age, Owner::of(Kind::Connection), 1);
+    let cut = opened.map(|opened| ids(&opened.cut_off));
+    let expected = if is_replaced {
+        Ok(vec![connections[1]])
+    } else {
+        Err(Shortage::Connections)
+    };
+    assert_eq!(cut, expected);
+}
+
 /// Bodies that stopped coming in must give way, the longest stalled first, and before one that is only
 /// large.
 #[test]
