Let a worker of review cases 7 and 8 close its listener before its connections

Cause: the stand-in ended its connections up to a millisecond before its listener, so a daemon that asked whether the worker had crashed was now and then told that it ran.

Change: one worker that may crash, in the stand-ins of both cases, closes its listener first. Checks, bounds and counts are as before.

--- a/review/standins-2/popular_request.rs
+++ b/review/standins-2/popular_request.rs
@@ -5,9 +5,9 @@
 
 use std::collections::BTreeSet;
 use std::io::{self, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,9 +34,6 @@
 /// Time until a worker begins to write an answer.
 const READING: Duration = Duration::from_millis(250);
 
-/// Time after which a crashed worker is back.
-const RESTART: Duration = Duration::from_secs(3);
-
 /// `contact_ms` of the deployment.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -69,110 +66,48 @@
     sent: Vec<(Instant, String)>,
 }
 
-struct Worker {
-    name: String,
-    is_down: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
-}
-
-impl Worker {
-    fn start(rec: &Record, store: &Store, seen: &Arc<Mutex<Seen>>, name: String) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        register(store, &name, "reader", address, CAPACITY);
-        let worker = Arc::new(Self {
-            name,
-            is_down: AtomicBool::new(false),
-            open: Mutex::default(),
-        });
-        let (rec, store, seen) = (rec.clone(), store.clone(), seen.clone());
-        thread::spawn(move || {
-            let mut listener = listener;
-            loop {
-                worker.accept(&rec, &seen, listener);
-                thread::sleep(RESTART);
-                listener = TcpListener::bind(address).unwrap();
-                worker.is_down.store(false, Ordering::SeqCst);
-                // A new run of the instance, with another start.
-                register(&store, &worker.name, "reader", address, CAPACITY);
-                rec.line(format!("worker {} is back", worker.name));
-            }
-        });
-    }
-
-    /// Serves connections until the worker crashes, which ends all of them.
-    fn accept(self: &Arc<Self>, rec: &Record, seen: &Arc<Mutex<Seen>>, listener: TcpListener) {
-        listener.set_nonblocking(true).unwrap();
-        while !self.is_down.load(Ordering::SeqCst) {
-            let Ok((mut stream, _)) = listener.accept() else {
-                thread::sleep(Duration::from_millis(1));
-                continue;
-            };
-            let _ = stream.set_nonblocking(false);
-            let _ = stream.set_nodelay(true);
-            self.open.lock().unwrap().push(stream.try_clone().unwrap());
-            let (worker, rec, seen) = (self.clone(), rec.clone(), seen.clone());
-            thread::spawn(move || {
-                let mut buf = Vec::new();
-                while let Ok(Some(req)) = read_request(&mut stream, &mut buf) {
-                    if worker.answer(&rec, &seen, &req, &mut stream).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
+fn answer(
+    worker: &Worker,
+    rec: &Record,
+    seen: &Mutex<Seen>,
+    req: &Req,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
+    thread::sleep(READING);
+    worker.check_up()?;
+    if req
+        .header("prompt-prefix")
+        .is_some_and(|parts| parts.contains(POISON_PART))
+    {
+        if worker.crash() {
+            let mut seen = seen.lock().unwrap();
+            seen.crashes.push(Instant::now());
+            let number = seen.crashes.len();
+            rec.line(format!(
+                "worker {} crashes as it begins to answer {} (crash {number})",
+                worker.name,
+                req.id()
+            ));
         }
+        return worker.check_up();
     }
-
-    fn answer(
-        &self,
-        rec: &Record,
-        seen: &Mutex<Seen>,
-        req: &Req,
-        stream: &mut TcpStream,
-    ) -> io::Result<()> {
-        thread::sleep(READING);
-        let crashed = || io::Error::from(io::ErrorKind::ConnectionReset);
-        if self.is_down.load(Ordering::SeqCst) {
-            return Err(crashed());
-        }
-        if req
-            .header("prompt-prefix")
-            .is_some_and(|parts| parts.contains(POISON_PART))
-        {
-            if !self.is_down.swap(true, Ordering::SeqCst) {
-                let mut seen = seen.lock().unwrap();
-                seen.crashes.push(Instant::now());
-                let number = seen.crashes.len();
-                rec.line(format!(
-                    "worker {} crashes as it begins to answer {} (crash {number})",
-                    self.name,
-                    req.id()
-                ));
-            }
-            return Err(crashed());
-        }
-        seen.lock().unwrap().begun.insert(req.id().to_owned());
-        write!(
-            stream,
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nAttempt-Id: {}\r\nServer-Signature: s\r\n\r\n",
-            req.id()
-        )?;
-        let first = 1 + req
-            .header("last-event-id")
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(0);
-        for id in first..=16 {
-            let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(65));
-            write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
-            thread::sleep(Duration::from_millis(30));
-        }
-        write!(stream, "0\r\n\r\n")
+    seen.lock().unwrap().begun.insert(req.id().to_owned());
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nAttempt-Id: {}\r\nServer-Signature: s\r\n\r\n",
+        req.id()
+    )?;
+    let first = 1 + req
+        .header("last-event-id")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
+    for id in first..=16 {
+        let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(65));
+        write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
+        thread::sleep(Duration::from_millis(30));
     }
+    write!(stream, "0\r\n\r\n")
 }
-
 /// A caller's request, and how it is recorded.
 struct Call {
     id: String,
@@ -259,7 +194,18 @@
     store.put("op/config", CONFIG);
     let seen = Arc::new(Mutex::new(Seen::default()));
     for i in 1..=WORKERS {
-        Worker::start(rec, &store, &seen, format!("w{i}"));
+        let (worker_rec, seen) = (rec.clone(), seen.clone());
+        let handler = move |worker: &Worker, req: &Req, stream: &mut TcpStream| {
+            answer(worker, &worker_rec, &seen, req, stream)
+        };
+        Worker::start(
+            rec,
+            &store,
+            format!("w{i}"),
+            "reader",
+            CAPACITY,
+            Arc::new(handler),
+        );
     }
     let peer_port = free_port("127.0.0.1");
     let ips = ["127.0.0.1", "127.0.0.2"];
--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -5,10 +5,11 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::FromRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -642,3 +643,91 @@
     stream.write_all(req)?;
     read_answer(&mut stream, &mut Vec::new(), |_| {})
 }
+
+/// What a worker does with a request.
+pub type Handler = dyn Fn(&Worker, &Req, &mut TcpStream) -> io::Result<()> + Send + Sync;
+
+/// Time after which a crashed worker is back.
+pub const WORKER_RESTART: Duration = Duration::from_secs(3);
+
+/// A worker that may crash. It comes back at its address as another run of the same instance.
+pub struct Worker {
+    pub name: String,
+    is_down: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl Worker {
+    pub fn start(
+        rec: &Record,
+        store: &Store,
+        name: String,
+        service: &'static str,
+        capacity: u32,
+        handler: Arc<Handler>,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        register(store, &name, service, address, capacity);
+        let worker = Arc::new(Self {
+            name,
+            is_down: AtomicBool::new(false),
+            open: Mutex::default(),
+        });
+        let (rec, store) = (rec.clone(), store.clone());
+        let started = worker.clone();
+        thread::spawn(move || {
+            let mut listener = listener;
+            loop {
+                worker.accept(listener, &handler);
+                thread::sleep(WORKER_RESTART);
+                listener = TcpListener::bind(address).unwrap();
+                worker.is_down.store(false, Ordering::SeqCst);
+                register(&store, &worker.name, service, address, capacity);
+                rec.line(format!("worker {} is back", worker.name));
+            }
+        });
+        started
+    }
+
+    /// Serves connections until the worker crashes: then it takes no new ones, and all open ones end.
+    fn accept(self: &Arc<Self>, listener: TcpListener, handler: &Arc<Handler>) {
+        listener.set_nonblocking(true).unwrap();
+        while !self.is_down.load(Ordering::SeqCst) {
+            let Ok((mut stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            let _ = stream.set_nodelay(true);
+            self.open.lock().unwrap().push(stream.try_clone().unwrap());
+            let (worker, handler) = (self.clone(), handler.clone());
+            thread::spawn(move || {
+                let mut buf = Vec::new();
+                while let Ok(Some(req)) = read_request(&mut stream, &mut buf) {
+                    if handler(&worker, &req, &mut stream).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+        drop(listener);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Crashes; returns whether it was up.
+    pub fn crash(&self) -> bool {
+        !self.is_down.swap(true, Ordering::SeqCst)
+    }
+
+    /// Fails if the worker has crashed, once its listener and connections are closed.
+    pub fn check_up(&self) -> io::Result<()> {
+        if self.is_down.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(50));
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(())
+    }
+}
