Mend the stand-ins of review cases 7 to 10, and count their runs again

Cause: the leaving workers of case 9 didn't say Server-Leaving, as the users' pages ask; ports were drawn by binding them for a moment, once with a daemon that did not become ready; case 7 left out a worker in some runs, which clears the popular request.

Change: the workers of case 9 say so, before 16 daemons and at 80 requests a second; daemons have loopback addresses of the script's own; case 7 sends 40 deadly requests in 0.2 s in place of 12 at one instant. Checks and bounds are as before.

--- a/review/standins-2/leaving_zone.rs
+++ b/review/standins-2/leaving_zone.rs
@@ -15,21 +15,24 @@
 /// Workers of the service, those of the zone that is emptied first, and requests that each runs at once.
 const WORKERS: usize = 11;
 const LEAVING: usize = 4;
-const CAPACITY: u32 = 24;
+const CAPACITY: u32 = 6;
+
+/// Entry daemons.
+const DAEMONS: usize = 16;
 
 /// Time between two requests, and their work.
-const INTERVAL: Duration = Duration::from_millis(4);
+const INTERVAL: Duration = Duration::from_millis(12);
 const WORK: Duration = Duration::from_millis(30);
 
 /// Time between the removals of two workers' entries.
-const REMOVAL_GAP: Duration = Duration::from_millis(20);
+const REMOVAL_GAP: Duration = Duration::from_millis(5);
 
 /// `drain_ms` of the deployment, and the time beyond it that a leaving worker goes on serving.
 const DRAIN: Duration = Duration::from_millis(2000);
-const LITTLE_LONGER: Duration = Duration::from_millis(60);
+const LITTLE_LONGER: Duration = Duration::from_millis(70);
 
 /// Times that the zone is emptied and filled again.
-const ROUNDS: usize = 4;
+const ROUNDS: usize = 8;
 
 const CONFIG: &str = r#"{"version":3,"routes":[
 {"name":"post","hostname":"a.example","prefix":"/post/","route_type":"non_idempotent","timeout_ms":1500,"target_latency_ms":150,"backend":"ledger","max_attempts":1}],
@@ -98,12 +101,12 @@
             }
             thread::sleep(WORK);
             worker.check_up()?;
-            respond(
-                stream,
-                200,
-                &[("Attempt-Id", req.id()), ("Server-Signature", "s")],
-                &[b'x'; 800],
-            )?;
+            let mut headers = vec![("Attempt-Id", req.id()), ("Server-Signature", "s")];
+            if seen.lock().unwrap().removed.contains_key(&worker.name) {
+                // A worker that leaves says so in all its answers.
+                headers.push(("Server-Leaving", "1"));
+            }
+            respond(stream, 200, &headers, &[b'x'; 800])?;
             Ok(())
         };
         workers.push(Worker::start(
@@ -115,15 +118,13 @@
             Arc::new(handler),
         ));
     }
-    let peer_port = free_port("127.0.0.1");
-    let ips = ["127.0.0.1", "127.0.0.2"];
+    let ips: Vec<String> = (1..=DAEMONS).map(own_ip).collect();
     let gateways: Vec<Gateway> = ips
         .iter()
         .map(|ip| {
             let options = GatewayOptions {
                 ip,
-                peer_port,
-                seeds: &ips,
+                seeds: &ips[..3],
                 memory_mb: 182,
             };
             Gateway::start(&format!("edge-{ip}"), store.address, folder, &options)
@@ -177,7 +178,7 @@
         // Other workers come in the place of those that have left.
         thread::sleep(DRAIN + LITTLE_LONGER + Duration::from_millis(500));
         seen.lock().unwrap().removed.clear();
-        thread::sleep(WORKER_RESTART + Duration::from_secs(4));
+        thread::sleep(WORKER_RESTART + Duration::from_secs(2));
     }
     stop.store(true, Ordering::SeqCst);
     let _ = callers.join();
--- a/review/standins-2/long_prompt.rs
+++ b/review/standins-2/long_prompt.rs
@@ -166,14 +166,12 @@
             Arc::new(handler),
         );
     }
-    let peer_port = free_port("127.0.0.1");
-    let ips = ["127.0.0.1", "127.0.0.2"];
+    let ips = [own_ip(1), own_ip(2)];
     let gateways: Vec<Gateway> = ips
         .iter()
         .map(|ip| {
             let options = GatewayOptions {
                 ip,
-                peer_port,
                 seeds: &ips,
                 memory_mb: 182,
             };
--- a/review/standins-2/popular_request.rs
+++ b/review/standins-2/popular_request.rs
@@ -18,8 +18,9 @@
 const WORKERS: usize = 6;
 const CAPACITY: u32 = 32;
 
-/// Requests with the part that crashes workers which come at once.
-const BURST: usize = 12;
+/// Requests with the part that crashes workers which come at first, and the time between two of them.
+const BURST: usize = 40;
+const BURST_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Time between two further ones.
 const POISON_INTERVAL: Duration = Duration::from_secs(1);
@@ -207,14 +208,12 @@
             Arc::new(handler),
         );
     }
-    let peer_port = free_port("127.0.0.1");
-    let ips = ["127.0.0.1", "127.0.0.2"];
+    let ips = [own_ip(1), own_ip(2)];
     let gateways: Vec<Gateway> = ips
         .iter()
         .map(|ip| {
             let options = GatewayOptions {
                 ip,
-                peer_port,
                 seeds: &ips,
                 memory_mb: 182,
             };
@@ -254,7 +253,10 @@
         rec.line(format!(
             "{BURST} requests with the part that crashes workers"
         ));
-        (0..BURST).for_each(|_| send_poison());
+        for _ in 0..BURST {
+            send_poison();
+            thread::sleep(BURST_INTERVAL);
+        }
         while Instant::now() + POISON_INTERVAL < until {
             thread::sleep(POISON_INTERVAL);
             send_poison();
--- a/review/standins-2/slow_readers.rs
+++ b/review/standins-2/slow_readers.rs
@@ -158,9 +158,9 @@
         serve(listener, move |req, stream| work(&worker_rec, req, stream));
         register(&store, name, "orders", address, 10);
     }
+    let ip = own_ip(1);
     let options = GatewayOptions {
-        ip: "127.0.0.1",
-        peer_port: free_port("127.0.0.1"),
+        ip: &ip,
         seeds: &[],
         memory_mb: 182,
     };
--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -425,18 +425,19 @@
     program: PathBuf,
 }
 
-pub fn free_port(ip: &str) -> u16 {
-    TcpListener::bind((ip, 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port()
+/// Port of every daemon for its peers, and the first of its other ports.
+const PEER_PORT: u16 = 7340;
+const FIRST_PORT: u16 = 7351;
+
+/// A loopback address of this script alone. Ports there needn't be drawn: nothing else binds or uses them.
+pub fn own_ip(host: usize) -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.{host}", 20 + pid / 250 % 200, pid % 250)
 }
 
 pub struct GatewayOptions<'a> {
     pub ip: &'a str,
-    pub peer_port: u16,
-    pub seeds: &'a [&'a str],
+    pub seeds: &'a [String],
     pub memory_mb: u64,
 }
 
@@ -449,17 +450,16 @@
         options: &GatewayOptions<'_>,
     ) -> Self {
         let ip = options.ip;
-        let address = || SocketAddr::new(ip.parse().unwrap(), free_port(ip));
-        let (callers, ready, endpoints, metrics) = (address(), address(), address(), address());
+        let address = |i| SocketAddr::new(ip.parse().unwrap(), FIRST_PORT + i);
+        let (callers, ready, endpoints, metrics) = (address(0), address(1), address(2), address(3));
         let seeds: Vec<String> = options
             .seeds
             .iter()
             .map(|s| format!("\"{s}:8229\""))
             .collect();
         let text = format!(
-            "name = \"{name}\"\ndomain = \"cl-nord\"\nmax_descriptors = 2870\nmemory_mb = {}\n\n[listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nendpoints = \"{endpoints}\"\nmetrics = \"{metrics}\"\n\n[peers]\nlisten = \"{ip}:{}\"\nseeds = [{}]\n\n[store]\naddress = \"{store}\"\n\n[bounds]\nretry_ratio = 0.2\nretry_window_s = 10\nretry_allowance = 196\ncold_overage = 1.5\ncold_allowance = 5\ndrain_ms = 2000\ngrace_s = 8\n",
+            "name = \"{name}\"\ndomain = \"cl-nord\"\nmax_descriptors = 2870\nmemory_mb = {}\n\n[listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\nendpoints = \"{endpoints}\"\nmetrics = \"{metrics}\"\n\n[peers]\nlisten = \"{ip}:{PEER_PORT}\"\nseeds = [{}]\n\n[store]\naddress = \"{store}\"\n\n[bounds]\nretry_ratio = 0.2\nretry_window_s = 10\nretry_allowance = 196\ncold_overage = 1.5\ncold_allowance = 5\ndrain_ms = 2000\ngrace_s = 8\n",
             options.memory_mb,
-            options.peer_port,
             seeds.join(", ")
         );
         let settings = folder.join(format!("{name}.toml"));
@@ -644,6 +644,16 @@
     read_answer(&mut stream, &mut Vec::new(), |_| {})
 }
 
+/// Listens at an address that was in use before, as soon as it is free.
+fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(address) {
+            return listener;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// What a worker does with a request.
 pub type Handler = dyn Fn(&Worker, &Req, &mut TcpStream) -> io::Result<()> + Send + Sync;
 
@@ -681,7 +691,7 @@
             loop {
                 worker.accept(listener, &handler);
                 thread::sleep(WORKER_RESTART);
-                listener = TcpListener::bind(address).unwrap();
+                listener = bind_again(address);
                 worker.is_down.store(false, Ordering::SeqCst);
                 register(&store, &worker.name, service, address, capacity);
                 rec.line(format!("worker {} is back", worker.name));
