--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -7,6 +7,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::FromRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -372,6 +373,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
     fn connect(fd: i32, address: *const u8, len: u32) -> i32;
@@ -485,11 +487,21 @@
             .append(true)
             .open(log)
             .unwrap();
-        Command::new(program)
+        let mut command = Command::new(program);
+        command
             .env("ORIOLEFIELD_NODE_FILE", settings)
             .stdin(Stdio::null())
             .stdout(Stdio::from(log.try_clone().unwrap()))
-            .stderr(Stdio::from(log))
+            .stderr(Stdio::from(log));
+        // SAFETY: `prctl` may be called between fork and exec. The daemon ends with this process, however
+        // that ends (PR_SET_PDEATHSIG).
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        command
             .spawn()
             .expect("target/release/oriole-gateway: run the build of deploy/system.toml first")
     }
